--- /dev/null
+++ b/src/pearshed/__init__.py
@@ -0,0 +1,3 @@
+"""Router for language-model traffic with service levels and priorities."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/pearshed/_internal/commands/__init__.py
@@ -0,0 +1,53 @@
+"""The commands, looked up in a table and imported only when one is run."""
+
+import importlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from pearshed._internal.commands.base import Command
+from pearshed._internal.errors import InvariantBrokenError
+
+
+@dataclass(frozen=True)
+class CommandInfo:
+    """Where a command is found.
+
+    :ivar summary: one line for the list of commands.
+    """
+
+    module: str
+    class_name: str
+    summary: str
+
+
+COMMANDS: Mapping[str, CommandInfo] = {
+    "entry": CommandInfo(
+        "pearshed._internal.commands.entry", "EntryCommand", "Serve callers on an entry VM."
+    ),
+    "side": CommandInfo(
+        "pearshed._internal.commands.side", "SideCommand", "Stand before one endpoint."
+    ),
+    "check": CommandInfo(
+        "pearshed._internal.commands.check",
+        "CheckCommand",
+        "Check settings files and records before they are used.",
+    ),
+    "dump": CommandInfo(
+        "pearshed._internal.commands.dump",
+        "DumpCommand",
+        "Show the state of a running process.",
+    ),
+    "version": CommandInfo(
+        "pearshed._internal.commands.version", "VersionCommand", "Show the version."
+    ),
+}
+
+
+def create_command(name: str) -> Command:
+    """Import a command's module and create the command."""
+    info = COMMANDS[name]
+    module = importlib.import_module(info.module)
+    command = getattr(module, info.class_name)()
+    if not isinstance(command, Command):
+        raise InvariantBrokenError(f"{info.class_name} is not a command")
+    return command
--- /dev/null
+++ b/src/pearshed/_internal/commands/process.py
@@ -0,0 +1,53 @@
+"""Base of the commands that run a process until it is asked to stop."""
+
+import abc
+import argparse
+import asyncio
+import pathlib
+
+from pearshed._internal import logs
+from pearshed._internal.cli import status_codes
+from pearshed._internal.commands.base import Command
+from pearshed._internal.errors import SettingsError
+from pearshed._internal.processes.base import Process
+from pearshed._internal.settings.loader import load_settings
+from pearshed._internal.settings.model import Settings
+
+
+class ProcessCommand(Command):
+    """Loads the settings and runs a process."""
+
+    #: Section of the settings file that the process needs.
+    section = ""
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's arguments."""
+        parser.add_argument(
+            "--settings", type=pathlib.Path, required=True, metavar="FILE", help="settings in YAML"
+        )
+
+    def run(self, options: argparse.Namespace) -> int:
+        """Run the process until SIGTERM or SIGINT, then finish what is in flight."""
+        settings = load_settings(options.settings)
+        process = settings.process
+        logs.configure(process.name, process.log_format, process.log_level)
+        asyncio.run(self._run(settings, options.settings))
+        return status_codes.SUCCESS
+
+    async def _run(self, settings: Settings, path: pathlib.Path) -> None:
+        await self._create(settings, path).run()
+
+    @abc.abstractmethod
+    def _create(self, settings: Settings, path: pathlib.Path) -> Process:
+        """Create the process.
+
+        :raises SettingsError: when the settings are those of another kind of process.
+        """
+
+
+def wrong_section(path: pathlib.Path, section: str) -> SettingsError:
+    """Make the error of a settings file that is for another kind of process."""
+    return SettingsError(
+        f"{path} has no section {section!r}",
+        hint=f"the command is 'pearshed {section}'; is this another process's file?",
+    )
--- /dev/null
+++ b/src/pearshed/_internal/configuration/feed.py
@@ -0,0 +1,110 @@
+"""Feeds of the platform: documents with revisions, held by a process and relayed by peers."""
+
+import abc
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from returns.result import Result
+
+from pearshed._internal.timers import clock
+
+
+class FeedName(enum.StrEnum):
+    """What the platform publishes."""
+
+    RECORDS = "records"
+    VMS = "vms"
+
+
+@dataclass(frozen=True)
+class FeedChange:
+    """Documents published after one revision and up to another.
+
+    :ivar revision: revision that holds once the documents are applied.
+    :ivar documents: JSON documents, each with a revision of its own.
+    :ivar confirmed_ago_s: time since the platform confirmed the revision, seconds.
+    """
+
+    revision: int
+    documents: tuple[bytes, ...]
+    confirmed_ago_s: float = 0.0
+
+
+class PlatformSource(abc.ABC):
+    """The platform's publishing service: it can be read and watched, never written."""
+
+    @abc.abstractmethod
+    async def changes(self, feed: FeedName, after: int, wait_s: float) -> Result[FeedChange, str]:
+        """Read the documents published after a revision.
+
+        :param after: the last revision that the caller has; 0 reads everything.
+        :param wait_s: how long to wait for a change, seconds; 0 answers at once.
+        :returns: the change, empty when nothing came in time, or why there is no answer.
+        """
+
+
+class Feed(abc.ABC):
+    """The highest revision of each document that this process has accepted.
+
+    The feed's revision never goes back: an older answer is counted and ignored.
+    """
+
+    def __init__(self, name: FeedName) -> None:
+        self._name = name
+        self._revision = 0
+        self._confirmed_at = float("-inf")
+        self._stale_answers = 0
+
+    @property
+    def name(self) -> FeedName:
+        """Which feed this is."""
+        return self._name
+
+    @property
+    def revision(self) -> int:
+        """Highest revision applied; 0 before the first."""
+        return self._revision
+
+    @property
+    def stale_answers(self) -> int:
+        """Answers of the platform or of peers that were older than what is in force."""
+        return self._stale_answers
+
+    @property
+    def confirmed_ago_s(self) -> float:
+        """Time since the platform confirmed the revision, seconds; infinite before the first."""
+        return clock.now() - self._confirmed_at
+
+    def apply(self, change: FeedChange) -> int:
+        """Apply a change unless it is older than what is in force.
+
+        :returns: the number of documents that took effect.
+        """
+        if change.revision < self._revision:
+            self._stale_answers += 1
+            return 0
+        self.confirm(self._revision, change.confirmed_ago_s)
+        accepted = self._accept_all(change.documents)
+        advanced = change.revision > self._revision
+        self._revision = change.revision
+        if accepted or advanced:
+            self._changed(accepted)
+        return accepted
+
+    def confirm(self, revision: int, confirmed_ago_s: float) -> None:
+        """Note how long ago the platform confirmed the revision in force."""
+        if revision == self._revision:
+            self._confirmed_at = max(self._confirmed_at, clock.now() - confirmed_ago_s)
+
+    @abc.abstractmethod
+    def documents_after(self, revision: int) -> tuple[bytes, ...]:
+        """List the accepted documents that are newer than a revision."""
+
+    @abc.abstractmethod
+    def _accept_all(self, documents: Iterable[bytes]) -> int:
+        """Accept the documents that are well formed and newer than those held."""
+
+    @abc.abstractmethod
+    def _changed(self, accepted: int) -> None:
+        """Publish the new state within the process."""
--- /dev/null
+++ b/src/pearshed/_internal/entry/answers.py
@@ -0,0 +1,95 @@
+"""Forms that answers take for callers of the HTTP interface."""
+
+import json
+import math
+from collections.abc import Iterable, Mapping
+from http import HTTPStatus
+
+from pearshed._internal.entry.classifier import REQUEST_ID_HEADER
+from pearshed._internal.models.outcomes import Execution, FailureCode, RequestFailure
+
+Headers = list[tuple[str, str]]
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "date",
+        "server",
+        REQUEST_ID_HEADER.lower(),
+    )
+)
+_ERROR_TYPES = {4: "invalid_request_error", 5: "server_error"}
+_CLIENT_CLOSED = 499
+EVENT_END = b"\n\n"
+_MILLISECONDS = 1000
+
+
+def status_line(status: int) -> str:
+    """Format a status for WSGI."""
+    if status == _CLIENT_CLOSED:
+        return "499 Client Closed Request"
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
+
+
+def relayed_headers(headers: Iterable[tuple[str, str]], request_id: str) -> Headers:
+    """Keep the end-to-end headers of an endpoint's answer."""
+    kept = [(name, value) for name, value in headers if name.lower() not in _HOP_BY_HOP]
+    kept.append((REQUEST_ID_HEADER, request_id))
+    return kept
+
+
+def error_document(failure: RequestFailure, request_id: str) -> Mapping[str, object]:
+    """Make the error object of the OpenAI interface, with what is known of the execution."""
+    kind = _ERROR_TYPES.get(failure.status // 100, "server_error")
+    if failure.status == HTTPStatus.TOO_MANY_REQUESTS:
+        kind = "rate_limit_error"
+    return {
+        "error": {
+            "message": failure.message,
+            "type": kind,
+            "param": None,
+            "code": failure.code.value,
+            "execution": failure.execution.value,
+            "request_id": request_id,
+            "retry_after_s": failure.retry_after_s,
+        }
+    }
+
+
+def error_answer(failure: RequestFailure, request_id: str) -> tuple[str, Headers, bytes]:
+    """Make a whole HTTP answer of a failure: status line, headers and body."""
+    content = json.dumps(error_document(failure, request_id)).encode()
+    headers: Headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(content))),
+        (REQUEST_ID_HEADER, request_id),
+    ]
+    if failure.retry_after_s:
+        headers.append(("Retry-After", str(math.ceil(failure.retry_after_s))))
+        headers.append(("Retry-After-Ms", str(math.ceil(failure.retry_after_s * _MILLISECONDS))))
+    if failure.execution is not Execution.NOT_RUN or failure.code is FailureCode.MALFORMED:
+        # Client libraries of the OpenAI interface honour this and would else send a
+        # request that may have run a second time.
+        headers.append(("X-Should-Retry", "false"))
+    return status_line(failure.status), headers, content
+
+
+def error_event(failure: RequestFailure, request_id: str, last_bytes: bytes) -> bytes:
+    """Make the server-sent event that ends a broken stream.
+
+    :param last_bytes: end of what the caller has; a broken event is closed first.
+    """
+    start = b"" if last_bytes.endswith(EVENT_END) else EVENT_END
+    document = json.dumps(error_document(failure, request_id))
+    return start + f"data: {document}".encode() + EVENT_END
--- /dev/null
+++ b/src/pearshed/_internal/entry/application.py
@@ -0,0 +1,276 @@
+"""The WSGI application that callers talk to."""
+
+import asyncio
+import json
+import socket
+import time
+from collections.abc import Callable, Generator, Iterable, Iterator
+from typing import Any
+
+from absl import logging
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from pearshed._internal.configuration.catalogue import Catalogue
+from pearshed._internal.entry import answers
+from pearshed._internal.entry.admission import Admission
+from pearshed._internal.entry.classifier import (
+    MODELS_PATH,
+    Classifier,
+    HttpCall,
+    new_request_id,
+)
+from pearshed._internal.entry.dispatcher import Dispatcher
+from pearshed._internal.entry.http_server import READ_DONE_KEY, SOCKET_KEY, caller_has_gone
+from pearshed._internal.entry.request_log import RequestLog
+from pearshed._internal.entry.sink import AnswerSink
+from pearshed._internal.models.outcomes import (
+    AnswerEnd,
+    AnswerEvent,
+    AnswerHead,
+    AnswerPart,
+    Execution,
+    FailureCode,
+    RequestFailure,
+)
+from pearshed._internal.models.requests import RoutedRequest
+
+StartResponse = Callable[[str, answers.Headers], Any]
+
+_CALLER_CHECK_S = 0.5
+_MODELS_OWNER = "pearshed"
+
+
+class CallerApplication:
+    """Answers the calls of callers; each call runs on a thread of the HTTP server.
+
+    :param loop: the event loop on which requests are dispatched.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        classifier: Classifier,
+        admission: Admission,
+        dispatcher: Dispatcher,
+        catalogue: Callable[[], Catalogue],
+        request_log: RequestLog,
+        max_body_bytes: int,
+    ) -> None:
+        self._loop = loop
+        self._classifier = classifier
+        self._admission = admission
+        self._dispatcher = dispatcher
+        self._catalogue = catalogue
+        self._request_log = request_log
+        self._max_body_bytes = max_body_bytes
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Serve one call."""
+        request_id = new_request_id()
+        call = self._read_call(environ)
+        environ[READ_DONE_KEY]()
+        routed = call.bind(lambda read: self._route(read, request_id))
+        if not is_successful(routed):
+            return self._refuse(routed.failure(), request_id, start_response)
+        request = routed.unwrap()
+        if isinstance(request, list):
+            return _list_models(request, request_id, start_response)
+        admitted = self._admission.admit(request.customer, request.tier)
+        if not is_successful(admitted):
+            self._request_log.note_refused(request, admitted.failure())
+            return self._refuse(admitted.failure(), request_id, start_response)
+        return self._serve(request, environ[SOCKET_KEY], start_response)
+
+    def _read_call(self, environ: dict[str, Any]) -> Result[HttpCall, RequestFailure]:
+        limit = self._max_body_bytes
+        declared = int(environ.get("CONTENT_LENGTH") or 0)
+        too_large = RequestFailure(FailureCode.TOO_LARGE, f"the body is larger than {limit} bytes")
+        if declared > limit:
+            return Failure(too_large)
+        try:
+            content = environ["wsgi.input"].read(declared or limit + 1)
+        except (OSError, ValueError) as error:
+            return Failure(
+                RequestFailure(FailureCode.MALFORMED, f"the body can't be read: {error}")
+            )
+        if len(content) > limit:
+            return Failure(too_large)
+        if len(content) < declared:
+            return Failure(
+                RequestFailure(FailureCode.MALFORMED, "the body is shorter than announced")
+            )
+        return Success(_call_of(environ, content))
+
+    def _route(
+        self, call: HttpCall, request_id: str
+    ) -> Result[RoutedRequest | list[str], RequestFailure]:
+        customer = self._classifier.authenticate(call)
+        if call.path == MODELS_PATH and call.method == "GET":
+            return customer.map(lambda _: sorted(self._catalogue().models))
+        return customer.bind(lambda known: self._classifier.classify(call, known, request_id))
+
+    def _refuse(
+        self, failure: RequestFailure, request_id: str, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        status, headers, content = answers.error_answer(failure, request_id)
+        start_response(status, headers)
+        return [content]
+
+    def _serve(
+        self, request: RoutedRequest, sock: socket.socket, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        sink = AnswerSink()
+        asyncio.run_coroutine_threadsafe(self._dispatch(request, sink), self._loop)
+        answer = _Answer(request, sink, sock, self._request_log, self._admission)
+        try:
+            first = answer.first_event()
+        except BaseException:
+            answer.close()
+            raise
+        if isinstance(first, RequestFailure):
+            answer.note_failure(first)
+            answer.close()
+            return self._refuse(first, request.request_id, start_response)
+        if isinstance(first, AnswerHead):
+            headers = answers.relayed_headers(first.headers, request.request_id)
+            if not request.streaming:
+                content = answer.whole()
+                headers.append(("Content-Length", str(len(content))))
+                start_response(answers.status_line(first.status), headers)
+                return answer.closing_after([content])
+            start_response(answers.status_line(first.status), headers)
+        return answer
+
+    async def _dispatch(self, request: RoutedRequest, sink: AnswerSink) -> None:
+        try:
+            await self._dispatcher.serve(request, sink)
+        except Exception:
+            logging.exception("request %s broke its dispatch", request.request_id)
+            sink.put(
+                RequestFailure(
+                    FailureCode.ENDPOINT_FAILED,
+                    "the router failed on this request",
+                    Execution.MAY_HAVE_RUN,
+                )
+            )
+
+
+class _Answer:
+    """The body of an answer, as WSGI iterates over it; closing it frees the request's place."""
+
+    def __init__(
+        self,
+        request: RoutedRequest,
+        sink: AnswerSink,
+        sock: socket.socket,
+        request_log: RequestLog,
+        admission: Admission,
+    ) -> None:
+        self._request = request
+        self._sink = sink
+        self._socket = sock
+        self._request_log = request_log
+        self._admission = admission
+        self._started_at = time.monotonic()
+        self._last_bytes = answers.EVENT_END
+        self._finished = False
+        self._closed = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the answer's parts, those that are ready together as one."""
+        while not self._finished:
+            parts: list[bytes] = []
+            event: AnswerEvent | None = self._next_event()
+            while event is not None:
+                parts.append(self._bytes_of(event))
+                event = None if self._finished else self._sink.take_ready()
+            content = b"".join(parts)
+            if content:
+                self._last_bytes = content[-2:]
+                yield content
+
+    def first_event(self) -> AnswerEvent:
+        """Wait for the head of the answer or for a failure."""
+        event = self._next_event()
+        self._request_log.note_first(self._request, time.monotonic() - self._started_at)
+        return event
+
+    def whole(self) -> bytes:
+        """Take an answer that arrives whole."""
+        return b"".join(self)
+
+    def closing_after(self, parts: list[bytes]) -> Generator[bytes, None, None]:
+        """Yield the parts, then close the answer."""
+        try:
+            yield from parts
+        finally:
+            self.close()
+
+    def note_failure(self, failure: RequestFailure) -> None:
+        """Log that the request failed."""
+        self._finished = True
+        self._request_log.note_failed(self._request, failure)
+
+    def close(self) -> None:
+        """Free the request's place; a request that still runs is cancelled."""
+        if self._closed:
+            return
+        self._closed = True
+        self._sink.close()
+        self._admission.release(self._request.customer)
+
+    def _next_event(self) -> AnswerEvent:
+        while True:
+            event = self._sink.take(_CALLER_CHECK_S)
+            if event is not None:
+                return event
+            if caller_has_gone(self._socket):
+                self._sink.close()
+                return RequestFailure(
+                    FailureCode.CANCELLED, "the caller has gone", Execution.MAY_HAVE_RUN
+                )
+
+    def _bytes_of(self, event: AnswerEvent) -> bytes:
+        if isinstance(event, AnswerPart):
+            return event.content
+        if isinstance(event, AnswerEnd):
+            self._finished = True
+            self._request_log.note_answered(self._request, time.monotonic() - self._started_at)
+        if isinstance(event, RequestFailure):
+            self.note_failure(event)
+            return answers.error_event(event, self._request.request_id, self._last_bytes)
+        return b""
+
+
+def _call_of(environ: dict[str, Any], content: bytes) -> HttpCall:
+    headers = {
+        name.removeprefix("HTTP_").replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    return HttpCall(
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        query=environ.get("QUERY_STRING", ""),
+        headers=headers,
+        content=content,
+    )
+
+
+def _list_models(
+    models: list[str], request_id: str, start_response: StartResponse
+) -> Iterable[bytes]:
+    entries = [
+        {"id": name, "object": "model", "created": 0, "owned_by": _MODELS_OWNER} for name in models
+    ]
+    content = json.dumps({"object": "list", "data": entries}).encode()
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(content))),
+        ("X-Request-Id", request_id),
+    ]
+    start_response("200 OK", headers)
+    return [content]
--- /dev/null
+++ b/src/pearshed/_internal/entry/dispatcher.py
@@ -0,0 +1,341 @@
+"""Runs a classified request at an endpoint: reserve, grant, run, relay, retry."""
+
+import asyncio
+import itertools
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from absl import logging
+
+from pearshed._internal.entry.attempt import Attempt, LinkLoss, LinkLost
+from pearshed._internal.entry.health import EndpointHealth
+from pearshed._internal.entry.homes import KeyHomes
+from pearshed._internal.entry.link import SideLink
+from pearshed._internal.entry.placement import Candidates, PlacementPolicy
+from pearshed._internal.entry.retry_budget import RetryBudget
+from pearshed._internal.entry.sink import AnswerSink
+from pearshed._internal.models.outcomes import (
+    AnswerEnd,
+    Execution,
+    FailureCode,
+    RequestFailure,
+)
+from pearshed._internal.models.requests import RoutedRequest
+from pearshed._internal.peers import frames
+from pearshed._internal.peers import peer_pb2 as pb
+from pearshed._internal.timers import clock
+
+_MOST_ATTEMPTS = 3
+_DEFAULT_RETRY_AFTER_S = 1.0
+_CALLER_CHECK_S = 0.25
+
+_REFUSAL_CODES = {
+    pb.REFUSAL_QUEUE_FULL: FailureCode.OVERLOADED,
+    pb.REFUSAL_DEADLINE: FailureCode.OVERLOADED,
+    pb.REFUSAL_DISPLACED: FailureCode.OVERLOADED,
+    pb.REFUSAL_DRAINING: FailureCode.DRAINING,
+    pb.REFUSAL_KEY_IN_DOUBT: FailureCode.KEY_IN_DOUBT,
+    pb.REFUSAL_KEY_RUNNING: FailureCode.KEY_RUNNING,
+    pb.REFUSAL_KEY_MISMATCH: FailureCode.KEY_MISMATCH,
+}
+_CAPACITY_REFUSALS = frozenset((pb.REFUSAL_QUEUE_FULL, pb.REFUSAL_DEADLINE, pb.REFUSAL_DISPLACED))
+_KEY_REFUSALS = frozenset(
+    (pb.REFUSAL_KEY_IN_DOUBT, pb.REFUSAL_KEY_RUNNING, pb.REFUSAL_KEY_MISMATCH)
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Granted:
+    """A side has a slot for the request, or replays an earlier answer to it."""
+
+    link: SideLink
+    replayed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Failed:
+    """An attempt that failed.
+
+    :ivar elsewhere: another attempt may succeed, as far as capacity goes.
+    """
+
+    failure: RequestFailure
+    endpoint: str = ""
+    elsewhere: bool = False
+
+
+class Dispatcher:
+    """Serves requests with late binding.
+
+    A reservation goes to a few sides; the first that grants a slot gets the body and the
+    others are withdrawn. A request that was never granted was truly not run.
+    """
+
+    def __init__(
+        self,
+        candidates: Candidates,
+        placement: PlacementPolicy,
+        homes: KeyHomes,
+        health: EndpointHealth,
+        budget: RetryBudget,
+        fanout: int,
+    ) -> None:
+        self._candidates = candidates
+        self._placement = placement
+        self._homes = homes
+        self._health = health
+        self._budget = budget
+        self._fanout = fanout
+        self._numbers = itertools.count(1)
+        self._dropped_frames = 0
+        self._wasted_answers = 0
+
+    @property
+    def dropped_frames(self) -> int:
+        """Frames dropped as late, foreign or out of order."""
+        return self._dropped_frames
+
+    @property
+    def wasted_answers(self) -> int:
+        """Runs whose answer nobody received."""
+        return self._wasted_answers
+
+    async def serve(self, request: RoutedRequest, sink: AnswerSink) -> None:
+        """Serve a request; its last event in the sink is an end or a failure."""
+        self._budget.note_request()
+        excluded: frozenset[str] = frozenset()
+        for remaining in reversed(range(_MOST_ATTEMPTS)):
+            failed = await self._attempt(request, sink, excluded)
+            if failed is None:
+                sink.put(AnswerEnd())
+                return
+            if not remaining or not self._may_retry(request, failed):
+                sink.put(failed.failure)
+                return
+            logging.info("request %s is tried again: %s", request.request_id, failed)
+            excluded = excluded | {failed.endpoint}
+
+    def _may_retry(self, request: RoutedRequest, failed: _Failed) -> bool:
+        if not failed.elsewhere or clock.now() >= request.deadline:
+            return False
+        if failed.failure.execution is not Execution.NOT_RUN and not request.idempotent:
+            return False
+        return self._budget.try_spend()
+
+    async def _attempt(
+        self, request: RoutedRequest, sink: AnswerSink, excluded: frozenset[str]
+    ) -> _Failed | None:
+        """Try the request once.
+
+        :returns: nothing when the answer was passed on whole.
+        """
+        attempt = Attempt(next(self._numbers), request, sink)
+        if request.idempotency_key:
+            home = await self._homes.link_for(request)
+            links = [home] if home is not None else []
+        else:
+            usable = self._candidates.for_service(request.service, excluded)
+            links = self._placement.choose(request, usable, self._fanout) if usable else []
+        if not links:
+            return _Failed(_no_endpoint(request))
+        try:
+            granted = await self._reserve(attempt, links, sink)
+            if isinstance(granted, _Failed):
+                return granted
+            return await self._run(attempt, granted, sink)
+        finally:
+            self._dropped_frames += attempt.dropped
+
+    async def _reserve(
+        self,
+        attempt: Attempt,
+        links: Sequence[SideLink],
+        sink: AnswerSink,
+    ) -> _Granted | _Failed:
+        """Place reservations and wait for the first grant."""
+        reservation = _reservation(attempt)
+        for link in links:
+            link.open_attempt(attempt, reservation)
+        waiting = set(links)
+        refusals: list[pb.Refuse] = []
+        wait_until = _wait_until(attempt.request)
+        while waiting:
+            event = await _next_event(attempt, wait_until, sink)
+            if event is None:
+                self._withdraw(attempt, waiting)
+                return _Failed(_given_up(attempt.request, sink))
+            link, what = event
+            if link not in waiting:
+                continue
+            if isinstance(what, LinkLost):
+                waiting.discard(link)
+            elif what.HasField("refuse"):
+                waiting.discard(link)
+                link.close_attempt(attempt)
+                refusals.append(what.refuse)
+            elif what.HasField("grant") or what.HasField("head"):
+                waiting.discard(link)
+                attempt.bind(link)
+                self._withdraw(attempt, waiting)
+                return _Granted(link, replayed=what.HasField("head"))
+        return _refused(refusals)
+
+    def _withdraw(self, attempt: Attempt, links: set[SideLink]) -> None:
+        for link in links:
+            link.close_attempt(attempt, _withdraw_frame(attempt))
+
+    async def _run(self, attempt: Attempt, granted: _Granted, sink: AnswerSink) -> _Failed | None:
+        """Send the body to the side that granted a slot and relay the answer."""
+        link = granted.link
+        name = link.endpoint.name
+        self._health.note_start(name)
+        if not granted.replayed:
+            link.send(attempt, frames.body(attempt.number, attempt.request.call))
+            attempt.mark_body_sent()
+        while True:
+            event = await _next_event(attempt, attempt.request.deadline, sink)
+            if event is None:
+                link.close_attempt(attempt, pb.Frame(attempt=attempt.number, cancel=pb.Cancel()))
+                self._health.note_neutral(name)
+                self._wasted_answers += 1
+                return _Failed(_given_up(attempt.request, sink, ran=True))
+            _, what = event
+            if isinstance(what, LinkLost):
+                self._health.note_failure(name)
+                return self._lost(attempt, name, what.loss)
+            if what.HasField("refuse"):
+                link.close_attempt(attempt)
+                self._health.note_neutral(name)
+                return _Failed(_refusal_failure(what.refuse), name, elsewhere=True)
+            if what.HasField("end"):
+                return self._ended(attempt, link, what.end)
+
+    def _ended(self, attempt: Attempt, link: SideLink, end: pb.End) -> _Failed | None:
+        name = link.endpoint.name
+        acknowledge = pb.Frame(attempt=attempt.number, acknowledge=pb.Acknowledge())
+        link.close_attempt(attempt, acknowledge)
+        if end.complete and end.length == attempt.offset:
+            self._health.note_success(name)
+            attempt.flush_whole()
+            return None
+        execution = frames.execution_from_wire(end.execution)
+        self._health.note_failure(name)
+        failure = RequestFailure(
+            FailureCode.ENDPOINT_FAILED,
+            f"the endpoint failed: {end.detail or 'the answer broke off'}",
+            execution,
+            _DEFAULT_RETRY_AFTER_S,
+        )
+        return _Failed(failure, name, elsewhere=not attempt.delivered)
+
+    def _lost(self, attempt: Attempt, name: str, loss: LinkLoss) -> _Failed:
+        execution = Execution.MAY_HAVE_RUN if attempt.body_sent else Execution.NOT_RUN
+        failure = RequestFailure(
+            FailureCode.ENDPOINT_UNREACHABLE,
+            f"the endpoint was lost while it had the request: {loss.value}",
+            execution,
+            _DEFAULT_RETRY_AFTER_S,
+        )
+        return _Failed(failure, name, elsewhere=not attempt.delivered)
+
+
+def _reservation(attempt: Attempt) -> pb.Frame:
+    request = attempt.request
+    remaining_s = max(0.0, request.deadline - clock.now())
+    return pb.Frame(
+        attempt=attempt.number,
+        reserve=pb.Reserve(
+            request_id=request.request_id,
+            class_name=request.request_class.name,
+            customer=request.customer.name,
+            deadline_ms=round(remaining_s * clock.MILLISECONDS_PER_SECOND),
+            idempotency_key=request.idempotency_key,
+            idempotent=request.idempotent,
+            fingerprint=request.fingerprint,
+        ),
+    )
+
+
+def _withdraw_frame(attempt: Attempt) -> pb.Frame:
+    return pb.Frame(attempt=attempt.number, withdraw=pb.Withdraw())
+
+
+def _wait_until(request: RoutedRequest) -> float:
+    """Find the moment at which a request stops waiting for a slot.
+
+    A protected tier waits until its deadline; others until the class's longest wait.
+    """
+    if request.tier.protected:
+        return request.deadline
+    wait_s = request.request_class.max_wait_ms / clock.MILLISECONDS_PER_SECOND
+    return min(request.deadline, clock.now() + wait_s)
+
+
+async def _next_event(
+    attempt: Attempt, until: float, sink: AnswerSink
+) -> tuple[SideLink, pb.Frame | LinkLost] | None:
+    """Wait for an event of the attempt; nothing when time is up or the caller has gone."""
+    while not sink.closed:
+        remaining_s = until - clock.now()
+        if remaining_s <= 0:
+            return None
+        try:
+            return await asyncio.wait_for(attempt.next_event(), min(remaining_s, _CALLER_CHECK_S))
+        except TimeoutError:
+            continue
+    return None
+
+
+def _given_up(request: RoutedRequest, sink: AnswerSink, ran: bool = False) -> RequestFailure:
+    execution = Execution.MAY_HAVE_RUN if ran else Execution.NOT_RUN
+    if sink.closed:
+        return RequestFailure(FailureCode.CANCELLED, "the caller has gone", execution)
+    if clock.now() >= request.deadline:
+        return RequestFailure(
+            FailureCode.DEADLINE,
+            f"the request was given up after {request.request_class.total_ms} ms",
+            execution,
+            _DEFAULT_RETRY_AFTER_S,
+        )
+    return RequestFailure(
+        FailureCode.OVERLOADED,
+        f"no slot came free within {request.request_class.max_wait_ms} ms",
+        execution,
+        request.request_class.max_wait_ms / clock.MILLISECONDS_PER_SECOND,
+    )
+
+
+def _no_endpoint(request: RoutedRequest) -> RequestFailure:
+    return RequestFailure(
+        FailureCode.NO_ENDPOINT,
+        f"no endpoint of service {request.service} takes work at present",
+        Execution.NOT_RUN,
+        _DEFAULT_RETRY_AFTER_S,
+    )
+
+
+def _refused(refusals: Sequence[pb.Refuse]) -> _Failed:
+    """Combine the refusals of all sides that were asked."""
+    if not refusals:
+        failure = RequestFailure(
+            FailureCode.ENDPOINT_UNREACHABLE,
+            "the connections to the endpoints broke before the request was granted",
+            Execution.NOT_RUN,
+            _DEFAULT_RETRY_AFTER_S,
+        )
+        return _Failed(failure, elsewhere=True)
+    soonest = min(refusals, key=lambda refusal: refusal.retry_after_ms)
+    full = all(refusal.reason in _CAPACITY_REFUSALS for refusal in refusals)
+    final = full or soonest.reason in _KEY_REFUSALS
+    return _Failed(_refusal_failure(soonest), elsewhere=not final)
+
+
+def _refusal_failure(refusal: pb.Refuse) -> RequestFailure:
+    execution = Execution.MAY_HAVE_RUN if refusal.may_have_run else Execution.NOT_RUN
+    retry_after_s = refusal.retry_after_ms / clock.MILLISECONDS_PER_SECOND
+    return RequestFailure(
+        _REFUSAL_CODES.get(refusal.reason, FailureCode.NO_ENDPOINT),
+        refusal.detail or "the endpoint refused the request",
+        execution,
+        retry_after_s or _DEFAULT_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -0,0 +1,160 @@
+"""The HTTP server for callers: cheroot, guarded against slow and silent callers."""
+
+import contextlib
+import math
+import socket
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from absl import logging
+from cheroot import server, wsgi
+
+from pearshed._internal.settings.model import EntrySettings
+from pearshed._internal.timers import clock
+
+SOCKET_KEY = "pearshed.socket"
+READ_DONE_KEY = "pearshed.read_done"
+
+_LISTEN_BACKLOG = 1024
+_SPARE_THREADS = 32
+_LARGEST_HEAD_BYTES = 64 * 1024
+_PRESSED_READ_TIMEOUT_S = 1.0
+_SWEEP_PERIOD_S = 0.25
+_INFO_LEVEL = 20
+_QUIET = logging.DEBUG
+_DROPPED_LOGS = ("connection reset", "broken pipe", "timed out")
+
+WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+
+class ReadWatch:
+    """Ends the reading of requests that callers send too slowly.
+
+    A thread reads each request, so slow callers could hold every thread. A request must be
+    there whole in a given time, and in a much shorter one once half of the spare threads read.
+
+    :param timeout_s: longest time to read a request, seconds.
+    """
+
+    def __init__(self, timeout_s: float, spare_threads: int) -> None:
+        self._timeout_s = timeout_s
+        self._spare_threads = spare_threads
+        self._lock = threading.Lock()
+        self._reading: dict[socket.socket, float] = {}
+        self._ended = 0
+
+    @property
+    def ended(self) -> int:
+        """Requests whose reading was ended."""
+        return self._ended
+
+    @property
+    def reading(self) -> int:
+        """Requests that are being read now."""
+        return len(self._reading)
+
+    def begin(self, sock: socket.socket) -> None:
+        """Note that a thread has begun to read a request."""
+        with self._lock:
+            self._reading[sock] = clock.now()
+
+    def end(self, sock: socket.socket) -> None:
+        """Note that the request is there, or that its connection has ended."""
+        with self._lock:
+            self._reading.pop(sock, None)
+
+    def sweep(self) -> None:
+        """End the reading of the requests that take too long."""
+        with self._lock:
+            pressed = len(self._reading) > self._spare_threads // 2
+            limit_s = self._timeout_s
+            if pressed:
+                limit_s = min(limit_s, _PRESSED_READ_TIMEOUT_S)
+            oldest = clock.now() - limit_s
+            slow = [sock for sock, since in self._reading.items() if since < oldest]
+            for sock in slow:
+                del self._reading[sock]
+            self._ended += len(slow)
+        for sock in slow:
+            # The reading thread sees the end of input and answers that the request is short.
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RD)
+
+
+class _WatchedRequest(server.HTTPRequest):
+    """A request whose reading is watched."""
+
+    def parse_request(self) -> None:
+        """Read the request's head."""
+        self.server.read_watch.begin(self.conn.socket)
+        super().parse_request()
+
+
+class _WatchedConnection(server.HTTPConnection):
+    """A connection that leaves the watch whenever its thread does."""
+
+    RequestHandlerClass = _WatchedRequest
+
+    def communicate(self) -> Any:
+        """Serve one request of the connection."""
+        try:
+            return super().communicate()  # type: ignore[no-untyped-call]
+        finally:
+            self.server.read_watch.end(self.socket)
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Gives the application the caller's socket, to see a caller that has gone."""
+
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        """Make the environment of one call."""
+        environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
+        sock = self.req.conn.socket
+        environ[SOCKET_KEY] = sock
+        environ[READ_DONE_KEY] = lambda: self.req.server.read_watch.end(sock)
+        return environ
+
+
+class CallerServer(wsgi.Server):
+    """Serves callers with a bounded number of threads.
+
+    The threads are enough for every admitted request and some spare, so that a refusal or a
+    call that is not routed never waits for a thread.
+    """
+
+    ConnectionClass = _WatchedConnection
+
+    def __init__(self, settings: EntrySettings, application: WsgiApplication) -> None:
+        threads = settings.max_requests + _SPARE_THREADS
+        super().__init__(
+            (settings.listen.host, settings.listen.port),
+            application,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=_LISTEN_BACKLOG,
+            timeout=math.ceil(settings.write_timeout_s),
+            server_name="pearshed",
+        )
+        self.gateway = _Gateway
+        self.max_request_header_size = _LARGEST_HEAD_BYTES
+        self.keep_alive_conn_limit = settings.max_connections
+        self.read_watch = ReadWatch(settings.read_timeout_s, _SPARE_THREADS)
+
+    def error_log(self, msg: str = "", level: int = _INFO_LEVEL, traceback: bool = False) -> None:
+        """Log what the server reports; callers that go away are no news."""
+        if any(text in msg.lower() for text in _DROPPED_LOGS):
+            return
+        logging.log(_QUIET if level <= _INFO_LEVEL else logging.WARNING, "caller: %s", msg)
+        if traceback:
+            logging.exception("while serving a caller")
+
+
+def caller_has_gone(sock: socket.socket) -> bool:
+    """Look whether the caller has closed its connection, without taking any input."""
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except (BlockingIOError, InterruptedError):
+        return False
+    except (OSError, ValueError):
+        return True
--- /dev/null
+++ b/src/pearshed/_internal/entry/links.py
@@ -0,0 +1,114 @@
+"""The links of an entry, kept in step with the records."""
+
+import asyncio
+from collections.abc import Mapping
+
+from pearshed._internal.configuration.catalogue import Catalogue
+from pearshed._internal.entry.health import EndpointHealth
+from pearshed._internal.entry.link import EntryIdentity, SideLink
+from pearshed._internal.membership.subset import choose_subset
+from pearshed._internal.models.records import Endpoint
+from pearshed._internal.peers.relay import FeedRelay
+from pearshed._internal.settings.model import PeerSettings
+from pearshed._internal.timers.service import TimerService
+
+_EXTRA_IDLE_CHECK_S = 30.0
+_DIAL_CHECK_S = 0.02
+
+
+class LinkTable:
+    """Opens links to the entry's subset of sides and closes those that fell out of it.
+
+    A link that still carries requests is closed once they have ended. Links outside of the
+    subset are opened on demand for idempotency keys whose home lies there.
+
+    :param subset: number of sides in the subset.
+    """
+
+    def __init__(
+        self,
+        identity: EntryIdentity,
+        settings: PeerSettings,
+        timers: TimerService,
+        relay: FeedRelay,
+        health: EndpointHealth,
+        subset: int,
+    ) -> None:
+        self._identity = identity
+        self._settings = settings
+        self._timers = timers
+        self._relay = relay
+        self._health = health
+        self._subset = subset
+        self._links: dict[str, SideLink] = {}
+        self._retiring: list[SideLink] = []
+        self._wanted: dict[str, Endpoint] = {}
+        self._catalogue = Catalogue()
+        timers.every(_EXTRA_IDLE_CHECK_S, self._close_extra)
+        timers.every(1.0, self._close_retired)
+
+    @property
+    def links(self) -> Mapping[str, SideLink]:
+        """Links by endpoint."""
+        return self._links
+
+    def update(self, catalogue: Catalogue) -> None:
+        """Take a new catalogue."""
+        self._catalogue = catalogue
+        self._wanted = choose_subset(
+            self._identity.name,
+            self._identity.data_centre,
+            catalogue.endpoints_by_service,
+            self._subset,
+        )
+        for name, link in list(self._links.items()):
+            present = catalogue.endpoints.get(name)
+            if present is None or present.side != link.endpoint.side:
+                self._retire(name)
+            else:
+                link.update(present)
+        for endpoint in self._wanted.values():
+            self._open(endpoint)
+        self._close_extra()
+
+    async def connected(self, name: str, patience_s: float) -> SideLink | None:
+        """Find the link to an endpoint, opened on demand, once it is connected."""
+        endpoint = self._catalogue.endpoints.get(name)
+        if endpoint is None:
+            return None
+        link = self._open(endpoint)
+        checks = round(patience_s / _DIAL_CHECK_S)
+        for _ in range(checks):
+            if link.connected and link.load.slots:
+                return link
+            await asyncio.sleep(_DIAL_CHECK_S)
+        return link if link.connected else None
+
+    def stop(self) -> None:
+        """Stop all links."""
+        for link in (*self._links.values(), *self._retiring):
+            link.stop()
+
+    def _open(self, endpoint: Endpoint) -> SideLink:
+        link = self._links.get(endpoint.name)
+        if link is None:
+            link = SideLink(endpoint, self._identity, self._settings, self._timers, self._relay)
+            self._links[endpoint.name] = link
+            link.start()
+        return link
+
+    def _retire(self, name: str) -> None:
+        self._retiring.append(self._links.pop(name))
+        self._health.forget(name)
+
+    def _close_extra(self) -> None:
+        for name, link in list(self._links.items()):
+            if name not in self._wanted and not link.attempts:
+                self._retire(name)
+        self._close_retired()
+
+    def _close_retired(self) -> None:
+        for link in list(self._retiring):
+            if not link.attempts:
+                link.stop()
+                self._retiring.remove(link)
--- /dev/null
+++ b/src/pearshed/_internal/entry/metrics.py
@@ -0,0 +1,95 @@
+"""Metrics of an entry."""
+
+from collections.abc import Iterable, Sequence
+
+from pearshed._internal.entry.admission import Admission
+from pearshed._internal.entry.dispatcher import Dispatcher
+from pearshed._internal.entry.health import EndpointHealth
+from pearshed._internal.entry.http_server import ReadWatch
+from pearshed._internal.entry.link import SideLink
+from pearshed._internal.entry.request_log import RequestLog
+from pearshed._internal.entry.retry_budget import RetryBudget
+from pearshed._internal.telemetry.metrics import Metric, Sample, counter, gauge
+
+
+class EntryMetrics:
+    """Reports what an entry counts; docs/operations.md says what each metric means."""
+
+    def __init__(
+        self,
+        request_log: RequestLog,
+        admission: Admission,
+        dispatcher: Dispatcher,
+        budget: RetryBudget,
+        health: EndpointHealth,
+    ) -> None:
+        self._request_log = request_log
+        self._admission = admission
+        self._dispatcher = dispatcher
+        self._budget = budget
+        self._health = health
+
+    def collect(self, links: Sequence[SideLink], read_watch: ReadWatch) -> Iterable[Metric]:
+        """List the metrics with their present values."""
+        yield from self._requests()
+        yield from self._latencies()
+        yield gauge("pearshed_requests_in_flight", "Requests held", self._admission.in_flight)
+        yield counter("pearshed_reads_ended_total", "Requests read too slowly", read_watch.ended)
+        yield counter("pearshed_retries_total", "Second attempts made", self._budget.spent)
+        yield counter(
+            "pearshed_retries_denied_total",
+            "Second attempts the budget denied",
+            self._budget.denied,
+        )
+        yield counter(
+            "pearshed_answers_wasted_total",
+            "Runs whose answer nobody received",
+            self._dispatcher.wasted_answers,
+        )
+        dropped = self._dispatcher.dropped_frames + sum(link.late_frames for link in links)
+        yield counter("pearshed_frames_dropped_total", "Late or foreign frames", dropped)
+        yield gauge(
+            "pearshed_links_connected", "Sides connected", sum(link.connected for link in links)
+        )
+        yield gauge("pearshed_links", "Sides in the subset", len(links))
+        yield gauge("pearshed_endpoints_ejected", "Endpoints ejected", len(self._health.ejected()))
+
+    def _requests(self) -> Iterable[Metric]:
+        yield Metric(
+            "pearshed_answers_total",
+            "Whole answers by class",
+            _by_class(self._request_log.answered),
+            counter=True,
+        )
+        yield Metric(
+            "pearshed_first_part_on_time_total",
+            "Requests whose first part came within the target",
+            _by_class(self._request_log.on_time),
+            counter=True,
+        )
+        failed = self._request_log.failed.items()
+        yield Metric(
+            "pearshed_failures_total",
+            "Requests that failed, by class and code",
+            tuple(
+                Sample(value, {"class": name, "code": code.value}) for (name, code), value in failed
+            ),
+            counter=True,
+        )
+
+    def _latencies(self) -> Iterable[Metric]:
+        histograms = self._request_log.first_part.items()
+        yield Metric(
+            "pearshed_first_part_seconds_bucket",
+            "Requests by time to the first part of the answer, cumulative",
+            tuple(
+                Sample(count, {"class": name, "le": str(bound)})
+                for name, histogram in histograms
+                for bound, count in histogram.cumulative().items()
+            ),
+            counter=True,
+        )
+
+
+def _by_class(counts: dict[str, int]) -> tuple[Sample, ...]:
+    return tuple(Sample(value, {"class": name}) for name, value in counts.items())
--- /dev/null
+++ b/src/pearshed/_internal/entry/process.py
@@ -0,0 +1,135 @@
+"""The entry process: callers on one side, side processes on the other."""
+
+import asyncio
+import random
+import threading
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from absl import logging
+
+from pearshed._internal.admin.server import prepare_server
+from pearshed._internal.entry.admission import Admission
+from pearshed._internal.entry.application import CallerApplication
+from pearshed._internal.entry.classifier import Classifier
+from pearshed._internal.entry.dispatcher import Dispatcher
+from pearshed._internal.entry.health import EndpointHealth
+from pearshed._internal.entry.homes import KeyHomes
+from pearshed._internal.entry.http_server import CallerServer
+from pearshed._internal.entry.link import EntryIdentity, SideLink
+from pearshed._internal.entry.links import LinkTable
+from pearshed._internal.entry.metrics import EntryMetrics
+from pearshed._internal.entry.placement import Candidates, SampledPlacement
+from pearshed._internal.entry.request_log import RequestLog
+from pearshed._internal.entry.retry_budget import RetryBudget
+from pearshed._internal.processes.base import Process
+from pearshed._internal.settings.model import EntrySettings
+from pearshed._internal.telemetry.metrics import Metric
+
+_READ_SWEEP_PERIOD_S = 0.25
+_IDLE_CHECK_S = 0.05
+
+
+class EntryProcess(Process):
+    """Takes calls, classifies and admits them, and has sides run them."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        super().__init__(settings.process, settings.platform, is_entry=True)
+        self._settings = settings
+        identity = EntryIdentity(
+            settings.process.name, self._incarnation, settings.process.data_centre
+        )
+        self._health = EndpointHealth()
+        self._budget = RetryBudget()
+        self._links = LinkTable(
+            identity, settings.peers, self._timers, self._relay, self._health, settings.subset
+        )
+        self._dispatcher = Dispatcher(
+            Candidates(self._list_links, self._health, self._view),
+            SampledPlacement(settings.process.data_centre, random.Random()),
+            KeyHomes(lambda: self._store.catalogue, self._links, self._view),
+            self._health,
+            self._budget,
+            settings.fanout,
+        )
+        self._admission = Admission(
+            settings.max_requests,
+            lambda: self._store.catalogue,
+            lambda: len(self._view.live_entries()),
+        )
+        self._request_log = RequestLog()
+        self._server = CallerServer(settings, self._application())
+        self._server_thread = threading.Thread(
+            target=self._server.serve, name="callers", daemon=True
+        )
+        self._store.subscribe(self._links.update)
+        self._timers.every(_READ_SWEEP_PERIOD_S, self._server.read_watch.sweep)
+        self._metrics.add(self._collect)
+
+    def not_ready_reasons(self) -> list[str]:
+        """List why the entry should get no calls."""
+        reasons = super().not_ready_reasons()
+        if not any(link.connected and link.load.slots for link in self._list_links()):
+            reasons.append("no side with slots is connected")
+        return reasons
+
+    def _application(self) -> CallerApplication:
+        return CallerApplication(
+            asyncio.get_running_loop(),
+            Classifier(lambda: self._store.catalogue),
+            self._admission,
+            self._dispatcher,
+            lambda: self._store.catalogue,
+            self._request_log,
+            self._settings.max_body_bytes,
+        )
+
+    async def _start(self) -> None:
+        prepare_server(self._server, self._settings.listen, "callers")
+        self._server_thread.start()
+        logging.info("callers are served on %s:%s", *self._server.bind_addr[:2])
+
+    async def _finish(self) -> None:
+        """Keep serving until the balancer has seen that readiness is off, then finish."""
+        await asyncio.sleep(self._settings.drain_s)
+        self._admission.close()
+        while self._admission.in_flight:
+            await asyncio.sleep(_IDLE_CHECK_S)
+        await asyncio.get_running_loop().run_in_executor(None, self._server.stop)
+        self._links.stop()
+
+    def _dump(self) -> Mapping[str, Any]:
+        return {
+            "role": "entry",
+            "callers": str(self._settings.listen),
+            "in_flight": self._admission.in_flight,
+            "reading": self._server.read_watch.reading,
+            "ejected": self._health.ejected(),
+            "retries": {"spent": self._budget.spent, "denied": self._budget.denied},
+            "links": [_describe_link(link) for link in self._list_links()],
+        }
+
+    def _list_links(self) -> list[SideLink]:
+        return list(self._links.links.values())
+
+    def _collect(self) -> Iterable[Metric]:
+        metrics = EntryMetrics(
+            self._request_log, self._admission, self._dispatcher, self._budget, self._health
+        )
+        return metrics.collect(self._list_links(), self._server.read_watch)
+
+
+def _describe_link(link: SideLink) -> Mapping[str, Any]:
+    return {
+        "endpoint": link.endpoint.name,
+        "service": link.endpoint.service,
+        "side": str(link.endpoint.side),
+        "connected": link.connected,
+        "reconnects": link.reconnects,
+        "attempts": link.attempts,
+        "slots": link.load.slots,
+        "running": link.load.running,
+        "queued": link.load.queued,
+        "draining": link.load.draining or link.endpoint.draining,
+        "late_frames": link.late_frames,
+    }
--- /dev/null
+++ b/src/pearshed/_internal/logs.py
@@ -0,0 +1,69 @@
+"""Logging of a process: plain text or one JSON object a line, by ``absl.logging``."""
+
+import json
+import logging as standard_logging
+import sys
+import time
+
+from absl import flags, logging
+
+from pearshed._internal.settings.model import LogFormat
+
+
+class JsonFormatter(standard_logging.Formatter):
+    """Formats a log record as one JSON object with the process's name.
+
+    Extra fields given as ``extra={"fields": {...}}`` become members of the object.
+    """
+
+    def __init__(self, process: str) -> None:
+        super().__init__()
+        self._process = process
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Render the record."""
+        entry: dict[str, object] = {
+            "time": time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+            + f".{int(record.msecs):03d}Z",
+            "level": record.levelname,
+            "process": self._process,
+            "message": record.getMessage(),
+        }
+        entry.update(getattr(record, "fields", {}))
+        if record.exc_info:
+            entry["exception"] = self.formatException(record.exc_info)
+        return json.dumps(entry, separators=(",", ":"))
+
+
+class PlainFormatter(standard_logging.Formatter):
+    """Formats a log record as a line of text with its extra fields at the end."""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Render the record."""
+        moment = time.strftime("%H:%M:%S", time.gmtime(record.created))
+        fields = " ".join(f"{k}={v}" for k, v in getattr(record, "fields", {}).items())
+        line = f"{moment}.{int(record.msecs):03d} {record.levelname[0]} {record.getMessage()}"
+        if fields:
+            line = f"{line} {fields}"
+        if record.exc_info:
+            line = f"{line}\n{self.formatException(record.exc_info)}"
+        return line
+
+
+def configure(process: str, log_format: LogFormat, verbosity: str) -> None:
+    """Send the logs of this process to standard error in the chosen format.
+
+    :param verbosity: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = sys.stderr
+    if log_format is LogFormat.JSON:
+        handler.setFormatter(JsonFormatter(process))
+    else:
+        handler.setFormatter(PlainFormatter())
+    if not flags.FLAGS.is_parsed():
+        # The command line is argparse's; absl would else warn that its flags are not parsed.
+        flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.set_verbosity(verbosity)
+    logging.set_stderrthreshold(verbosity)
--- /dev/null
+++ b/src/pearshed/_internal/membership/vm_view.py
@@ -0,0 +1,101 @@
+"""The VM list as this process last saw it."""
+
+import json
+from collections.abc import Callable, Iterable
+
+from absl import logging
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from pearshed._internal.configuration.feed import Feed, FeedName
+from pearshed._internal.errors import FieldProblem
+from pearshed._internal.membership.rendezvous import ranked
+from pearshed._internal.models.vms import VM, VMRole, VMState
+from pearshed._internal.utils.fields import FieldReader
+
+
+class VMView(Feed):
+    """Answers questions about VMs from the last list; the list lags behind reality.
+
+    A VM that is not listed counts as live: the list may be late, and connections tell.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(FeedName.VMS)
+        self._vms: dict[str, VM] = {}
+        self._documents: dict[str, bytes] = {}
+        self._callbacks: list[Callable[[], None]] = []
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` after each change of the list."""
+        self._callbacks.append(callback)
+
+    def documents_after(self, revision: int) -> tuple[bytes, ...]:
+        """List the VMs whose state is newer than a revision."""
+        names = (name for name, vm in self._vms.items() if vm.revision > revision)
+        return tuple(self._documents[name] for name in names)
+
+    def is_leaving(self, name: str) -> bool:
+        """Tell whether the VM is listed as leaving or gone."""
+        vm = self._vms.get(name)
+        return vm is not None and vm.state is not VMState.LIVE
+
+    def live_entries(self, data_centre: str | None = None) -> list[str]:
+        """Name the entries listed as live, of one data centre or of all."""
+        return [
+            vm.name
+            for vm in self._vms.values()
+            if vm.role is VMRole.ENTRY
+            and vm.state is VMState.LIVE
+            and data_centre in (None, vm.data_centre)
+        ]
+
+    def is_reader(self, name: str, data_centre: str, readers: int) -> bool:
+        """Tell whether an entry is one of those that read the platform for its data centre.
+
+        Without any listed entry everybody is, since the list may not have been read yet.
+        """
+        entries = self.live_entries(data_centre)
+        return not entries or name in ranked(data_centre, entries)[:readers]
+
+    def _accept_all(self, documents: Iterable[bytes]) -> int:
+        return sum(self._accept(document) for document in documents)
+
+    def _accept(self, document: bytes) -> bool:
+        parsed = parse_vm(document)
+        if not is_successful(parsed):
+            logging.error("refused a VM of the list: %s", parsed.failure())
+            return False
+        vm = parsed.unwrap()
+        held = self._vms.get(vm.name)
+        if held is not None and held.revision >= vm.revision:
+            return False
+        self._vms[vm.name] = vm
+        self._documents[vm.name] = document
+        return True
+
+    def _changed(self, accepted: int) -> None:
+        logging.info("VM list revision %d in force, %d VMs changed", self._revision, accepted)
+        for callback in self._callbacks:
+            callback()
+
+
+def parse_vm(document: bytes) -> Result[VM, str]:
+    """Parse one VM of the platform's list.
+
+    :param document: a JSON object with name, data_centre, role, state and revision.
+    """
+    try:
+        raw = json.loads(document)
+    except (ValueError, RecursionError) as error:
+        return Failure(f"not a JSON document: {error}")
+    problems: list[FieldProblem] = []
+    reader = FieldReader(raw, problems)
+    name = reader.text("name")
+    data_centre = reader.text("data_centre")
+    role = reader.text("role", choices=[choice.value for choice in VMRole])
+    state = reader.text("state", choices=[choice.value for choice in VMState])
+    revision = reader.integer("revision", minimum=1)
+    if problems:
+        return Failure("; ".join(str(problem) for problem in problems))
+    return Success(VM(name, data_centre, VMRole(role), VMState(state), revision))
--- /dev/null
+++ b/src/pearshed/_internal/settings/loader.py
@@ -0,0 +1,184 @@
+"""Loading of settings files, with the file, line and field of each error."""
+
+import pathlib
+from collections.abc import Mapping
+from typing import Any
+
+import yaml
+
+from pearshed._internal.errors import FieldProblem, SettingsError
+from pearshed._internal.settings.model import (
+    EntrySettings,
+    LogFormat,
+    PeerSettings,
+    PlatformSettings,
+    ProcessSettings,
+    Settings,
+    SideSettings,
+)
+from pearshed._internal.utils.addresses import Address, parse_address
+from pearshed._internal.utils.fields import FieldReader
+
+_LOG_LEVELS = ("debug", "info", "warning", "error")
+_MEBIBYTE = 1024 * 1024
+_UNSET_ADDRESS = Address("127.0.0.1", 0)
+
+_Lines = Mapping[tuple[str, ...], int]
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    :raises SettingsError: naming file, line and field of everything that is wrong.
+    """
+    raw, lines = _read_yaml(path)
+    problems: list[FieldProblem] = []
+    reader = FieldReader(raw, problems)
+    settings = _read_settings(reader)
+    reader.finish()
+    if problems:
+        raise SettingsError(
+            f"the settings in {path} are wrong",
+            context=[f"{path}:{_line_of(problem.path, lines)}: {problem}" for problem in problems],
+            hint="docs/configuration.md lists every field with its unit",
+        )
+    return settings
+
+
+def _read_yaml(path: pathlib.Path) -> tuple[Any, _Lines]:
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"can't read the settings file {path}", context=[str(error)]) from error
+    try:
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        raw = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise SettingsError(f"{path} is not YAML", context=str(error).splitlines()) from error
+    lines: dict[tuple[str, ...], int] = {}
+    if node is not None:
+        _collect_lines(node, (), lines)
+    return raw, lines
+
+
+def _collect_lines(
+    node: yaml.Node, path: tuple[str, ...], lines: dict[tuple[str, ...], int]
+) -> None:
+    if not isinstance(node, yaml.MappingNode):
+        return
+    for key, value in node.value:
+        child = (*path, str(key.value))
+        lines[child] = key.start_mark.line + 1
+        _collect_lines(value, child, lines)
+
+
+def _line_of(path: tuple[str, ...], lines: _Lines) -> int:
+    """Find the line of a field, or of the nearest section around a missing one."""
+    for length in range(len(path), 0, -1):
+        if path[:length] in lines:
+            return lines[path[:length]]
+    return 1
+
+
+def _read_settings(reader: FieldReader) -> Settings:
+    process = _read_process(reader)
+    platform = _read_platform(reader.section("platform", required=True))
+    peers = _read_peers(reader.section("peers"))
+    if reader.has("side"):
+        return _read_side(reader.section("side"), process, platform, peers)
+    return _read_entry(reader.section("entry", required=True), process, platform, peers)
+
+
+def _read_process(reader: FieldReader) -> ProcessSettings:
+    section = reader.section("process", required=True)
+    settings = ProcessSettings(
+        name=section.text("name"),
+        data_centre=section.text("data_centre"),
+        admin=_read_address(section, "admin"),
+        log_format=_read_log_format(section),
+        log_level=section.text("log_level", "info", _LOG_LEVELS),
+    )
+    section.finish()
+    return settings
+
+
+def _read_log_format(section: FieldReader) -> LogFormat:
+    text = section.text("log_format", "plain", [choice.value for choice in LogFormat])
+    return LogFormat.JSON if text == LogFormat.JSON.value else LogFormat.PLAIN
+
+
+def _read_platform(section: FieldReader) -> PlatformSettings:
+    settings = PlatformSettings(
+        url=section.text("url").rstrip("/"),
+        watch_s=section.number("watch_s", 25.0, minimum=0.1, maximum=300.0),
+        readers=section.integer("readers", 2, minimum=1, maximum=100),
+    )
+    section.finish()
+    return settings
+
+
+def _read_peers(section: FieldReader) -> PeerSettings:
+    settings = PeerSettings(
+        heartbeat_s=section.number("heartbeat_s", 1.0, minimum=0.05, maximum=60.0),
+        silence_s=section.number("silence_s", 3.0, minimum=0.1, maximum=300.0),
+        batch_ms=section.number("batch_ms", 4.0, minimum=0.0, maximum=1000.0),
+    )
+    section.finish()
+    return settings
+
+
+def _read_entry(
+    section: FieldReader,
+    process: ProcessSettings,
+    platform: PlatformSettings,
+    peers: PeerSettings,
+) -> EntrySettings:
+    settings = EntrySettings(
+        process=process,
+        platform=platform,
+        peers=peers,
+        listen=_read_address(section, "listen"),
+        max_requests=section.integer("max_requests", 256, minimum=1, maximum=10_000),
+        max_connections=section.integer("max_connections", 1024, minimum=1, maximum=100_000),
+        max_body_bytes=section.integer("max_body_bytes", 4 * _MEBIBYTE, minimum=1024),
+        read_timeout_s=section.number("read_timeout_s", 10.0, minimum=0.1),
+        write_timeout_s=section.number("write_timeout_s", 20.0, minimum=0.1),
+        subset=section.integer("subset", 32, minimum=1),
+        fanout=section.integer("fanout", 2, minimum=1, maximum=8),
+        drain_s=section.number("drain_s", 3.0, minimum=0.0),
+    )
+    section.finish()
+    return settings
+
+
+def _read_side(
+    section: FieldReader,
+    process: ProcessSettings,
+    platform: PlatformSettings,
+    peers: PeerSettings,
+) -> SideSettings:
+    settings = SideSettings(
+        process=process,
+        platform=platform,
+        peers=peers,
+        endpoint=section.text("endpoint"),
+        listen=_read_address(section, "listen"),
+        endpoint_address=_read_address(section, "endpoint_address"),
+        lease_ms=section.integer("lease_ms", 500, minimum=10, maximum=60_000),
+        key_retention_s=section.number("key_retention_s", 900.0, minimum=1.0),
+        connect_timeout_s=section.number("connect_timeout_s", 2.0, minimum=0.01),
+        idle_timeout_s=section.number("idle_timeout_s", 60.0, minimum=0.1),
+    )
+    section.finish()
+    return settings
+
+
+def _read_address(section: FieldReader, name: str) -> Address:
+    text = section.text(name)
+    if not text:
+        return _UNSET_ADDRESS
+    parsed = parse_address(text)
+    failure = parsed.swap().value_or("")
+    if failure:
+        section.report(name, failure)
+    return parsed.value_or(_UNSET_ADDRESS)
--- /dev/null
+++ b/src/pearshed/_internal/side/process.py
@@ -0,0 +1,147 @@
+"""The side process: stands before one endpoint and gives it all its work."""
+
+import asyncio
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import grpclib.server
+from absl import logging
+
+from pearshed._internal.configuration.catalogue import Catalogue
+from pearshed._internal.errors import AddressInUseError
+from pearshed._internal.peers import peer_pb2 as pb
+from pearshed._internal.peers.transport import connection_configuration
+from pearshed._internal.processes.base import Process
+from pearshed._internal.settings.model import SideSettings
+from pearshed._internal.side.desk import Desk
+from pearshed._internal.side.endpoint_client import EndpointClient
+from pearshed._internal.side.key_home import KeyHomeRule
+from pearshed._internal.side.keys import KeyTable
+from pearshed._internal.side.order import TieredOrder
+from pearshed._internal.side.sessions import SideIdentity, SideSessions
+from pearshed._internal.telemetry.metrics import Metric, Sample, counter, gauge
+from pearshed._internal.timers import clock
+
+_ENDPOINT_THREADS = 256
+_DRAIN_NOTICE_S = 0.2
+
+
+class SideProcess(Process):
+    """Serves entries and calls the endpoint."""
+
+    def __init__(self, settings: SideSettings) -> None:
+        super().__init__(settings.process, settings.platform, is_entry=False)
+        self._settings = settings
+        self._client = EndpointClient(
+            settings.endpoint_address,
+            settings.connect_timeout_s,
+            settings.idle_timeout_s,
+            _ENDPOINT_THREADS,
+        )
+        self._keys = KeyTable(settings.key_retention_s)
+        self._desk = Desk(
+            settings.endpoint,
+            TieredOrder(),
+            self._timers,
+            self._client,
+            self._keys,
+            KeyHomeRule(settings.endpoint, self._view),
+            settings.lease_ms / clock.MILLISECONDS_PER_SECOND,
+        )
+        identity = SideIdentity(
+            settings.process.name, self._incarnation, settings.process.data_centre
+        )
+        self._sessions = SideSessions(
+            identity, settings.peers, self._desk, self._timers, self._relay
+        )
+        self._server = grpclib.server.Server(
+            [self._sessions],
+            config=connection_configuration(),
+        )
+        self._store.subscribe(self._take_catalogue)
+        self._view.subscribe(self._take_vm_list)
+        self._metrics.add(self._collect)
+
+    def not_ready_reasons(self) -> list[str]:
+        """List why the side gives its endpoint no work."""
+        reasons = super().not_ready_reasons()
+        if self._store.revision and not self._desk.scheduler.slots:
+            reasons.append(f"no record of endpoint {self._settings.endpoint!r}")
+        if self._desk.scheduler.draining:
+            reasons.append("draining")
+        return reasons
+
+    def _take_catalogue(self, catalogue: Catalogue) -> None:
+        self._desk.update(catalogue)
+        self._sessions.announce_load()
+
+    def _take_vm_list(self) -> None:
+        self._desk.set_leaving(self._view.is_leaving(self._settings.endpoint))
+        self._sessions.announce_load()
+
+    async def _start(self) -> None:
+        listen = self._settings.listen
+        try:
+            await self._server.start(listen.host, listen.port)
+        except OSError as error:
+            raise AddressInUseError(
+                f"can't listen on {listen} for entries",
+                context=[str(error)],
+                hint="another process may hold the port, or the IP number is not this machine's",
+            ) from error
+        logging.info("entries are served on %s", listen)
+
+    async def _finish(self) -> None:
+        draining = asyncio.get_running_loop().create_task(self._desk.drain())
+        await asyncio.sleep(0)
+        self._sessions.announce_load()
+        await draining
+        await asyncio.sleep(_DRAIN_NOTICE_S)
+        self._server.close()
+        await self._server.wait_closed()
+        self._client.close()
+
+    def _dump(self) -> Mapping[str, Any]:
+        scheduler = self._desk.scheduler
+        return {
+            "role": "side",
+            "endpoint": self._settings.endpoint,
+            "endpoint_address": str(self._settings.endpoint_address),
+            "slots": scheduler.slots,
+            "running": scheduler.running,
+            "queued": scheduler.queued,
+            "draining": scheduler.draining,
+            "service_s": round(scheduler.service_s, 3),
+            "answers_kept": self._desk.kept_runs,
+            "keys": len(self._keys),
+            "key_verdicts": self._keys.counts,
+            "counts": self._desk.counts,
+            "entries": self._sessions.entries,
+        }
+
+    def _collect(self) -> Iterable[Metric]:
+        scheduler = self._desk.scheduler
+        yield gauge("pearshed_slots", "Requests the endpoint runs at once", scheduler.slots)
+        yield gauge("pearshed_slots_used", "Slots running or leased", scheduler.running)
+        yield gauge("pearshed_queue_length", "Reservations that wait", scheduler.queued)
+        yield gauge("pearshed_draining", "1 while no new work is taken", scheduler.draining)
+        yield gauge("pearshed_service_seconds", "Smoothed time of a run", scheduler.service_s)
+        yield gauge("pearshed_keys", "Idempotency keys remembered", len(self._keys))
+        yield gauge("pearshed_entries", "Entries connected", len(self._sessions.entries))
+        yield counter("pearshed_grants_total", "Slots granted", scheduler.grants)
+        yield counter("pearshed_leases_expired_total", "Leases not used", scheduler.expired)
+        yield Metric(
+            "pearshed_refusals_total",
+            "Reservations refused, by reason",
+            tuple(
+                Sample(value, {"reason": pb.RefusalReason.Name(reason)})
+                for reason, value in scheduler.refusals.items()
+            ),
+            counter=True,
+        )
+        yield Metric(
+            "pearshed_runs_total",
+            "Runs at the endpoint, by event",
+            tuple(Sample(value, {"event": name}) for name, value in self._desk.counts.items()),
+            counter=True,
+        )
--- /dev/null
+++ b/src/pearshed/_internal/side/run.py
@@ -0,0 +1,175 @@
+"""One run of a request at the endpoint, and its answer so far."""
+
+import enum
+from collections.abc import Iterable
+
+from pearshed._internal.models.outcomes import Execution
+from pearshed._internal.peers import frames
+from pearshed._internal.peers import peer_pb2 as pb
+from pearshed._internal.peers.writer import FrameProducer, FrameWriter
+from pearshed._internal.timers import clock
+
+LARGEST_FRAME_BYTES = 256 * 1024
+
+
+class RunState(enum.Enum):
+    """How far a run has come."""
+
+    RUNNING = "running"
+    FINISHED = "finished"
+
+
+class Run(FrameProducer):
+    """Keeps an answer whole until the entry has acknowledged it.
+
+    The answer can thus be sent again from any byte on a new connection, and replayed for a
+    repeat of the same idempotency key.
+
+    :param attempt: the entry's number of the attempt that gets the answer.
+    """
+
+    def __init__(self, attempt: int, idempotent: bool) -> None:
+        self._attempt = attempt
+        self._idempotent = idempotent
+        self._state = RunState.RUNNING
+        self._status = 0
+        self._headers: tuple[tuple[str, str], ...] = ()
+        self._content = bytearray()
+        self._execution = Execution.NOT_RUN
+        self._complete = False
+        self._detail = ""
+        self._writer: FrameWriter | None = None
+        self._head_sent = False
+        self._sent = 0
+        self._end_sent = False
+        self._replayed = False
+        self._cancelled = False
+        self._started_at = clock.now()
+        self._detached_at = 0.0
+
+    @property
+    def attempt(self) -> int:
+        """The entry's number of the attempt."""
+        return self._attempt
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the request may run again."""
+        return self._idempotent
+
+    @property
+    def finished(self) -> bool:
+        """Whether the endpoint is done with the request."""
+        return self._state is RunState.FINISHED
+
+    @property
+    def complete(self) -> bool:
+        """Whether the answer is whole."""
+        return self._complete
+
+    @property
+    def execution(self) -> Execution:
+        """What is known of the execution, once finished."""
+        return self._execution
+
+    @property
+    def length(self) -> int:
+        """Bytes of the answer so far."""
+        return len(self._content)
+
+    @property
+    def held_s(self) -> float:
+        """Time since the run began, seconds."""
+        return clock.now() - self._started_at
+
+    @property
+    def detached_s(self) -> float:
+        """Time for which no connection has carried the answer, seconds."""
+        return clock.now() - self._detached_at if self._writer is None else 0.0
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether nobody wants the answer any more."""
+        return self._cancelled
+
+    def attach(self, writer: FrameWriter, offset: int = 0, head_sent: bool = False) -> None:
+        """Send the answer on a connection, from a byte on."""
+        self.detach()
+        self._writer = writer
+        self._sent = offset
+        self._head_sent = head_sent
+        self._end_sent = False
+        writer.offer(self)
+
+    def detach(self) -> None:
+        """Stop sending; the answer is kept."""
+        if self._writer is not None:
+            self._writer.withdraw(self)
+        self._writer = None
+        self._detached_at = clock.now()
+
+    def cancel(self) -> None:
+        """Note that nobody wants the answer any more."""
+        self._cancelled = True
+
+    def set_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Take the start of the endpoint's answer."""
+        self._status = status
+        self._headers = headers
+        self._offer()
+
+    def add(self, content: bytes) -> None:
+        """Take bytes of the endpoint's answer."""
+        self._content += content
+        self._offer()
+
+    def finish(self, execution: Execution, complete: bool, detail: str = "") -> None:
+        """Take the end of the endpoint's answer."""
+        self._state = RunState.FINISHED
+        self._execution = execution
+        self._complete = complete
+        self._detail = detail
+        self._offer()
+
+    def replay(self, attempt: int) -> "Run":
+        """Make a finished run with the same answer for another attempt."""
+        copy = Run(attempt, self._idempotent)
+        copy._status = self._status
+        copy._headers = self._headers
+        copy._content = self._content
+        copy._replayed = True
+        copy.finish(self._execution, self._complete, self._detail)
+        return copy
+
+    def take_frames(self) -> Iterable[pb.Frame]:
+        """Make the frames that the connection has not carried yet."""
+        if self._status and not self._head_sent:
+            self._head_sent = True
+            head = pb.Head(
+                status=self._status,
+                headers=frames.headers_to_wire(self._headers),
+                replayed=self._replayed,
+            )
+            yield pb.Frame(attempt=self._attempt, head=head)
+        while self._sent < len(self._content):
+            part = bytes(self._content[self._sent : self._sent + LARGEST_FRAME_BYTES])
+            yield pb.Frame(attempt=self._attempt, delta=pb.Delta(offset=self._sent, content=part))
+            self._sent += len(part)
+        if self.finished and not self._end_sent:
+            self._end_sent = True
+            yield self._end_frame()
+
+    def _end_frame(self) -> pb.Frame:
+        return pb.Frame(
+            attempt=self._attempt,
+            end=pb.End(
+                execution=frames.execution_to_wire(self._execution),
+                complete=self._complete,
+                length=len(self._content),
+                detail=self._detail,
+            ),
+        )
+
+    def _offer(self) -> None:
+        if self._writer is not None:
+            self._writer.offer(self)
--- /dev/null
+++ b/src/pearshed/_internal/side/sessions.py
@@ -0,0 +1,171 @@
+"""Connections of entries to a side: one handler task and one sender task for each."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+
+import grpclib.server
+from absl import logging
+from grpclib.exceptions import StreamTerminatedError
+
+from pearshed._internal.peers import frames
+from pearshed._internal.peers import peer_pb2 as pb
+from pearshed._internal.peers.peer_grpc import SideBase
+from pearshed._internal.peers.relay import FeedRelay
+from pearshed._internal.peers.writer import FrameWriter
+from pearshed._internal.settings.model import PeerSettings
+from pearshed._internal.side.desk import Desk
+from pearshed._internal.timers import clock
+from pearshed._internal.timers.service import Subscription, TimerService
+
+_SEND_ERRORS = (OSError, StreamTerminatedError, ConnectionError)
+
+
+@dataclass(frozen=True, slots=True)
+class SideIdentity:
+    """How a side introduces itself to entries."""
+
+    name: str
+    incarnation: str
+    data_centre: str
+
+
+@dataclass(eq=False, slots=True)
+class _Session:
+    """One connection of an entry."""
+
+    owner: str
+    entry: str
+    writer: FrameWriter
+    last_received_at: float
+
+
+class SideSessions(SideBase):
+    """Serves the peer protocol."""
+
+    def __init__(
+        self,
+        identity: SideIdentity,
+        settings: PeerSettings,
+        desk: Desk,
+        timers: TimerService,
+        relay: FeedRelay,
+    ) -> None:
+        self._identity = identity
+        self._settings = settings
+        self._desk = desk
+        self._timers = timers
+        self._relay = relay
+        self._sessions: dict[str, _Session] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._accepted = 0
+
+    @property
+    def entries(self) -> list[str]:
+        """Names of the connected entries."""
+        return [session.entry for session in self._sessions.values()]
+
+    @property
+    def accepted(self) -> int:
+        """Connections so far."""
+        return self._accepted
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes sent on the connections that are open now."""
+        return sum(session.writer.sent_bytes for session in self._sessions.values())
+
+    def announce_load(self) -> None:
+        """Tell all entries the load now, as after a drain has begun."""
+        for session in self._sessions.values():
+            session.writer.send(self._heartbeat())
+
+    async def Exchange(  # noqa: N802
+        self, stream: "grpclib.server.Stream[pb.Batch, pb.Batch]"
+    ) -> None:
+        """Hold one connection of an entry for as long as it lives."""
+        first = await stream.recv_message()
+        if first is None or not first.frames or not first.frames[0].HasField("hello"):
+            return
+        session = self._open(first.frames[0].hello)
+        session.writer.send(
+            frames.hello(
+                self._identity.name, self._identity.incarnation, self._identity.data_centre
+            )
+        )
+        session.writer.send(self._heartbeat())
+        peer = self._relay.join(session.writer.send)
+        heartbeat = self._subscribe_heartbeat(session)
+        sending = asyncio.get_running_loop().create_task(session.writer.run(stream))
+        sending.add_done_callback(_note_end)
+        try:
+            self._handle_batch(session, first)
+            async for batch in stream:
+                session.last_received_at = clock.now()
+                self._handle_batch(session, batch)
+        finally:
+            heartbeat.cancel()
+            self._relay.leave(peer)
+            self._close(session)
+            sending.cancel()
+            with contextlib.suppress(asyncio.CancelledError, *_SEND_ERRORS):
+                await sending
+
+    def _open(self, hello: pb.Hello) -> _Session:
+        """Take a connection; one that an entry has replaced is closed."""
+        owner = hello.incarnation
+        replaced = self._tasks.pop(owner, None)
+        if replaced is not None:
+            replaced.cancel()
+        writer = FrameWriter(self._settings.batch_ms / clock.MILLISECONDS_PER_SECOND)
+        session = _Session(owner, hello.process, writer, clock.now())
+        self._sessions[owner] = session
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks[owner] = task
+        self._desk.connected(owner, writer)
+        self._accepted += 1
+        logging.info("entry %s connected", hello.process)
+        return session
+
+    def _close(self, session: _Session) -> None:
+        self._desk.disconnected(session.owner, session.writer)
+        if self._sessions.get(session.owner) is session:
+            del self._sessions[session.owner]
+            self._tasks.pop(session.owner, None)
+        logging.info("connection of entry %s ended", session.entry)
+
+    def _handle_batch(self, session: _Session, batch: pb.Batch) -> None:
+        for frame in batch.frames:
+            if frame.attempt:
+                self._desk.handle(session.owner, frame)
+            else:
+                self._relay.handle(frame, session.writer.send)
+
+    def _subscribe_heartbeat(self, session: _Session) -> Subscription:
+        def beat() -> None:
+            if clock.now() - session.last_received_at > self._settings.silence_s:
+                task = self._tasks.get(session.owner)
+                if task is not None and self._sessions.get(session.owner) is session:
+                    task.cancel()
+                return
+            session.writer.send(self._heartbeat())
+
+        return self._timers.every(self._settings.heartbeat_s, beat)
+
+    def _heartbeat(self) -> pb.Frame:
+        scheduler = self._desk.scheduler
+        return pb.Frame(
+            heartbeat=pb.Heartbeat(
+                slots=scheduler.slots,
+                running=scheduler.running,
+                queued=scheduler.queued,
+                draining=scheduler.draining,
+            )
+        )
+
+
+def _note_end(task: "asyncio.Task[None]") -> None:
+    """Take the sender's exception, which only says that the connection is gone."""
+    if not task.cancelled() and task.exception() is not None:
+        logging.debug("sender ended: %r", task.exception())
--- /dev/null
+++ b/src/pearshed/_internal/utils/fields.py
@@ -0,0 +1,160 @@
+"""Checked reading of mappings that come from YAML or JSON."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any, TypeVar
+
+from pearshed._internal.errors import FieldProblem
+
+_Default = TypeVar("_Default")
+
+
+class _Required:
+    """Marks a field without a default."""
+
+
+REQUIRED = _Required()
+
+
+class FieldReader:
+    """Takes typed fields out of a mapping and collects every problem found.
+
+    A wrong field yields its type's zero value, so that one pass reports all problems.
+    The caller drops the result when ``problems`` is not empty.
+
+    :param raw: the mapping as parsed.
+    :param problems: the list that problems are added to, shared with sections.
+    :param path: names of the sections that lead here.
+    """
+
+    def __init__(
+        self,
+        raw: Any,
+        problems: list[FieldProblem],
+        path: tuple[str, ...] = (),
+    ) -> None:
+        self._problems = problems
+        self._path = path
+        self._known: set[str] = set()
+        self._raw: Mapping[str, Any] = {}
+        if isinstance(raw, Mapping):
+            self._raw = raw
+        else:
+            problems.append(FieldProblem(path, f"expected a mapping, found {_kind(raw)}"))
+
+    @property
+    def problems(self) -> list[FieldProblem]:
+        """Problems found so far, in the order of the fields read."""
+        return self._problems
+
+    def text(
+        self, name: str, default: str | _Required = REQUIRED, choices: Sequence[str] = ()
+    ) -> str:
+        """Read a non-empty string, one of ``choices`` if any are given."""
+        value = self._take(name, default, "")
+        if not isinstance(value, str):
+            self.report(name, f"expected text, found {_kind(value)}")
+            return ""
+        if value == "" and default is REQUIRED and name in self._raw:
+            self.report(name, "must not be empty")
+        if choices and name in self._raw and value not in choices:
+            self.report(name, f"must be one of {', '.join(choices)}, found {value!r}")
+        return value
+
+    def integer(
+        self,
+        name: str,
+        default: int | _Required = REQUIRED,
+        *,
+        minimum: int | None = None,
+        maximum: int | None = None,
+    ) -> int:
+        """Read a whole number within bounds."""
+        value = self._take(name, default, minimum or 0)
+        if not isinstance(value, int) or isinstance(value, bool):
+            self.report(name, f"expected a whole number, found {_kind(value)}")
+            return minimum or 0
+        self._check_bounds(name, value, minimum, maximum)
+        return value
+
+    def number(
+        self,
+        name: str,
+        default: float | _Required = REQUIRED,
+        *,
+        minimum: float | None = None,
+        maximum: float | None = None,
+    ) -> float:
+        """Read a number within bounds."""
+        value = self._take(name, default, minimum or 0.0)
+        if not isinstance(value, int | float) or isinstance(value, bool):
+            self.report(name, f"expected a number, found {_kind(value)}")
+            return minimum or 0.0
+        self._check_bounds(name, value, minimum, maximum)
+        return float(value)
+
+    def flag(self, name: str, default: bool | _Required = REQUIRED) -> bool:
+        """Read true or false."""
+        value = self._take(name, default, False)
+        if not isinstance(value, bool):
+            self.report(name, f"expected true or false, found {_kind(value)}")
+            return False
+        return value
+
+    def texts(self, name: str, default: Sequence[str] | _Required = REQUIRED) -> tuple[str, ...]:
+        """Read a list of strings."""
+        value = self._take(name, default, ())
+        if isinstance(value, str) or not isinstance(value, Sequence):
+            self.report(name, f"expected a list of texts, found {_kind(value)}")
+            return ()
+        if not all(isinstance(item, str) for item in value):
+            self.report(name, "expected a list of texts, found another kind of item")
+            return ()
+        return tuple(value)
+
+    def section(self, name: str, *, required: bool = False) -> "FieldReader":
+        """Read a nested mapping; an absent optional one reads as empty."""
+        value = self._take(name, REQUIRED if required else {}, {})
+        return FieldReader(value, self._problems, (*self._path, name))
+
+    def has(self, name: str) -> bool:
+        """Tell whether the field is present."""
+        return name in self._raw
+
+    def finish(self) -> None:
+        """Report every field that no call has asked for."""
+        for name in self._raw:
+            if name not in self._known:
+                known = ", ".join(sorted(self._known))
+                self.report(str(name), f"unknown field; known here: {known}")
+
+    def _take(self, name: str, default: _Default | _Required, fallback: _Default) -> Any:
+        self._known.add(name)
+        if name in self._raw:
+            return self._raw[name]
+        if isinstance(default, _Required):
+            self.report(name, "is missing")
+            return fallback
+        return default
+
+    def _check_bounds(
+        self, name: str, value: float, minimum: float | None, maximum: float | None
+    ) -> None:
+        if minimum is not None and value < minimum:
+            self.report(name, f"must be at least {minimum}, found {value}")
+        if maximum is not None and value > maximum:
+            self.report(name, f"must be at most {maximum}, found {value}")
+
+    def report(self, name: str, message: str) -> None:
+        """Add a problem with a field of this section."""
+        self._problems.append(FieldProblem((*self._path, name), message))
+
+
+def _kind(value: Any) -> str:
+    names = {bool: "true or false", int: "a whole number", float: "a number", str: "text"}
+    if value is None:
+        return "nothing"
+    if isinstance(value, Mapping):
+        return "a mapping"
+    if isinstance(value, list | tuple):
+        return "a list"
+    return names.get(type(value), type(value).__name__)
