Add the tests of contracts and decisions, the task runner and the one-file program

Cause: the thin path had no tests, and nothing told a newcomer how to run them.

Found by the tests, each seen failing first, and mended: - An attempt whose reservations were all refused for a draining or lost side went to the same sides again; all that were asked are now left out of the next attempt. - Ten times a share of 0.1 adds up to just under one grant, so a low tier got 9 grants of 100 and not 10; the credit is now compared with a margin. - Calls that are not good HTTP got a plain text without request id; they now get the typed form. - Debug logs carried every HPACK step; the libraries' loggers are kept at warnings.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# The task runner: `make check` is what CI runs, `make trial` shows a streamed answer.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup check format lint types test trial binary bench capacity generate clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements/runtime.txt requirements/tools.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements/dev.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps -e .
+	touch $@
+
+check: lint types test
+
+format: setup
+	$(BIN)/black --quiet src tests bench examples
+	$(BIN)/ruff check --quiet --fix src tests bench examples
+
+lint: setup
+	$(BIN)/black --quiet --check src tests bench examples
+	$(BIN)/ruff check --quiet src tests bench examples
+
+types: setup
+	$(BIN)/mypy
+
+test: setup
+	$(BIN)/python -m tests.run
+
+trial: setup
+	sh examples/trial.sh
+
+binary: setup
+	mkdir -p dist
+	$(BIN)/python -m tools.build_binary dist/pearshed
+
+bench: setup
+	$(BIN)/python -m bench
+
+capacity: setup
+	$(BIN)/python -m bench.capacity
+
+generate: setup
+	cd src && PATH="$(CURDIR)/$(BIN):$$PATH" ../$(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. pearshed/_internal/peers/peer.proto
+
+clean:
+	rm -rf $(VENV) build dist
--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the system, with baselines in the same run."""
--- a/src/pearshed/_internal/entry/dispatcher.py
+++ b/src/pearshed/_internal/entry/dispatcher.py
@@ -56,11 +56,12 @@
 class _Failed:
     """An attempt that failed.
 
+    :ivar endpoints: those that were asked; the next attempt leaves them out.
     :ivar elsewhere: another attempt may succeed, as far as capacity goes.
     """
 
     failure: RequestFailure
-    endpoint: str = ""
+    endpoints: frozenset[str] = frozenset()
     elsewhere: bool = False
 
 
@@ -113,7 +114,7 @@
                 sink.put(failed.failure)
                 return
             logging.info("request %s is tried again: %s", request.request_id, failed)
-            excluded = excluded | {failed.endpoint}
+            excluded = excluded | failed.endpoints
 
     def _may_retry(self, request: RoutedRequest, failed: _Failed) -> bool:
         if not failed.elsewhere or clock.now() >= request.deadline:
@@ -178,7 +179,7 @@
                 attempt.bind(link)
                 self._withdraw(attempt, waiting)
                 return _Granted(link, replayed=what.HasField("head"))
-        return _refused(refusals)
+        return _refused(refusals, frozenset(link.endpoint.name for link in links))
 
     def _withdraw(self, attempt: Attempt, links: set[SideLink]) -> None:
         for link in links:
@@ -206,7 +207,7 @@
             if what.HasField("refuse"):
                 link.close_attempt(attempt)
                 self._health.note_neutral(name)
-                return _Failed(_refusal_failure(what.refuse), name, elsewhere=True)
+                return _Failed(_refusal_failure(what.refuse), frozenset((name,)), elsewhere=True)
             if what.HasField("end"):
                 return self._ended(attempt, link, what.end)
 
@@ -226,7 +227,7 @@
             execution,
             _DEFAULT_RETRY_AFTER_S,
         )
-        return _Failed(failure, name, elsewhere=not attempt.delivered)
+        return _Failed(failure, frozenset((name,)), elsewhere=not attempt.delivered)
 
     def _lost(self, attempt: Attempt, name: str, loss: LinkLoss) -> _Failed:
         execution = Execution.MAY_HAVE_RUN if attempt.body_sent else Execution.NOT_RUN
@@ -236,7 +237,7 @@
             execution,
             _DEFAULT_RETRY_AFTER_S,
         )
-        return _Failed(failure, name, elsewhere=not attempt.delivered)
+        return _Failed(failure, frozenset((name,)), elsewhere=not attempt.delivered)
 
 
 def _reservation(attempt: Attempt) -> pb.Frame:
@@ -314,7 +315,7 @@
     )
 
 
-def _refused(refusals: Sequence[pb.Refuse]) -> _Failed:
+def _refused(refusals: Sequence[pb.Refuse], asked: frozenset[str]) -> _Failed:
     """Combine the refusals of all sides that were asked."""
     if not refusals:
         failure = RequestFailure(
@@ -323,11 +324,11 @@
             Execution.NOT_RUN,
             _DEFAULT_RETRY_AFTER_S,
         )
-        return _Failed(failure, elsewhere=True)
+        return _Failed(failure, asked, elsewhere=True)
     soonest = min(refusals, key=lambda refusal: refusal.retry_after_ms)
     full = all(refusal.reason in _CAPACITY_REFUSALS for refusal in refusals)
     final = full or soonest.reason in _KEY_REFUSALS
-    return _Failed(_refusal_failure(soonest), elsewhere=not final)
+    return _Failed(_refusal_failure(soonest), asked, elsewhere=not final)
 
 
 def _refusal_failure(refusal: pb.Refuse) -> RequestFailure:
--- a/src/pearshed/_internal/entry/http_server.py
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -10,6 +10,9 @@
 from absl import logging
 from cheroot import server, wsgi
 
+from pearshed._internal.entry import answers
+from pearshed._internal.entry.classifier import new_request_id
+from pearshed._internal.models.outcomes import FailureCode, RequestFailure
 from pearshed._internal.settings.model import EntrySettings
 from pearshed._internal.timers import clock
 
@@ -23,6 +26,11 @@
 _SWEEP_PERIOD_S = 0.25
 _INFO_LEVEL = 20
 _QUIET = logging.DEBUG
+_CODES_BY_STATUS = {
+    "413": FailureCode.TOO_LARGE,
+    "414": FailureCode.TOO_LARGE,
+    "500": FailureCode.ENDPOINT_FAILED,
+}
 _DROPPED_LOGS = ("connection reset", "broken pipe", "timed out")
 
 WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
@@ -90,6 +98,17 @@
         self.server.read_watch.begin(self.conn.socket)
         super().parse_request()
 
+    def simple_response(self, status: str | int, msg: str = "") -> None:
+        """Refuse a call that is not good HTTP, in the form of all other refusals."""
+        code, _, phrase = str(status).partition(" ")
+        failure = RequestFailure(_CODES_BY_STATUS.get(code, FailureCode.MALFORMED), msg or phrase)
+        _, headers, content = answers.error_answer(failure, new_request_id())
+        lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in headers)]
+        self.close_connection = True
+        lines.extend(("Connection: close", "", ""))
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write("\r\n".join(lines).encode("iso-8859-1") + content)
+
 
 class _WatchedConnection(server.HTTPConnection):
     """A connection that leaves the watch whenever its thread does."""
--- a/src/pearshed/_internal/logs.py
+++ b/src/pearshed/_internal/logs.py
@@ -9,6 +9,8 @@
 
 from pearshed._internal.settings.model import LogFormat
 
+_CHATTY_LIBRARIES = ("asyncio", "grpclib", "h2", "hpack", "urllib3")
+
 
 class JsonFormatter(standard_logging.Formatter):
     """Formats a log record as one JSON object with the process's name.
@@ -64,6 +66,8 @@
     if not flags.FLAGS.is_parsed():
         # The command line is argparse's; absl would else warn that its flags are not parsed.
         flags.FLAGS.mark_as_parsed()
+    for name in _CHATTY_LIBRARIES:
+        standard_logging.getLogger(name).setLevel(standard_logging.WARNING)
     logging.use_absl_handler()
     logging.set_verbosity(verbosity)
     logging.set_stderrthreshold(verbosity)
--- a/src/pearshed/_internal/side/desk.py
+++ b/src/pearshed/_internal/side/desk.py
@@ -134,10 +134,13 @@
         self._leaving = leaving
         self._apply_draining()
 
-    async def drain(self) -> None:
-        """Take no more work and wait until every answer has been delivered."""
+    def stop_taking_work(self) -> None:
+        """Refuse all that waits and all that comes, for good."""
         self._stopping = True
         self._apply_draining()
+
+    async def wait_settled(self) -> None:
+        """Wait until every answer has been delivered or given up by its entry."""
         self._idle.clear()
         while any(not self._is_settled(active) for active in self._runs.values()):
             await self._idle.wait()
--- a/src/pearshed/_internal/side/order.py
+++ b/src/pearshed/_internal/side/order.py
@@ -6,6 +6,9 @@
 
 from pearshed._internal.models.records import RequestClass, Tier
 
+# Just under 1, since ten times a share of 0.1 adds up to a little less.
+_WHOLE_GRANT = 1.0 - 1e-9
+
 
 @dataclass(eq=False, slots=True)
 class Reservation:
@@ -189,7 +192,7 @@
         for rank in ranks[1:]:
             self._credits[rank] = self._credits.get(rank, 0.0) + self._shares[rank]
         for rank in ranks[1:]:
-            if self._credits[rank] >= 1.0:
+            if self._credits[rank] >= _WHOLE_GRANT:
                 self._credits[rank] -= 1.0
                 return rank
         return ranks[0]
--- a/src/pearshed/_internal/side/process.py
+++ b/src/pearshed/_internal/side/process.py
@@ -92,10 +92,9 @@
         logging.info("entries are served on %s", listen)
 
     async def _finish(self) -> None:
-        draining = asyncio.get_running_loop().create_task(self._desk.drain())
-        await asyncio.sleep(0)
+        self._desk.stop_taking_work()
         self._sessions.announce_load()
-        await draining
+        await self._desk.wait_settled()
         await asyncio.sleep(_DRAIN_NOTICE_S)
         self._server.close()
         await self._server.wait_closed()
--- /dev/null
+++ b/tests/functional/test_callers.py
@@ -0,0 +1,155 @@
+"""Contract of the callers' interface, against real processes."""
+
+import json
+import socket
+import unittest
+from typing import Any, ClassVar
+
+import openai
+from parameterized import parameterized
+
+from tests.lib.engine import stream_chunks, tokens_of, whole_answer
+from tests.lib.fleet import Fleet, SmallSite, chat_body, wait_for
+from tests.lib.records import API_KEY
+
+
+class CallerContractTest(unittest.TestCase):
+    """One site serves all cases."""
+
+    fleet: ClassVar[Fleet]
+    site: ClassVar[SmallSite]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = Fleet()
+        cls.addClassCleanup(cls.fleet.close)
+        cls.site = SmallSite(cls.fleet, max_body_bytes=4096, read_timeout_s=0.5)
+
+    @parameterized.expand(
+        [
+            ("chat_stream", "/v1/chat/completions", True),
+            ("chat_whole", "/v1/chat/completions", False),
+            ("text_stream", "/v1/completions", True),
+            ("text_whole", "/v1/completions", False),
+        ]
+    )
+    def test_answer_is_the_engines_to_the_byte(self, _: str, path: str, stream: bool) -> None:
+        body = chat_body(f"umlauts äöü for {path}", stream, prompt="text")
+        response = self.fleet.call(self.site.entry, path, body)
+        expected = b"".join(stream_chunks(body)) if stream else whole_answer(body)
+        self.assertEqual((200, expected), (response.status, response.data))
+        self.assertTrue(response.headers["X-Request-Id"].startswith("req-"))
+
+    @parameterized.expand(
+        [
+            ("no_key", {"key": "wrong"}, 401, "unknown_api_key"),
+            ("not_json", {"body": b"{"}, 400, "malformed_request"),
+            ("not_an_object", {"body": [1]}, 400, "malformed_request"),
+            ("no_model", {"body": {"messages": []}}, 400, "malformed_request"),
+            ("no_messages", {"body": {"model": "writer"}}, 400, "malformed_request"),
+            ("bad_stream", {"body": chat_body(stream=3)}, 400, "malformed_request"),
+            ("other_model", {"body": chat_body(model="x")}, 404, "unknown_model"),
+            ("other_class", {"X_Request_Class": "x"}, 400, "unknown_class"),
+            ("hidden_class", {"X_Request_Class": "hidden"}, 403, "class_not_allowed"),
+            ("too_large", {"body": chat_body("x" * 5000)}, 413, "request_too_large"),
+            ("wrong_path", {"path": "/v2/x"}, 404, "not_found"),
+            ("wrong_method", {"method": "PUT"}, 405, "method_not_allowed"),
+            ("other_service", {"path": "/services/x/y"}, 404, "unknown_service"),
+            ("long_key", {"Idempotency_Key": "k" * 300}, 400, "idempotency_key_malformed"),
+        ]
+    )
+    def test_bad_calls_get_the_reason(
+        self, _: str, change: dict[str, Any], status: int, code: str
+    ) -> None:
+        before = len(self.fleet.runs(*self.site.engines))
+        arguments = {"body": chat_body(), **change}
+        response = self.fleet.call(self.site.entry, **arguments)
+        error = json.loads(response.data)["error"]
+        self.assertEqual(
+            (status, code, "not_run"), (response.status, error["code"], error["execution"])
+        )
+        self.assertEqual(error["request_id"], response.headers["X-Request-Id"])
+        self.assertEqual(before, len(self.fleet.runs(*self.site.engines)))
+
+    @parameterized.expand(
+        [("get", "GET", None), ("post", "POST", b"swap"), ("delete", "DELETE", None)]
+    )
+    def test_plain_calls_are_routed(self, _: str, method: str, body: bytes | None) -> None:
+        response = self.fleet.call(self.site.entry, "/services/writing/rota/7?week=3", body, method)
+        answer = json.loads(response.data)
+        self.assertEqual((200, "/rota/7?week=3"), (response.status, answer["path"]))
+        self.assertEqual((body or b"").decode(), answer["got"])
+
+    def test_official_client_streams_and_lists_models(self) -> None:
+        client = openai.OpenAI(base_url=f"{self.site.entry.url}/v1", api_key=API_KEY, max_retries=0)
+        stream = client.chat.completions.create(
+            model="writer", messages=[{"role": "user", "content": "hello"}], stream=True
+        )
+        text = "".join(chunk.choices[0].delta.content or "" for chunk in stream)
+        expected = tokens_of({"messages": [{"role": "user", "content": "hello"}]})
+        self.assertEqual("".join(expected), text)
+        self.assertEqual(["writer"], [model.id for model in client.models.list()])
+        with self.assertRaises(openai.NotFoundError) as caught:
+            client.chat.completions.create(model="x", messages=[])
+        self.assertEqual("unknown_model", caught.exception.code)
+
+    def test_slow_callers_are_cut_off_and_others_are_served(self) -> None:
+        slow = [socket.create_connection(("127.0.0.1", self.site.entry.port)) for _ in range(40)]
+        for sock in slow:
+            self.addCleanup(sock.close)
+            sock.sendall(
+                b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{"
+            )
+        response = self.fleet.call(self.site.entry, body=chat_body())
+        self.assertEqual(200, response.status)
+        answers = [sock.makefile("rb").read() for sock in slow]
+        self.assertTrue(all(b"malformed_request" in answer for answer in answers))
+
+    @parameterized.expand(
+        [
+            ("bad_header", b"GET / HTTP/1.1\r\nno colon\r\n\r\n", b" 400 "),
+            ("not_http", b"hello\r\n\r\n", b" 400 "),
+            ("huge_head", b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 70_000, b" 413 "),
+        ]
+    )
+    def test_bad_http_gets_the_same_form(self, _: str, sent: bytes, status: bytes) -> None:
+        with socket.create_connection(("127.0.0.1", self.site.entry.port)) as sock:
+            sock.sendall(sent)
+            head, _sep, content = sock.makefile("rb").read().partition(b"\r\n\r\n")
+        self.assertIn(status, head.splitlines()[0])
+        self.assertIn(b"X-Request-Id: req-", head)
+        self.assertEqual("not_run", json.loads(content)["error"]["execution"])
+
+    def test_a_caller_that_goes_cancels_the_run(self) -> None:
+        engines = self.site.engines
+        before = sum(self.fleet.journal(engine)["cancelled"] for engine in engines)
+        response = self.fleet.call(
+            self.site.entry, body=chat_body(max_tokens=5000), preload_content=False
+        )
+        response.read1(10)
+        response.close()
+
+        def cancelled() -> bool:
+            now = [self.fleet.journal(engine)["cancelled"] for engine in engines]
+            return sum(now) - int(before) > 0
+
+        wait_for(cancelled, "the engine to see the cancellation")
+
+    @parameterized.expand(
+        [
+            ("healthz", 200, b"ok"),
+            ("readyz", 200, b"ready"),
+            ("metrics", 200, b"pearshed_feed_revision"),
+            ("dump", 200, b'"incarnation"'),
+            ("other", 404, b"pages:"),
+        ]
+    )
+    def test_admin_pages(self, page: str, status: int, content: bytes) -> None:
+        for node in (self.site.entry, self.site.sides[0]):
+            response = node.page(page)
+            self.assertEqual(status, response.status)
+            self.assertIn(content, response.data)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/lib/engine.py
+++ b/tests/lib/engine.py
@@ -16,6 +16,8 @@
 from tests.lib.http_stub import StubHandler, StubServer, serve
 
 DEFAULT_TOKENS = 16
+#: Never set; waiting on it paces the stand-in.
+PAUSE = threading.Event()
 _WORDS = ("order", "north", "plan", "Graz", "eleven", "ready", "über", "list", "next", "done")
 
 
@@ -192,9 +194,9 @@
         self.wfile.write(b"0\r\n\r\n")
 
     def _wait(self, base_ms: float) -> None:
-        time.sleep(self.server.state.pace_s(base_ms))
+        PAUSE.wait(self.server.state.pace_s(base_ms))
         while self.server.state.hang:
-            time.sleep(0.01)
+            PAUSE.wait(0.01)
 
 
 class EngineServer(StubServer):
--- /dev/null
+++ b/tests/lib/fakes.py
@@ -0,0 +1,193 @@
+"""Small fakes at the interfaces of the parts."""
+
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+from unittest import mock
+
+from pearshed._internal.configuration.catalogue import Catalogue
+from pearshed._internal.configuration.feed import FeedChange
+from pearshed._internal.configuration.parser import encode_record
+from pearshed._internal.configuration.store import RecordStore
+from pearshed._internal.membership.vm_view import VMView
+from pearshed._internal.models.outcomes import Execution
+from pearshed._internal.models.requests import Call
+from pearshed._internal.peers import frames
+from pearshed._internal.peers import peer_pb2 as pb
+from pearshed._internal.peers.writer import FrameProducer, FrameWriter
+from pearshed._internal.side.desk import Desk
+from pearshed._internal.side.endpoint_client import AnswerReceiver, EndpointCall, EndpointClient
+from pearshed._internal.side.key_home import KeyHomeRule
+from pearshed._internal.side.keys import KeyTable
+from pearshed._internal.side.order import TieredOrder
+from pearshed._internal.timers.service import TimerService
+from tests.lib.records import Document
+
+START_S = 1_000_000.0
+START_UNIX_MS = 1_700_000_000_000
+
+
+class FakeClock:
+    """Stands in for both clocks while a test runs."""
+
+    def __init__(self, test: unittest.TestCase) -> None:
+        self.moment = START_S
+        module = "pearshed._internal.timers.clock"
+        for name, read in (("now", lambda: self.moment), ("unix_ms", self.unix_ms)):
+            patcher = mock.patch(f"{module}.{name}", read)
+            patcher.start()
+            test.addCleanup(patcher.stop)
+
+    def unix_ms(self) -> int:
+        """Read the wall clock."""
+        return START_UNIX_MS + round((self.moment - START_S) * 1000)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        self.moment += seconds
+
+
+class FakeTimers:
+    """Keeps the subscribed callbacks for the test to call."""
+
+    def __init__(self) -> None:
+        self.repeated: list[Callable[[], None]] = []
+
+    def every(self, period_s: float, callback: Callable[[], None], jitter: float = 0.1) -> Any:
+        """Keep a callback."""
+        del period_s, jitter
+        self.repeated.append(callback)
+        return mock.Mock()
+
+    def check_pause(self) -> None:
+        """Find no pause."""
+
+    def fire(self) -> None:
+        """Call every callback once."""
+        for callback in self.repeated:
+            callback()
+
+
+class FakeWriter:
+    """Takes frames at once."""
+
+    def __init__(self) -> None:
+        self.sent: list[pb.Frame] = []
+
+    def send(self, frame: pb.Frame) -> None:
+        """Take a frame."""
+        self.sent.append(frame)
+
+    def offer(self, producer: FrameProducer) -> None:
+        """Take a producer's frames."""
+        self.sent.extend(producer.take_frames())
+
+    def withdraw(self, producer: FrameProducer) -> None:
+        """Forget a producer."""
+
+    def kinds(self, attempt: int) -> list[str]:
+        """Name the kinds of frame sent for an attempt."""
+        return [str(f.WhichOneof("kind")) for f in self.sent if f.attempt == attempt]
+
+    def last(self, attempt: int) -> pb.Frame:
+        """Find the last frame sent for an attempt."""
+        return [frame for frame in self.sent if frame.attempt == attempt][-1]
+
+    def content(self, attempt: int) -> bytes:
+        """Join the parts sent for an attempt."""
+        return b"".join(f.delta.content for f in self.sent if f.attempt == attempt)
+
+
+@dataclass
+class StartedCall:
+    """A call that a desk has started."""
+
+    call: Call
+    receiver: AnswerReceiver
+    fresh: bool
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Cut the call off."""
+        self.cancelled = True
+
+    def answer(self, content: bytes = b"answer", complete: bool = True) -> None:
+        """Answer whole, or break off."""
+        self.receiver.set_head(200, ())
+        self.receiver.add(content)
+        self.receiver.finish(Execution.RAN if complete else Execution.MAY_HAVE_RUN, complete, "")
+
+
+@dataclass
+class FakeClient:
+    """Keeps the calls that a desk starts."""
+
+    started: list[StartedCall] = field(default_factory=list)
+
+    def start(self, call: Call, receiver: AnswerReceiver, fresh: bool) -> EndpointCall:
+        """Keep a call."""
+        self.started.append(StartedCall(call, receiver, fresh))
+        return cast(EndpointCall, self.started[-1])
+
+
+def change(revision: int, documents: list[Document], confirmed_ago_s: float = 0.0) -> FeedChange:
+    """Make a feed's change whose documents carry its revision."""
+    stamped = ({**document, "revision": revision} for document in documents)
+    return FeedChange(revision, tuple(encode_record(item) for item in stamped), confirmed_ago_s)
+
+
+def catalogue(documents: list[Document], revision: int = 1) -> Catalogue:
+    """Make a catalogue."""
+    store = RecordStore()
+    store.apply(change(revision, documents))
+    return store.catalogue
+
+
+class DeskBench:
+    """A desk with fakes around it.
+
+    :ivar writers: one for each entry that has connected.
+    """
+
+    def __init__(self, documents: list[Document], endpoint: str = "engine-1") -> None:
+        self.timers = FakeTimers()
+        self.client = FakeClient()
+        self.view = VMView()
+        self.keys = KeyTable(retention_s=900.0)
+        self.writers: dict[str, FakeWriter] = {}
+        self.desk = Desk(
+            endpoint,
+            TieredOrder(),
+            cast(TimerService, self.timers),
+            cast(EndpointClient, self.client),
+            self.keys,
+            KeyHomeRule(endpoint, self.view),
+            lease_s=0.5,
+        )
+        self.desk.update(catalogue(documents))
+
+    def connect(self, owner: str) -> FakeWriter:
+        """Connect an entry, in place of its earlier connection if it has one."""
+        writer = FakeWriter()
+        self.writers[owner] = writer
+        self.desk.connected(owner, cast(FrameWriter, writer))
+        return writer
+
+    def disconnect(self, owner: str) -> None:
+        """Lose an entry's connection."""
+        self.desk.disconnected(owner, cast(FrameWriter, self.writers[owner]))
+
+    def reserve(self, owner: str, attempt: int, class_name: str = "chat", **fields: Any) -> None:
+        """Send a reservation."""
+        values = {"idempotent": True, "deadline_ms": 10_000, "customer": "demo", **fields}
+        frame = pb.Frame(attempt=attempt, reserve=pb.Reserve(class_name=class_name, **values))
+        self.desk.handle(owner, frame)
+
+    def body(self, owner: str, attempt: int) -> None:
+        """Send a body."""
+        self.desk.handle(owner, frames.body(attempt, Call("POST", "/x", (), b"{}")))
+
+    def send(self, owner: str, attempt: int, **kind: Any) -> None:
+        """Send another frame."""
+        self.desk.handle(owner, pb.Frame(attempt=attempt, **kind))
--- /dev/null
+++ b/tests/lib/fleet.py
@@ -0,0 +1,307 @@
+"""Starts real processes of the system on loopback, with stand-ins around them."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+from collections.abc import Callable, Sequence
+from typing import Any, TypeVar
+
+import urllib3
+import yaml
+
+from tests.lib import records
+from tests.lib.records import Document
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PATIENCE_S = 60.0
+_CHECK_S = 0.02
+
+_Value = TypeVar("_Value")
+
+
+def free_port() -> int:
+    """Find a free port on loopback."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def wait_for(read: Callable[[], _Value | None], what: str) -> _Value:
+    """Wait until ``read`` returns something true.
+
+    :raises AssertionError: when it does not within a time that no sound run needs.
+    """
+    ticks = round(PATIENCE_S / _CHECK_S)
+    for _ in range(ticks):
+        value = read()
+        if value:
+            return value
+        threading.Event().wait(_CHECK_S)
+    raise AssertionError(f"waited in vain for {what}")
+
+
+class Node:
+    """One process of the fleet."""
+
+    def __init__(self, name: str, port: int, admin_port: int, process: Any, log: Any) -> None:
+        self.name = name
+        self.port = port
+        self.admin_port = admin_port
+        self.process = process
+        self._log = log
+
+    @property
+    def url(self) -> str:
+        """Base address of its main port."""
+        return f"http://127.0.0.1:{self.port}"
+
+    def signal(self, number: int) -> None:
+        """Send a signal."""
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+    def pause(self) -> None:
+        """Stop the process where it is, and wait until it stands."""
+        self.signal(signal.SIGSTOP)
+        stat = pathlib.Path(f"/proc/{self.process.pid}/stat")
+        wait_for(lambda: stat.read_text().rpartition(")")[2].split()[0] == "T", "the pause")
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self.signal(signal.SIGCONT)
+
+    def wait_end(self) -> int:
+        """Wait for the process to end by itself and return its exit status."""
+        return int(self.process.wait(PATIENCE_S))
+
+    def dump(self) -> Any:
+        """Read the process's state."""
+        return json.loads(self.page("dump").data)
+
+    def page(self, name: str) -> urllib3.BaseHTTPResponse:
+        """Read a page of the admin address."""
+        return urllib3.request(
+            "GET", f"http://127.0.0.1:{self.admin_port}/{name}", timeout=10.0, retries=False
+        )
+
+    def is_ready(self) -> bool:
+        """Tell whether the process says that it is ready."""
+        try:
+            return self.page("readyz").status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def log_text(self) -> str:
+        """Read what the process has logged."""
+        self._log.flush()
+        return pathlib.Path(self._log.name).read_text(errors="replace")
+
+
+class Fleet:
+    """A platform stand-in, engines, sides and entries; ends them all on exit.
+
+    :param environment: further environment variables of the processes.
+    """
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="pearshed-test-")
+        self.nodes: dict[str, Node] = {}
+        self.platform = Node("platform", 0, 0, None, None)
+        self.http = urllib3.PoolManager(maxsize=64, retries=False, timeout=PATIENCE_S)
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End every process."""
+        for node in self.nodes.values():
+            if node.process.poll() is None:
+                node.signal(signal.SIGCONT)
+                node.kill()
+        self.http.clear()
+        self._folder.cleanup()
+
+    def start_platform(self, documents: Sequence[Document], vms: Sequence[Document]) -> Node:
+        """Start the platform stand-in and publish."""
+        self.platform = self._start_stub("platform", "tests.lib.platform")
+        self.publish("records", documents)
+        self.publish("vms", vms)
+        return self.platform
+
+    def start_engine(self, name: str, **state: Any) -> Node:
+        """Start an engine stand-in."""
+        node = self._start_stub(name, "tests.lib.engine")
+        if state:
+            self.set(node, **state)
+        return node
+
+    def start_side(
+        self, name: str, endpoint: str, engine_port: int, port: int, **settings: Any
+    ) -> Node:
+        """Start a side process."""
+        section = {
+            "endpoint": endpoint,
+            "listen": f"127.0.0.1:{port}",
+            "endpoint_address": f"127.0.0.1:{engine_port}",
+        }
+        return self._start_process("side", name, port, {**section, **settings})
+
+    def start_entry(self, name: str, **settings: Any) -> Node:
+        """Start an entry process."""
+        port = free_port()
+        section = {"listen": f"127.0.0.1:{port}", "drain_s": 0.2}
+        return self._start_process("entry", name, port, {**section, **settings})
+
+    def publish(self, feed: str, documents: Sequence[Document]) -> int:
+        """Publish records or VMs.
+
+        :returns: the revision.
+        """
+        return int(self.post(self.platform, f"/_publish/{feed}", list(documents))["revision"])
+
+    def set(self, node: Node, **state: Any) -> None:
+        """Set the state of a stand-in."""
+        self.post(node, "/_set", state)
+
+    def post(self, node: Node, path: str, document: Any) -> Any:
+        """Post JSON to a stand-in."""
+        response = self.http.request("POST", node.url + path, body=json.dumps(document))
+        return json.loads(response.data)
+
+    def journal(self, node: Node) -> Any:
+        """Read what an engine stand-in has run."""
+        return json.loads(self.http.request("GET", node.url + "/_journal").data)
+
+    def runs(self, *nodes: Node) -> list[Document]:
+        """List all runs of engine stand-ins."""
+        return [run for node in nodes for run in self.journal(node)["journal"]]
+
+    def wait_ready(self, *nodes: Node) -> None:
+        """Wait until processes are ready."""
+        for node in nodes:
+            wait_for(node.is_ready, f"{node.name} to be ready:\n{node.log_text()}")
+
+    def wait_links(self, entry: Node, count: int) -> None:
+        """Wait until an entry has usable links to a number of sides."""
+
+        def usable() -> bool:
+            links = entry.dump()["links"]
+            return sum(link["connected"] and link["slots"] > 0 for link in links) >= count
+
+        wait_for(usable, f"{entry.name} to reach {count} sides")
+
+    def call(
+        self,
+        entry: Node,
+        path: str = "/v1/chat/completions",
+        body: Any = None,
+        method: str = "POST",
+        key: str = records.API_KEY,
+        preload_content: bool = True,
+        **headers: str,
+    ) -> urllib3.BaseHTTPResponse:
+        """Call an entry; header names are given with underscores."""
+        sent = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+        sent.update({name.replace("_", "-"): value for name, value in headers.items()})
+        content = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+        return self.http.request(
+            method, entry.url + path, body=content, headers=sent, preload_content=preload_content
+        )
+
+    def _start_stub(self, name: str, module: str) -> Node:
+        port = free_port()
+        node = self._spawn(name, port, 0, ["-m", module, "--port", str(port)])
+        wait_for(lambda: _accepts(port), f"{name} to listen")
+        return node
+
+    def _start_process(self, kind: str, name: str, port: int, section: Document) -> Node:
+        admin_port = free_port()
+        settings = {
+            "process": {
+                "name": name,
+                "data_centre": section.pop("data_centre", "olympia"),
+                "admin": f"127.0.0.1:{admin_port}",
+                "log_level": "debug",
+            },
+            "platform": {"url": self.platform.url, **section.pop("platform", {})},
+            "peers": {"heartbeat_s": 0.2, "silence_s": 1.0, **section.pop("peers", {})},
+            kind: section,
+        }
+        path = pathlib.Path(self._folder.name) / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        return self._spawn(
+            name, port, admin_port, ["-m", "pearshed", kind, "--settings", str(path)]
+        )
+
+    def _spawn(self, name: str, port: int, admin_port: int, arguments: Sequence[str]) -> Node:
+        log = open(pathlib.Path(self._folder.name) / f"{name}.log", "ab")  # noqa: SIM115
+        process = subprocess.Popen(
+            [sys.executable, *arguments],
+            cwd=ROOT,
+            stdout=log,
+            stderr=log,
+            env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"},
+        )
+        node = Node(name, port, admin_port, process, log)
+        self.nodes[name] = node
+        return node
+
+
+def _accepts(port: int) -> bool:
+    with socket.socket() as sock:
+        return sock.connect_ex(("127.0.0.1", port)) == 0
+
+
+def chat_body(content: str = "a notice", stream: Any = True, **extra: Any) -> Document:
+    """Make the body of a chat completion."""
+    messages = [{"role": "user", "content": content}]
+    return {"model": "writer", "messages": messages, "stream": stream, **extra}
+
+
+class SmallSite:
+    """One entry, some endpoints of a service with their sides, and the platform.
+
+    :ivar engines: the engine stand-ins, in the order of the sides.
+    """
+
+    def __init__(
+        self, fleet: Fleet, endpoints: int = 2, entries: int = 1, slots: int = 8, **entry: Any
+    ) -> None:
+        self.fleet = fleet
+        names = [f"engine-{number + 1}" for number in range(endpoints)]
+        self.side_ports = [free_port() for _ in names]
+        self.documents = [
+            records.endpoint(name, "writing", port, slots)
+            for name, port in zip(names, self.side_ports, strict=True)
+        ]
+        entry_names = [f"entry-{number + 1}" for number in range(entries)]
+        vms = [records.vm(name, "entry") for name in entry_names]
+        vms += [records.vm(name, "side") for name in names]
+        fleet.start_platform(records.base_records() + self.documents, vms)
+        self.engines = [fleet.start_engine(name) for name in names]
+        self.sides = [
+            fleet.start_side(f"side-{name}", name, engine.port, port)
+            for name, engine, port in zip(names, self.engines, self.side_ports, strict=True)
+        ]
+        self.entries = [fleet.start_entry(name, **entry) for name in entry_names]
+        fleet.wait_ready(*self.sides, *self.entries)
+        for node in self.entries:
+            fleet.wait_links(node, endpoints)
+
+    @property
+    def entry(self) -> Node:
+        """The first entry."""
+        return self.entries[0]
--- a/tests/lib/platform.py
+++ b/tests/lib/platform.py
@@ -101,7 +101,7 @@
         wait_s = float(query.get("wait_s", 0))
         if state.frozen is not None and not state.down:
             revision, documents = state.frozen[name]
-            time.sleep(min(wait_s, 0.2))
+            threading.Event().wait(min(wait_s, 0.2))
         else:
             revision, documents = state.feeds[name].after(after, 0.0 if state.down else wait_s)
         if state.down:
