Prove the promises under faults, and mend what the faults showed

Cause and change, each seen failing first: - A caller's thread that looked whether its caller had gone waited up to the write timeout (20 s), since a Python socket with a timeout waits before it receives whatever the flags say. Streams with a pause of over 0.5 s then ended as 'the caller has gone'. Now the socket is polled first. - A process that could not bind its address printed the error and then hung, because the platform's watch and the admin server still held threads.

Ruled out: a longer or shorter write timeout (hides the wait); executors for watches (the interpreter joins their threads at its end).

--- a/src/pearshed/_internal/configuration/http_source.py
+++ b/src/pearshed/_internal/configuration/http_source.py
@@ -1,7 +1,5 @@
 """Adapter for platforms that publish over HTTP; docs/interfaces.md gives the form."""
 
-import asyncio
-import concurrent.futures
 import json
 from typing import Any
 
@@ -10,10 +8,10 @@
 
 from pearshed._internal.configuration.feed import FeedChange, FeedName, PlatformSource
 from pearshed._internal.configuration.parser import encode_record
+from pearshed._internal.utils.threads import run_in_daemon_thread
 
 _CONNECT_TIMEOUT_S = 2.0
 _READ_MARGIN_S = 3.0
-_THREADS = 3
 
 
 class HttpPlatform(PlatformSource):
@@ -24,10 +22,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url
-        self._pool = urllib3.PoolManager(num_pools=1, maxsize=_THREADS, retries=False)
-        self._threads = concurrent.futures.ThreadPoolExecutor(
-            _THREADS, thread_name_prefix="platform"
-        )
+        self._pool = urllib3.PoolManager(num_pools=1, maxsize=len(FeedName), retries=False)
         self._reads = 0
 
     @property
@@ -38,13 +33,13 @@
     async def changes(self, feed: FeedName, after: int, wait_s: float) -> Result[FeedChange, str]:
         """Read ``/v1/records`` or ``/v1/vms``."""
         self._reads += 1
-        loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(self._threads, self._read, feed, after, wait_s)
+        return await run_in_daemon_thread(
+            lambda: self._read(feed, after, wait_s), f"platform-{feed.value}"
+        )
 
     def close(self) -> None:
-        """Drop the connections; watches that wait end with a failure."""
+        """Drop the connections that are not in use."""
         self._pool.clear()
-        self._threads.shutdown(wait=False, cancel_futures=True)
 
     def _read(self, feed: FeedName, after: int, wait_s: float) -> Result[FeedChange, str]:
         path = f"/v1/{feed.value}"
--- a/src/pearshed/_internal/entry/http_server.py
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import math
+import select
 import socket
 import threading
 from collections.abc import Callable, Iterable
@@ -170,10 +171,15 @@
 
 
 def caller_has_gone(sock: socket.socket) -> bool:
-    """Look whether the caller has closed its connection, without taking any input."""
+    """Look whether the caller has closed its connection, without taking any input.
+
+    The socket has a timeout, for which a plain ``recv`` would wait whatever its flags say.
+    """
+    poll = select.poll()
     try:
-        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-    except (BlockingIOError, InterruptedError):
-        return False
+        poll.register(sock, select.POLLIN)
+        if not poll.poll(0):
+            return False
+        return sock.recv(1, socket.MSG_PEEK) == b""
     except (OSError, ValueError):
         return True
--- a/src/pearshed/_internal/entry/process.py
+++ b/src/pearshed/_internal/entry/process.py
@@ -95,7 +95,9 @@
         self._admission.close()
         while self._admission.in_flight:
             await asyncio.sleep(_IDLE_CHECK_S)
-        await asyncio.get_running_loop().run_in_executor(None, self._server.stop)
+
+    def _close(self) -> None:
+        self._server.stop()
         self._links.stop()
 
     def _dump(self) -> Mapping[str, Any]:
--- a/src/pearshed/_internal/processes/base.py
+++ b/src/pearshed/_internal/processes/base.py
@@ -63,10 +63,21 @@
         self._timers.every(_FEED_STATE_PERIOD_S, self._relay.announce_all)
         self._store.subscribe(lambda _: self._relay.announce_changes())
         self._view.subscribe(self._relay.announce_changes)
-        self._admin.start()
-        for follower in self._followers:
-            self._spawn(follower.run())
-        await self._start()
+        try:
+            self._admin.start()
+            for follower in self._followers:
+                self._spawn(follower.run())
+            await self._start()
+            await self._serve_until_stopped()
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            self._platform.close()
+            self._admin.stop()
+            self._timers.stop()
+            self._close()
+
+    async def _serve_until_stopped(self) -> None:
         logging.info("%s is running, admin on %s", self._process_settings.name, self._admin.address)
         await self._stop_requested.wait()
         if self._broken is not None:
@@ -74,11 +85,6 @@
         logging.info("%s stops once its requests are answered", self._process_settings.name)
         self._stopping = True
         await self._finish()
-        for task in self._tasks:
-            task.cancel()
-        self._platform.close()
-        self._admin.stop()
-        self._timers.stop()
 
     def not_ready_reasons(self) -> list[str]:
         """List why the process is not ready."""
@@ -111,7 +117,11 @@
 
     @abc.abstractmethod
     async def _finish(self) -> None:
-        """Finish what is in flight and stop the parts."""
+        """Finish what is in flight."""
+
+    @abc.abstractmethod
+    def _close(self) -> None:
+        """Stop the parts, whatever they are doing."""
 
     @abc.abstractmethod
     def _dump(self) -> Mapping[str, Any]:
--- a/src/pearshed/_internal/settings/loader.py
+++ b/src/pearshed/_internal/settings/loader.py
@@ -166,6 +166,7 @@
         endpoint_address=_read_address(section, "endpoint_address"),
         lease_ms=section.integer("lease_ms", 500, minimum=10, maximum=60_000),
         key_retention_s=section.number("key_retention_s", 900.0, minimum=1.0),
+        key_clock_skew_s=section.number("key_clock_skew_s", 5.0, minimum=0.0),
         connect_timeout_s=section.number("connect_timeout_s", 2.0, minimum=0.01),
         idle_timeout_s=section.number("idle_timeout_s", 60.0, minimum=0.1),
     )
--- a/src/pearshed/_internal/settings/model.py
+++ b/src/pearshed/_internal/settings/model.py
@@ -94,6 +94,7 @@
     :ivar endpoint_address: address of the endpoint itself.
     :ivar lease_ms: time that a granted slot waits for the request's body, milliseconds.
     :ivar key_retention_s: time that the outcome of an idempotency key is kept, seconds.
+    :ivar key_clock_skew_s: how far the clock that made a key may be off, seconds.
     :ivar connect_timeout_s: longest time to connect to the endpoint, seconds.
     :ivar idle_timeout_s: longest silence of the endpoint within an answer, seconds.
     """
@@ -106,6 +107,7 @@
     endpoint_address: Address
     lease_ms: int
     key_retention_s: float
+    key_clock_skew_s: float
     connect_timeout_s: float
     idle_timeout_s: float
 
--- a/src/pearshed/_internal/side/endpoint_client.py
+++ b/src/pearshed/_internal/side/endpoint_client.py
@@ -155,6 +155,7 @@
         self._address = address
         self._timeout = urllib3.Timeout(connect=connect_timeout_s, read=idle_timeout_s)
         self._pool = self._new_pool(threads)
+        self._running: set[EndpointCall] = set()
         self._threads = concurrent.futures.ThreadPoolExecutor(
             threads, thread_name_prefix="endpoint"
         )
@@ -165,11 +166,14 @@
         :param fresh: use a new connection.
         """
         running = EndpointCall(asyncio.get_running_loop(), receiver)
+        self._running.add(running)
         self._threads.submit(self._run, running, call, fresh)
         return running
 
     def close(self) -> None:
-        """Drop the connections that are not in use."""
+        """Cut off the calls in progress and drop the connections."""
+        for running in list(self._running):
+            running.cancel()
         self._pool.close()
         self._threads.shutdown(wait=False, cancel_futures=True)
 
@@ -184,6 +188,7 @@
         except Exception as error:
             running.post(_failure_of(running, error))
         finally:
+            self._running.discard(running)
             _TrackedConnection.current.call = None
             if fresh:
                 pool.close()
--- a/src/pearshed/_internal/side/keys.py
+++ b/src/pearshed/_internal/side/keys.py
@@ -9,7 +9,6 @@
 from pearshed._internal.side.run import Run
 from pearshed._internal.timers import clock
 
-CLOCK_SKEW_S = 5.0
 _UUID_TIME_VERSION = 7
 _UUID_TIME_SHIFT = 80
 
@@ -73,10 +72,12 @@
     other keys are in doubt until the memory is as old as keys are kept.
 
     :param retention_s: time that a key is kept, seconds.
+    :param clock_skew_s: how far the clock that made a key may be off, seconds.
     """
 
-    def __init__(self, retention_s: float) -> None:
+    def __init__(self, retention_s: float, clock_skew_s: float) -> None:
         self._retention_s = retention_s
+        self._clock_skew_s = clock_skew_s
         self._entries: dict[str, _Entry] = {}
         self._counts: Counter[str] = Counter()
 
@@ -149,23 +150,23 @@
         )
 
     def _verdict_of_unknown(self, key: str, home_since: float) -> KeyVerdict:
-        age_s = key_age_s(key)
         remembered_s = clock.now() - home_since
+        age_s = key_age_s(key)
         if age_s is None:
             in_doubt = remembered_s < self._retention_s
+        elif age_s < -self._clock_skew_s:
+            return KeyRefusal(
+                pb.REFUSAL_KEY_MISMATCH, False, "the idempotency key was made in the future"
+            )
         else:
-            in_doubt = age_s + CLOCK_SKEW_S > min(remembered_s, self._retention_s)
-        if in_doubt and not (age_s is not None and age_s < -CLOCK_SKEW_S):
+            in_doubt = age_s + self._clock_skew_s > min(remembered_s, self._retention_s)
+        if in_doubt:
             return KeyRefusal(
                 pb.REFUSAL_KEY_IN_DOUBT,
                 True,
                 "an earlier request with this key may have run where it is not remembered; "
                 "keys that are UUIDs of version 7 are not in doubt when they are new",
             )
-        if age_s is not None and age_s < -CLOCK_SKEW_S:
-            return KeyRefusal(
-                pb.REFUSAL_KEY_MISMATCH, False, "the idempotency key was made in the future"
-            )
         return KeyClaimed()
 
 
--- a/src/pearshed/_internal/side/process.py
+++ b/src/pearshed/_internal/side/process.py
@@ -38,7 +38,7 @@
             settings.idle_timeout_s,
             _ENDPOINT_THREADS,
         )
-        self._keys = KeyTable(settings.key_retention_s)
+        self._keys = KeyTable(settings.key_retention_s, settings.key_clock_skew_s)
         self._desk = Desk(
             settings.endpoint,
             TieredOrder(),
@@ -96,8 +96,9 @@
         self._sessions.announce_load()
         await self._desk.wait_settled()
         await asyncio.sleep(_DRAIN_NOTICE_S)
+
+    def _close(self) -> None:
         self._server.close()
-        await self._server.wait_closed()
         self._client.close()
 
     def _dump(self) -> Mapping[str, Any]:
--- a/tests/functional/test_callers.py
+++ b/tests/functional/test_callers.py
@@ -131,7 +131,7 @@
 
         def cancelled() -> bool:
             now = [self.fleet.journal(engine)["cancelled"] for engine in engines]
-            return sum(now) - int(before) > 0
+            return bool(sum(now) > before)
 
         wait_for(cancelled, "the engine to see the cancellation")
 
--- a/tests/lib/engine.py
+++ b/tests/lib/engine.py
@@ -43,12 +43,16 @@
     most_running: int = 0
     cancelled: int = 0
     journal: list[dict[str, Any]] = field(default_factory=list)
+    journal_path: str = ""
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def enter(self, entry: dict[str, Any]) -> None:
         """Note that a request runs."""
         with self.lock:
             self.journal.append(entry)
+            if self.journal_path:
+                with open(self.journal_path, "a", encoding="utf-8") as file:
+                    file.write(json.dumps(entry) + "\n")
             self.running += 1
             self.most_running = max(self.most_running, self.running)
 
@@ -214,8 +218,12 @@
     parser.add_argument("--token-ms", type=float, default=2.0)
     parser.add_argument("--first-ms", type=float, default=5.0)
     parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--journal", default="")
     options = parser.parse_args()
     state = EngineState(options.token_ms, options.first_ms, options.slots)
+    state.journal_path = options.journal
+    if options.journal:
+        open(options.journal, "a", encoding="utf-8").close()
     serve(EngineServer(options.port, state))
 
 
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -154,7 +154,7 @@
         self.timers = FakeTimers()
         self.client = FakeClient()
         self.view = VMView()
-        self.keys = KeyTable(retention_s=900.0)
+        self.keys = KeyTable(retention_s=900.0, clock_skew_s=5.0)
         self.writers: dict[str, FakeWriter] = {}
         self.desk = Desk(
             endpoint,
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -16,6 +16,7 @@
 import yaml
 
 from tests.lib import records
+from tests.lib.cuttable import CuttableProxy
 from tests.lib.records import Document
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -143,11 +144,16 @@
 
     def start_engine(self, name: str, **state: Any) -> Node:
         """Start an engine stand-in."""
-        node = self._start_stub(name, "tests.lib.engine")
+        node = self._start_stub(name, "tests.lib.engine", "--journal", str(self._journal(name)))
         if state:
             self.set(node, **state)
         return node
 
+    def restart_engine(self, node: Node) -> Node:
+        """Start a killed engine stand-in again at its address."""
+        arguments = ("--journal", str(self._journal(node.name)))
+        return self._start_stub(node.name, "tests.lib.engine", *arguments, port=node.port)
+
     def start_side(
         self, name: str, endpoint: str, engine_port: int, port: int, **settings: Any
     ) -> Node:
@@ -156,6 +162,7 @@
             "endpoint": endpoint,
             "listen": f"127.0.0.1:{port}",
             "endpoint_address": f"127.0.0.1:{engine_port}",
+            "key_clock_skew_s": 0.05,
         }
         return self._start_process("side", name, port, {**section, **settings})
 
@@ -186,8 +193,9 @@
         return json.loads(self.http.request("GET", node.url + "/_journal").data)
 
     def runs(self, *nodes: Node) -> list[Document]:
-        """List all runs of engine stand-ins."""
-        return [run for node in nodes for run in self.journal(node)["journal"]]
+        """List all runs of engine stand-ins, those of killed ones too."""
+        lines = [line for node in nodes for line in self._journal(node.name).open()]
+        return [json.loads(line) for line in lines]
 
     def wait_ready(self, *nodes: Node) -> None:
         """Wait until processes are ready."""
@@ -199,7 +207,7 @@
 
         def usable() -> bool:
             links = entry.dump()["links"]
-            return sum(link["connected"] and link["slots"] > 0 for link in links) >= count
+            return len([link for link in links if link["connected"] and link["slots"]]) >= count
 
         wait_for(usable, f"{entry.name} to reach {count} sides")
 
@@ -221,9 +229,12 @@
             method, entry.url + path, body=content, headers=sent, preload_content=preload_content
         )
 
-    def _start_stub(self, name: str, module: str) -> Node:
-        port = free_port()
-        node = self._spawn(name, port, 0, ["-m", module, "--port", str(port)])
+    def _journal(self, name: str) -> pathlib.Path:
+        return pathlib.Path(self._folder.name) / f"{name}.journal"
+
+    def _start_stub(self, name: str, module: str, *arguments: str, port: int = 0) -> Node:
+        port = port or free_port()
+        node = self._spawn(name, port, 0, ["-m", module, "--port", str(port), *arguments])
         wait_for(lambda: _accepts(port), f"{name} to listen")
         return node
 
@@ -234,7 +245,8 @@
                 "name": name,
                 "data_centre": section.pop("data_centre", "olympia"),
                 "admin": f"127.0.0.1:{admin_port}",
-                "log_level": "debug",
+                "log_level": "info",
+                **section.pop("process", {}),
             },
             "platform": {"url": self.platform.url, **section.pop("platform", {})},
             "peers": {"heartbeat_s": 0.2, "silence_s": 1.0, **section.pop("peers", {})},
@@ -272,17 +284,27 @@
 
 
 class SmallSite:
-    """One entry, some endpoints of a service with their sides, and the platform.
+    """Entries, some endpoints of a service with their sides, and the platform.
 
+    :param cuttable: put a proxy between entries and each side, to cut and silence connections.
     :ivar engines: the engine stand-ins, in the order of the sides.
     """
 
     def __init__(
-        self, fleet: Fleet, endpoints: int = 2, entries: int = 1, slots: int = 8, **entry: Any
+        self,
+        fleet: Fleet,
+        endpoints: int = 2,
+        entries: int = 1,
+        slots: int = 8,
+        cuttable: bool = False,
+        **entry: Any,
     ) -> None:
         self.fleet = fleet
         names = [f"engine-{number + 1}" for number in range(endpoints)]
-        self.side_ports = [free_port() for _ in names]
+        self.names = names
+        self.listen_ports = [free_port() for _ in names]
+        self.cuttables = [CuttableProxy(port) for port in self.listen_ports] if cuttable else []
+        self.side_ports = [proxy.port for proxy in self.cuttables] or self.listen_ports
         self.documents = [
             records.endpoint(name, "writing", port, slots)
             for name, port in zip(names, self.side_ports, strict=True)
@@ -292,15 +314,19 @@
         vms += [records.vm(name, "side") for name in names]
         fleet.start_platform(records.base_records() + self.documents, vms)
         self.engines = [fleet.start_engine(name) for name in names]
-        self.sides = [
-            fleet.start_side(f"side-{name}", name, engine.port, port)
-            for name, engine, port in zip(names, self.engines, self.side_ports, strict=True)
-        ]
+        self.sides = [self.start_side(number) for number in range(endpoints)]
         self.entries = [fleet.start_entry(name, **entry) for name in entry_names]
         fleet.wait_ready(*self.sides, *self.entries)
         for node in self.entries:
             fleet.wait_links(node, endpoints)
 
+    def start_side(self, number: int) -> Node:
+        """Start the side of an endpoint, also in place of one that has ended."""
+        engine = self.engines[number]
+        return self.fleet.start_side(
+            f"side-{engine.name}", engine.name, engine.port, self.listen_ports[number]
+        )
+
     @property
     def entry(self) -> Node:
         """The first entry."""
--- a/tests/lib/platform.py
+++ b/tests/lib/platform.py
@@ -43,22 +43,22 @@
     """What the stand-in publishes and how it fails.
 
     :ivar down: answers 503.
-    :ivar frozen: serves the copy of the feeds that was taken when this was set.
+    :ivar marked: a copy of the feeds taken earlier.
+    :ivar stale: serves the copy.
     """
 
     def __init__(self) -> None:
         self.feeds = {"records": PublishedFeed(), "vms": PublishedFeed()}
         self.down = False
-        self.frozen: dict[str, tuple[int, list[dict[str, Any]]]] | None = None
+        self.marked: dict[str, tuple[int, list[dict[str, Any]]]] = {}
+        self.stale = False
         self.reads: list[float] = []
         self.waiting = 0
         self.lock = threading.Lock()
 
-    def freeze(self, frozen: bool) -> None:
-        """Serve the present state for good, or the newest state again."""
-        self.frozen = None
-        if frozen:
-            self.frozen = {name: feed.after(0, 0.0) for name, feed in self.feeds.items()}
+    def mark(self) -> None:
+        """Take a copy of what is published now."""
+        self.marked = {name: feed.after(0, 0.0) for name, feed in self.feeds.items()}
 
 
 class PlatformHandler(StubHandler):
@@ -88,8 +88,9 @@
         document = json.loads(self.read_content())
         if self.path == "/_set":
             state.down = document.get("down", state.down)
-            if "frozen" in document:
-                state.freeze(document["frozen"])
+            state.stale = document.get("stale", state.stale)
+            if "mark" in document:
+                state.mark()
             self.answer_json({})
             return
         name = self.path.removeprefix("/_publish/")
@@ -99,8 +100,8 @@
         query = self.query()
         after = int(query.get("after", 0))
         wait_s = float(query.get("wait_s", 0))
-        if state.frozen is not None and not state.down:
-            revision, documents = state.frozen[name]
+        if state.stale and not state.down:
+            revision, documents = state.marked[name]
             threading.Event().wait(min(wait_s, 0.2))
         else:
             revision, documents = state.feeds[name].after(after, 0.0 if state.down else wait_s)
