--- a/src/pearshed/_internal/entry/link.py
+++ b/src/pearshed/_internal/entry/link.py
@@ -27,6 +27,7 @@
 _RECONNECT_LONGEST_S = 2.0
 _CONNECT_TIMEOUT_S = 2.0
 _RESUME_WINDOW_SILENCES = 2.0
+_FEED_STATE_PERIOD_S = 5.0
 _LARGEST_AGE_MS = 2**32 - 1
 
 _CONNECTION_ERRORS = (OSError, GRPCError, StreamTerminatedError, TimeoutError, ConnectionError)
@@ -86,7 +87,9 @@
         self._lost_at = clock.now()
         self._late_frames = 0
         self._reconnects = 0
-        self._sent_control_bytes = 0
+        self._told_feeds_at = clock.now()
+        self._received_messages = 0
+        self._received_frames = 0
         self._task: asyncio.Task[None] | None = None
         self._subscription = timers.every(settings.heartbeat_s, self._tick)
         self._connection: asyncio.Task[None] | None = None
@@ -126,6 +129,16 @@
         """Connections after the first."""
         return self._reconnects
 
+    @property
+    def received_messages(self) -> int:
+        """Messages from the side so far."""
+        return self._received_messages
+
+    @property
+    def received_frames(self) -> int:
+        """Frames in those messages."""
+        return self._received_frames
+
     def update(self, endpoint: Endpoint) -> None:
         """Take a new revision of the endpoint's record; the address must be the same."""
         self._endpoint = endpoint
@@ -192,7 +205,8 @@
             address.port,
             config=connection_configuration(),
         )
-        writer = FrameWriter(self._settings.batch_ms / clock.MILLISECONDS_PER_SECOND)
+        batch_s = self._settings.batch_ms / clock.MILLISECONDS_PER_SECOND
+        writer = FrameWriter(batch_s)
         sending: asyncio.Task[None] | None = None
         peer = 0
         try:
@@ -200,7 +214,10 @@
                 await asyncio.wait_for(stream.send_request(), _CONNECT_TIMEOUT_S)
                 writer.send(
                     frames.hello(
-                        self._identity.name, self._identity.incarnation, self._identity.data_centre
+                        self._identity.name,
+                        self._identity.incarnation,
+                        self._identity.data_centre,
+                        batch_s,
                     )
                 )
                 sending = asyncio.get_running_loop().create_task(writer.run(stream))
@@ -208,6 +225,8 @@
                 self._writer = writer
                 async for batch in stream:
                     self._last_received_at = clock.now()
+                    self._received_messages += 1
+                    self._received_frames += len(batch.frames)
                     if not self._connected:
                         peer = self._greet(batch, writer)
                         backoff.reset()
@@ -279,6 +298,15 @@
             return
         if self._connected:
             self._writer.send_later(pb.Frame(heartbeat=pb.Heartbeat()))
+            self._tell_feeds(self._writer)
+
+    def _tell_feeds(self, writer: FrameWriter) -> None:
+        """Let feed states travel with a heartbeat now and then."""
+        if clock.now() - self._told_feeds_at < _FEED_STATE_PERIOD_S:
+            return
+        self._told_feeds_at = clock.now()
+        for state in self._relay.states():
+            writer.send_later(state)
 
     def _replace_silent_connection(self) -> None:
         logging.warning("connection to %s is silent; replacing it", self._endpoint.name)
--- a/src/pearshed/_internal/entry/metrics.py
+++ b/src/pearshed/_internal/entry/metrics.py
@@ -48,6 +48,16 @@
         )
         dropped = self._dispatcher.dropped_frames + sum(link.late_frames for link in links)
         yield counter("pearshed_frames_dropped_total", "Late or foreign frames", dropped)
+        yield counter(
+            "pearshed_peer_messages_total",
+            "Messages received from sides",
+            sum(link.received_messages for link in links),
+        )
+        yield counter(
+            "pearshed_peer_frames_total",
+            "Frames in those messages",
+            sum(link.received_frames for link in links),
+        )
         yield gauge(
             "pearshed_links_connected", "Sides connected", sum(link.connected for link in links)
         )
--- a/src/pearshed/_internal/peers/frames.py
+++ b/src/pearshed/_internal/peers/frames.py
@@ -9,6 +9,7 @@
 
 PROTOCOL_VERSION = 1
 _MILLISECONDS = 1000
+_MICROSECONDS = 1_000_000
 _LARGEST_AGE_MS = 2**32 - 1
 
 _FEED_TO_WIRE = {FeedName.RECORDS: pb.FEED_RECORDS, FeedName.VMS: pb.FEED_VMS}
@@ -21,14 +22,18 @@
 _EXECUTION_FROM_WIRE = {wire: execution for execution, wire in _EXECUTION_TO_WIRE.items()}
 
 
-def hello(process: str, incarnation: str, data_centre: str) -> pb.Frame:
-    """Make the first frame of a direction."""
+def hello(process: str, incarnation: str, data_centre: str, batch_s: float = 0.0) -> pb.Frame:
+    """Make the first frame of a direction.
+
+    :param batch_s: from an entry, how long parts of answers may wait for company, seconds.
+    """
     return pb.Frame(
         hello=pb.Hello(
             process=process,
             incarnation=incarnation,
             protocol=PROTOCOL_VERSION,
             data_centre=data_centre,
+            batch_us=round(batch_s * _MICROSECONDS),
         )
     )
 
--- a/src/pearshed/_internal/peers/relay.py
+++ b/src/pearshed/_internal/peers/relay.py
@@ -8,6 +8,7 @@
 from pearshed._internal.timers import clock
 
 _PULL_PATIENCE_S = 2.0
+_FRESHNESS_STEP_S = 2.0
 
 SendFrame = Callable[[pb.Frame], None]
 
@@ -15,8 +16,9 @@
 class FeedRelay:
     """Keeps the feeds of this process and of its peers alike.
 
-    A process tells its peers the revisions that it has, on connecting, with heartbeats and
-    after each change. Whoever is behind pulls just what it lacks.
+    A process tells its peers the revisions that it has, on connecting and after each change;
+    entries also with a heartbeat now and then. Whoever is behind pulls just what it lacks, and
+    whoever knows fresher news answers with it.
     """
 
     def __init__(self, feeds: Iterable[Feed]) -> None:
@@ -61,13 +63,6 @@
             for send in list(self._peers.values()):
                 send(state)
 
-    def announce_all(self) -> None:
-        """Tell all peers what this process has, and how fresh it is."""
-        states = self.states()
-        for send in list(self._peers.values()):
-            for state in states:
-                send(state)
-
     def handle(self, frame: pb.Frame, send: SendFrame) -> bool:
         """Handle a frame of the relay.
 
@@ -97,7 +92,14 @@
         elif state.revision < feed.revision:
             send(frames.feed_state(feed))
         else:
-            feed.confirm(state.revision, state.confirmed_ago_ms / 1000)
+            self._compare_freshness(feed, state.confirmed_ago_ms / 1000, send)
+
+    def _compare_freshness(self, feed: Feed, peer_ago_s: float, send: SendFrame) -> None:
+        """Learn that the news is fresh from a peer that knows, or tell one that does not."""
+        if peer_ago_s > feed.confirmed_ago_s + _FRESHNESS_STEP_S:
+            send(frames.feed_state(feed))
+        else:
+            feed.confirm(feed.revision, peer_ago_s)
 
     def _pull(self, feed: Feed, send: SendFrame) -> None:
         """Ask one peer at a time: a starting process hears of the same news from all of them."""
--- a/src/pearshed/_internal/peers/writer.py
+++ b/src/pearshed/_internal/peers/writer.py
@@ -83,10 +83,15 @@
         self._frames.append(frame)
         self._wake.set()
 
-    def offer(self, producer: FrameProducer) -> None:
-        """Note that a producer has frames; offering it again before they go is harmless."""
+    def offer(self, producer: FrameProducer, urgent: bool = False) -> None:
+        """Note that a producer has frames; offering it again before they go is harmless.
+
+        :param urgent: do not hold the frames back, as for the start of an answer.
+        """
         self._producers[id(producer)] = producer
         self._wake.set()
+        if urgent:
+            self._urgent.set()
 
     def withdraw(self, producer: FrameProducer) -> None:
         """Forget a producer whose frames are not wanted on this connection any more."""
--- a/src/pearshed/_internal/processes/base.py
+++ b/src/pearshed/_internal/processes/base.py
@@ -23,8 +23,6 @@
 from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
 from pearshed._internal.timers.service import TimerService
 
-_FEED_STATE_PERIOD_S = 5.0
-
 
 class Process(Inspectable):
     """Base of the processes.
@@ -60,7 +58,6 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._request_stop)
         self._timers.start()
-        self._timers.every(_FEED_STATE_PERIOD_S, self._relay.announce_all)
         self._store.subscribe(lambda _: self._relay.announce_changes())
         self._view.subscribe(self._relay.announce_changes)
         try:
--- a/src/pearshed/_internal/side/endpoint_client.py
+++ b/src/pearshed/_internal/side/endpoint_client.py
@@ -1,12 +1,11 @@
 """Calls to the endpoint, each on a thread, by urllib3."""
 
 import abc
-import asyncio
 import concurrent.futures
 import contextlib
+import functools
 import socket
 import threading
-from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -18,6 +17,7 @@
 from pearshed._internal.models.outcomes import Execution
 from pearshed._internal.models.requests import Call
 from pearshed._internal.utils.addresses import Address
+from pearshed._internal.utils.mailbox import Mailbox
 
 LARGEST_ANSWER_BYTES = 64 * 1024 * 1024
 _READ_BYTES = 64 * 1024
@@ -39,17 +39,9 @@
         """Take the end; nothing follows."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Head:
-    """Start of an answer on its way to the event loop."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-
-
 @dataclass(frozen=True, slots=True)
 class _End:
-    """End of an answer on its way to the event loop."""
+    """How a call ended."""
 
     execution: Execution
     complete: bool
@@ -78,14 +70,10 @@
 
 
 class EndpointCall:
-    """One call in progress; its thread posts what arrives to the event loop."""
+    """One call in progress on a thread."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, receiver: AnswerReceiver) -> None:
-        self._loop = loop
-        self._receiver = receiver
-        self._posted: deque[_Head | bytes | _End] = deque()
+    def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._wake_pending = False
         self._socket: socket.socket | None = None
         self._cancelled = False
 
@@ -115,29 +103,6 @@
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
 
-    def post(self, item: _Head | bytes | _End) -> None:
-        """Hand an item to the event loop, waking it only when it is not awake for us yet."""
-        with self._lock:
-            self._posted.append(item)
-            if self._wake_pending:
-                return
-            self._wake_pending = True
-        with contextlib.suppress(RuntimeError):
-            self._loop.call_soon_threadsafe(self._deliver)
-
-    def _deliver(self) -> None:
-        with self._lock:
-            items = list(self._posted)
-            self._posted.clear()
-            self._wake_pending = False
-        for item in items:
-            if isinstance(item, bytes):
-                self._receiver.add(item)
-            elif isinstance(item, _Head):
-                self._receiver.set_head(item.status, item.headers)
-            else:
-                self._receiver.finish(item.execution, item.complete, item.detail)
-
 
 class EndpointClient:
     """Sends calls to the endpoint.
@@ -145,14 +110,21 @@
     A call that may not be repeated gets a fresh connection: a kept one may be closed by the
     endpoint at the moment of sending, which would leave its execution in doubt.
 
+    :param mailbox: carries what arrives to the event loop.
     :param connect_timeout_s: longest time to connect, seconds.
     :param idle_timeout_s: longest silence within an answer, seconds.
     """
 
     def __init__(
-        self, address: Address, connect_timeout_s: float, idle_timeout_s: float, threads: int
+        self,
+        address: Address,
+        mailbox: Mailbox,
+        connect_timeout_s: float,
+        idle_timeout_s: float,
+        threads: int,
     ) -> None:
         self._address = address
+        self._mailbox = mailbox
         self._timeout = urllib3.Timeout(connect=connect_timeout_s, read=idle_timeout_s)
         self._pool = self._new_pool(threads)
         self._running: set[EndpointCall] = set()
@@ -165,9 +137,9 @@
 
         :param fresh: use a new connection.
         """
-        running = EndpointCall(asyncio.get_running_loop(), receiver)
+        running = EndpointCall()
         self._running.add(running)
-        self._threads.submit(self._run, running, call, fresh)
+        self._threads.submit(self._run, running, call, receiver, fresh)
         return running
 
     def close(self) -> None:
@@ -180,20 +152,25 @@
     def _new_pool(self, size: int) -> _TrackedPool:
         return _TrackedPool(self._address.host, self._address.port, maxsize=size, block=False)
 
-    def _run(self, running: EndpointCall, call: Call, fresh: bool) -> None:
+    def _run(
+        self, running: EndpointCall, call: Call, receiver: AnswerReceiver, fresh: bool
+    ) -> None:
         pool = self._new_pool(1) if fresh else self._pool
         _TrackedConnection.current.call = running
         try:
-            running.post(self._exchange(pool, running, call))
+            end = self._exchange(pool, running, call, receiver)
         except Exception as error:
-            running.post(_failure_of(running, error))
+            end = _failure_of(running, error)
         finally:
             self._running.discard(running)
             _TrackedConnection.current.call = None
             if fresh:
                 pool.close()
+        self._mailbox.post(lambda: receiver.finish(end.execution, end.complete, end.detail))
 
-    def _exchange(self, pool: _TrackedPool, running: EndpointCall, call: Call) -> _End:
+    def _exchange(
+        self, pool: _TrackedPool, running: EndpointCall, call: Call, receiver: AnswerReceiver
+    ) -> _End:
         response = pool.urlopen(
             call.method,
             call.target,
@@ -206,14 +183,14 @@
             timeout=self._timeout,
         )
         headers = tuple((name, value) for name, value in response.headers.items())
-        running.post(_Head(response.status, headers))
+        self._mailbox.post(lambda: receiver.set_head(response.status, headers))
         length = 0
         for part in _parts_of(response):
             length += len(part)
             if length > LARGEST_ANSWER_BYTES:
                 response.close()
                 return _End(Execution.RAN, False, "the answer is too large")
-            running.post(part)
+            self._mailbox.post(functools.partial(receiver.add, part))
         if running.cancelled:
             return _End(Execution.MAY_HAVE_RUN, False, "the call was cancelled")
         response.release_conn()
--- a/src/pearshed/_internal/side/process.py
+++ b/src/pearshed/_internal/side/process.py
@@ -21,6 +21,7 @@
 from pearshed._internal.side.sessions import SideIdentity, SideSessions
 from pearshed._internal.telemetry.metrics import Metric, Sample, counter, gauge
 from pearshed._internal.timers import clock
+from pearshed._internal.utils.mailbox import Mailbox
 
 _ENDPOINT_THREADS = 256
 _DRAIN_NOTICE_S = 0.2
@@ -34,6 +35,7 @@
         self._settings = settings
         self._client = EndpointClient(
             settings.endpoint_address,
+            Mailbox(asyncio.get_running_loop()),
             settings.connect_timeout_s,
             settings.idle_timeout_s,
             _ENDPOINT_THREADS,
--- a/src/pearshed/_internal/side/run.py
+++ b/src/pearshed/_internal/side/run.py
@@ -172,4 +172,4 @@
 
     def _offer(self) -> None:
         if self._writer is not None:
-            self._writer.offer(self)
+            self._writer.offer(self, urgent=not self._sent)
--- a/src/pearshed/_internal/side/sessions.py
+++ b/src/pearshed/_internal/side/sessions.py
@@ -18,6 +18,7 @@
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import Subscription, TimerService
 
+_MICROSECONDS = 1_000_000
 _SEND_ERRORS = (OSError, StreamTerminatedError, ConnectionError)
 
 
@@ -95,7 +96,7 @@
         )
         session.writer.send(self._heartbeat())
         peer = self._relay.join(session.writer.send)
-        heartbeat = self._subscribe_heartbeat(session)
+        watch = self._watch_silence(session)
         sending = asyncio.get_running_loop().create_task(session.writer.run(stream))
         sending.add_done_callback(_note_end)
         try:
@@ -104,7 +105,7 @@
                 session.last_received_at = clock.now()
                 self._handle_batch(session, batch)
         finally:
-            heartbeat.cancel()
+            watch.cancel()
             self._relay.leave(peer)
             self._close(session)
             sending.cancel()
@@ -117,7 +118,7 @@
         replaced = self._tasks.pop(owner, None)
         if replaced is not None:
             replaced.cancel()
-        writer = FrameWriter(self._settings.batch_ms / clock.MILLISECONDS_PER_SECOND)
+        writer = FrameWriter(hello.batch_us / _MICROSECONDS)
         session = _Session(owner, hello.process, writer, clock.now())
         self._sessions[owner] = session
         task = asyncio.current_task()
@@ -139,19 +140,22 @@
         for frame in batch.frames:
             if frame.attempt:
                 self._desk.handle(session.owner, frame)
+            elif frame.HasField("heartbeat"):
+                session.writer.send(self._heartbeat())
             else:
                 self._relay.handle(frame, session.writer.send)
 
-    def _subscribe_heartbeat(self, session: _Session) -> Subscription:
-        def beat() -> None:
-            if clock.now() - session.last_received_at > self._settings.silence_s:
-                task = self._tasks.get(session.owner)
-                if task is not None and self._sessions.get(session.owner) is session:
-                    task.cancel()
-                return
-            session.writer.send(self._heartbeat())
+    def _watch_silence(self, session: _Session) -> Subscription:
+        """End a session whose entry has fallen silent; entries send heartbeats, sides answer."""
+
+        def check() -> None:
+            silent_s = clock.now() - session.last_received_at
+            task = self._tasks.get(session.owner)
+            current = self._sessions.get(session.owner) is session
+            if silent_s > self._settings.silence_s and current and task is not None:
+                task.cancel()
 
-        return self._timers.every(self._settings.heartbeat_s, beat)
+        return self._timers.every(self._settings.heartbeat_s, check)
 
     def _heartbeat(self) -> pb.Frame:
         scheduler = self._desk.scheduler
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -79,8 +79,9 @@
         """Take a frame."""
         self.sent.append(frame)
 
-    def offer(self, producer: FrameProducer) -> None:
+    def offer(self, producer: FrameProducer, urgent: bool = False) -> None:
         """Take a producer's frames."""
+        del urgent
         self.sent.extend(producer.take_frames())
 
     def withdraw(self, producer: FrameProducer) -> None:
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -297,9 +297,11 @@
         entries: int = 1,
         slots: int = 8,
         cuttable: bool = False,
+        peers: Document | None = None,
         **entry: Any,
     ) -> None:
         self.fleet = fleet
+        self._peers = peers or {}
         names = [f"engine-{number + 1}" for number in range(endpoints)]
         self.names = names
         self.listen_ports = [free_port() for _ in names]
@@ -315,7 +317,7 @@
         fleet.start_platform(records.base_records() + self.documents, vms)
         self.engines = [fleet.start_engine(name) for name in names]
         self.sides = [self.start_side(number) for number in range(endpoints)]
-        self.entries = [fleet.start_entry(name, **entry) for name in entry_names]
+        self.entries = [fleet.start_entry(name, peers=self._peers, **entry) for name in entry_names]
         fleet.wait_ready(*self.sides, *self.entries)
         for node in self.entries:
             fleet.wait_links(node, endpoints)
@@ -324,7 +326,11 @@
         """Start the side of an endpoint, also in place of one that has ended."""
         engine = self.engines[number]
         return self.fleet.start_side(
-            f"side-{engine.name}", engine.name, engine.port, self.listen_ports[number]
+            f"side-{engine.name}",
+            engine.name,
+            engine.port,
+            self.listen_ports[number],
+            peers=self._peers,
         )
 
     @property
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -170,6 +170,10 @@
         self.relays[first].join(lambda frame: self.queue.append((first, second, frame)))
         self.relays[second].join(lambda frame: self.queue.append((second, first, frame)))
 
+    def heartbeat(self, source: int, target: int) -> None:
+        self.queue.extend((source, target, state) for state in self.relays[source].states())
+        self.carry()
+
     def carry(self) -> None:
         while self.queue:
             source, target, frame = self.queue.pop(0)
@@ -196,9 +200,8 @@
         self.connect(1, 2)
         self.carry()
         self.clock.advance(3)
-        for relay in self.relays:
-            relay.announce_all()
-        self.carry()
+        self.heartbeat(0, 2)
+        self.heartbeat(1, 2)
         self.assertEqual([9, 9, 9], [feeds[0].revision for feeds in self.feeds])
 
     def test_freshness_travels(self) -> None:
@@ -208,8 +211,7 @@
         self.carry()
         self.clock.advance(30)
         self.feeds[0][0].confirm(1, 0.0)
-        self.relays[0].announce_all()
-        self.carry()
+        self.heartbeat(1, 0)
         self.assertAlmostEqual(0.0, self.feeds[1][0].confirmed_ago_s)
 
 
