Let each endpoint choose its entries, so that none is without

Cause: each entry chose its 32 sides for itself by rendezvous hash. At 590 entries and 5,500 endpoints an endpoint has 3.4 entries on average, but the number is spread like chance: with the real functions 192 endpoints had no entry and got no work, others had 11.

Ways weighed: more links for each entry (control traffic grows with them, chance stays); rendezvous hashing from the endpoint's side (3.2 million scores on each change of the VM list); a hash ring of the live entries on which each endpoint takes its followers, half of them near. Chosen: the ring.

--- a/src/pearshed/_internal/entry/link.py
+++ b/src/pearshed/_internal/entry/link.py
@@ -297,8 +297,8 @@
             self._replace_silent_connection()
             return
         if self._connected:
-            self._writer.send_later(pb.Frame(heartbeat=pb.Heartbeat()))
             self._tell_feeds(self._writer)
+            self._writer.send(pb.Frame(heartbeat=pb.Heartbeat()))
 
     def _tell_feeds(self, writer: FrameWriter) -> None:
         """Let feed states travel with a heartbeat now and then."""
--- a/src/pearshed/_internal/entry/links.py
+++ b/src/pearshed/_internal/entry/links.py
@@ -6,7 +6,8 @@
 from pearshed._internal.configuration.catalogue import Catalogue
 from pearshed._internal.entry.health import EndpointHealth
 from pearshed._internal.entry.link import EntryIdentity, SideLink
-from pearshed._internal.membership.subset import choose_subset
+from pearshed._internal.membership.subset import SubsetChooser
+from pearshed._internal.membership.vm_view import VMView
 from pearshed._internal.models.records import Endpoint
 from pearshed._internal.peers.relay import FeedRelay
 from pearshed._internal.settings.model import PeerSettings
@@ -32,6 +33,7 @@
         timers: TimerService,
         relay: FeedRelay,
         health: EndpointHealth,
+        view: VMView,
         subset: int,
     ) -> None:
         self._identity = identity
@@ -39,7 +41,10 @@
         self._timers = timers
         self._relay = relay
         self._health = health
+        self._view = view
         self._subset = subset
+        self._entries = {identity.name: identity.data_centre}
+        self._chooser = SubsetChooser(self._entries, subset)
         self._links: dict[str, SideLink] = {}
         self._retiring: list[SideLink] = []
         self._wanted: dict[str, Endpoint] = {}
@@ -54,22 +59,25 @@
 
     def update(self, catalogue: Catalogue) -> None:
         """Take a new catalogue."""
+        same_endpoints = catalogue.endpoints == self._catalogue.endpoints
         self._catalogue = catalogue
-        self._wanted = choose_subset(
-            self._identity.name,
-            self._identity.data_centre,
-            catalogue.endpoints_by_service,
-            self._subset,
-        )
+        if same_endpoints:
+            return
         for name, link in list(self._links.items()):
             present = catalogue.endpoints.get(name)
             if present is None or present.side != link.endpoint.side:
                 self._retire(name)
             else:
                 link.update(present)
-        for endpoint in self._wanted.values():
-            self._open(endpoint)
-        self._close_extra()
+        self._follow_subset()
+
+    def update_entries(self) -> None:
+        """Take a new VM list; the subset moves when entries come and go."""
+        entries = {**self._view.live_entries(), self._identity.name: self._identity.data_centre}
+        if entries != self._entries:
+            self._entries = entries
+            self._chooser = SubsetChooser(entries, self._subset)
+            self._follow_subset()
 
     async def connected(self, name: str, patience_s: float) -> SideLink | None:
         """Find the link to an endpoint, opened on demand, once it is connected."""
@@ -89,6 +97,14 @@
         for link in (*self._links.values(), *self._retiring):
             link.stop()
 
+    def _follow_subset(self) -> None:
+        """Open the links of the subset; those that fell out are closed when they are idle."""
+        self._wanted = self._chooser.endpoints_of(
+            self._identity.name, self._catalogue.endpoints_by_service
+        )
+        for endpoint in self._wanted.values():
+            self._open(endpoint)
+
     def _open(self, endpoint: Endpoint) -> SideLink:
         link = self._links.get(endpoint.name)
         if link is None:
--- a/src/pearshed/_internal/entry/placement.py
+++ b/src/pearshed/_internal/entry/placement.py
@@ -10,6 +10,7 @@
 from pearshed._internal.membership.vm_view import VMView
 from pearshed._internal.models.records import EndpointKind
 from pearshed._internal.models.requests import RoutedRequest
+from pearshed._internal.settings.model import PlacementName
 
 _FAR_PENALTY = 0.25
 _HOT_PRESSURE = 1.5
@@ -107,6 +108,15 @@
     return known / max(1, load.slots)
 
 
+def create_placement(name: PlacementName, data_centre: str) -> PlacementPolicy:
+    """Create the policy that the settings name."""
+    if name is PlacementName.ROUND_ROBIN:
+        return RoundRobinPlacement()
+    if name is PlacementName.LEAST_LOAD:
+        return LeastLoadPlacement()
+    return SampledPlacement(data_centre, random.Random())
+
+
 class Candidates:
     """Finds the links that may get a request."""
 
--- a/src/pearshed/_internal/entry/process.py
+++ b/src/pearshed/_internal/entry/process.py
@@ -1,7 +1,6 @@
 """The entry process: callers on one side, side processes on the other."""
 
 import asyncio
-import random
 import threading
 from collections.abc import Iterable, Mapping
 from typing import Any
@@ -19,7 +18,7 @@
 from pearshed._internal.entry.link import EntryIdentity, SideLink
 from pearshed._internal.entry.links import LinkTable
 from pearshed._internal.entry.metrics import EntryMetrics
-from pearshed._internal.entry.placement import Candidates, SampledPlacement
+from pearshed._internal.entry.placement import Candidates, create_placement
 from pearshed._internal.entry.request_log import RequestLog
 from pearshed._internal.entry.retry_budget import RetryBudget
 from pearshed._internal.processes.base import Process
@@ -42,11 +41,17 @@
         self._health = EndpointHealth()
         self._budget = RetryBudget()
         self._links = LinkTable(
-            identity, settings.peers, self._timers, self._relay, self._health, settings.subset
+            identity,
+            settings.peers,
+            self._timers,
+            self._relay,
+            self._health,
+            self._view,
+            settings.subset,
         )
         self._dispatcher = Dispatcher(
             Candidates(self._list_links, self._health, self._view),
-            SampledPlacement(settings.process.data_centre, random.Random()),
+            create_placement(settings.placement, settings.process.data_centre),
             KeyHomes(lambda: self._store.catalogue, self._links, self._view),
             self._health,
             self._budget,
@@ -63,6 +68,7 @@
             target=self._server.serve, name="callers", daemon=True
         )
         self._store.subscribe(self._links.update)
+        self._view.subscribe(self._links.update_entries)
         self._timers.every(_READ_SWEEP_PERIOD_S, self._server.read_watch.sweep)
         self._metrics.add(self._collect)
 
--- /dev/null
+++ b/src/pearshed/_internal/membership/ring.py
@@ -0,0 +1,44 @@
+"""Consistent hashing: a member and its followers on a ring."""
+
+import bisect
+import functools
+import hashlib
+from collections.abc import Iterable, Iterator
+
+_POINTS_PER_MEMBER = 64
+_DIGEST_BYTES = 8
+
+
+@functools.lru_cache(maxsize=65_536)
+def _position(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+@functools.lru_cache(maxsize=4_096)
+def _positions(member: str) -> tuple[int, ...]:
+    return tuple(_position(f"{member}#{number}") for number in range(_POINTS_PER_MEMBER))
+
+
+class HashRing:
+    """Members at many points of a ring each; all processes build the same ring.
+
+    Finding the followers of a key takes a binary search, where rendezvous hashing would score
+    every member for every key.
+    """
+
+    def __init__(self, members: Iterable[str]) -> None:
+        points = [(position, member) for member in members for position in _positions(member)]
+        points.sort()
+        self._positions = [position for position, _ in points]
+        self._members = [member for _, member in points]
+
+    def followers(self, key: str) -> Iterator[str]:
+        """List the distinct members that follow a key, the nearest first."""
+        start = bisect.bisect_left(self._positions, _position(key))
+        seen: set[str] = set()
+        for step in range(len(self._members)):
+            member = self._members[(start + step) % len(self._members)]
+            if member not in seen:
+                seen.add(member)
+                yield member
--- a/src/pearshed/_internal/membership/vm_view.py
+++ b/src/pearshed/_internal/membership/vm_view.py
@@ -40,23 +40,22 @@
         vm = self._vms.get(name)
         return vm is not None and vm.state is not VMState.LIVE
 
-    def live_entries(self, data_centre: str | None = None) -> list[str]:
-        """Name the entries listed as live, of one data centre or of all."""
-        return [
-            vm.name
+    def live_entries(self) -> dict[str, str]:
+        """Find the entries listed as live: their data centres by name."""
+        return {
+            vm.name: vm.data_centre
             for vm in self._vms.values()
-            if vm.role is VMRole.ENTRY
-            and vm.state is VMState.LIVE
-            and data_centre in (None, vm.data_centre)
-        ]
+            if vm.role is VMRole.ENTRY and vm.state is VMState.LIVE
+        }
 
     def is_reader(self, name: str, data_centre: str, readers: int) -> bool:
         """Tell whether an entry is one of those that read the platform for its data centre.
 
         Without any listed entry everybody is, since the list may not have been read yet.
         """
-        entries = self.live_entries(data_centre)
-        return not entries or name in ranked(data_centre, entries)[:readers]
+        entries = self.live_entries()
+        near = [entry for entry in entries if entries[entry] == data_centre]
+        return not near or name in ranked(data_centre, near)[:readers]
 
     def _accept_all(self, documents: Iterable[bytes]) -> int:
         return sum(self._accept(document) for document in documents)
--- a/src/pearshed/_internal/settings/loader.py
+++ b/src/pearshed/_internal/settings/loader.py
@@ -1,8 +1,9 @@
 """Loading of settings files, with the file, line and field of each error."""
 
+import enum
 import pathlib
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, TypeVar
 
 import yaml
 
@@ -10,7 +11,9 @@
 from pearshed._internal.settings.model import (
     EntrySettings,
     LogFormat,
+    OrderName,
     PeerSettings,
+    PlacementName,
     PlatformSettings,
     ProcessSettings,
     Settings,
@@ -23,6 +26,7 @@
 _MEBIBYTE = 1024 * 1024
 _UNSET_ADDRESS = Address("127.0.0.1", 0)
 
+_Choice = TypeVar("_Choice", bound=enum.StrEnum)
 _Lines = Mapping[tuple[str, ...], int]
 
 
@@ -95,16 +99,16 @@
         name=section.text("name"),
         data_centre=section.text("data_centre"),
         admin=_read_address(section, "admin"),
-        log_format=_read_log_format(section),
+        log_format=_read_choice(section, "log_format", LogFormat.PLAIN),
         log_level=section.text("log_level", "info", _LOG_LEVELS),
     )
     section.finish()
     return settings
 
 
-def _read_log_format(section: FieldReader) -> LogFormat:
-    text = section.text("log_format", "plain", [choice.value for choice in LogFormat])
-    return LogFormat.JSON if text == LogFormat.JSON.value else LogFormat.PLAIN
+def _read_choice(section: FieldReader, name: str, default: _Choice) -> _Choice:
+    choices = {choice.value: choice for choice in type(default)}
+    return choices.get(section.text(name, default.value, list(choices)), default)
 
 
 def _read_platform(section: FieldReader) -> PlatformSettings:
@@ -146,6 +150,7 @@
         subset=section.integer("subset", 32, minimum=1),
         fanout=section.integer("fanout", 2, minimum=1, maximum=8),
         drain_s=section.number("drain_s", 3.0, minimum=0.0),
+        placement=_read_choice(section, "placement", PlacementName.SAMPLED),
     )
     section.finish()
     return settings
@@ -169,6 +174,7 @@
         key_clock_skew_s=section.number("key_clock_skew_s", 5.0, minimum=0.0),
         connect_timeout_s=section.number("connect_timeout_s", 2.0, minimum=0.01),
         idle_timeout_s=section.number("idle_timeout_s", 60.0, minimum=0.1),
+        order=_read_choice(section, "order", OrderName.TIERED),
     )
     section.finish()
     return settings
--- a/src/pearshed/_internal/settings/model.py
+++ b/src/pearshed/_internal/settings/model.py
@@ -13,6 +13,21 @@
     JSON = "json"
 
 
+class PlacementName(enum.StrEnum):
+    """How an entry chooses the sides that it asks for a slot."""
+
+    SAMPLED = "sampled"
+    LEAST_LOAD = "least_load"
+    ROUND_ROBIN = "round_robin"
+
+
+class OrderName(enum.StrEnum):
+    """How a side orders the requests that wait for a slot."""
+
+    TIERED = "tiered"
+    FIFO = "fifo"
+
+
 @dataclass(frozen=True)
 class ProcessSettings:
     """What every process has.
@@ -83,6 +98,7 @@
     subset: int
     fanout: int
     drain_s: float
+    placement: PlacementName
 
 
 @dataclass(frozen=True)
@@ -110,6 +126,7 @@
     key_clock_skew_s: float
     connect_timeout_s: float
     idle_timeout_s: float
+    order: OrderName
 
 
 Settings = EntrySettings | SideSettings
--- a/src/pearshed/_internal/side/order.py
+++ b/src/pearshed/_internal/side/order.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from pearshed._internal.models.records import RequestClass, Tier
+from pearshed._internal.settings.model import OrderName
 
 # Just under 1, since ten times a share of 0.1 adds up to a little less.
 _WHOLE_GRANT = 1.0 - 1e-9
@@ -196,3 +197,8 @@
                 self._credits[rank] -= 1.0
                 return rank
         return ranks[0]
+
+
+def create_order(name: OrderName) -> OrderPolicy:
+    """Create the policy that the settings name."""
+    return FifoOrder() if name is OrderName.FIFO else TieredOrder()
--- a/src/pearshed/_internal/side/process.py
+++ b/src/pearshed/_internal/side/process.py
@@ -17,7 +17,7 @@
 from pearshed._internal.side.endpoint_client import EndpointClient
 from pearshed._internal.side.key_home import KeyHomeRule
 from pearshed._internal.side.keys import KeyTable
-from pearshed._internal.side.order import TieredOrder
+from pearshed._internal.side.order import create_order
 from pearshed._internal.side.sessions import SideIdentity, SideSessions
 from pearshed._internal.telemetry.metrics import Metric, Sample, counter, gauge
 from pearshed._internal.timers import clock
@@ -43,7 +43,7 @@
         self._keys = KeyTable(settings.key_retention_s, settings.key_clock_skew_s)
         self._desk = Desk(
             settings.endpoint,
-            TieredOrder(),
+            create_order(settings.order),
             self._timers,
             self._client,
             self._keys,
--- a/tests/lib/engine.py
+++ b/tests/lib/engine.py
@@ -42,6 +42,7 @@
     running: int = 0
     most_running: int = 0
     cancelled: int = 0
+    tokens: int = 0
     journal: list[dict[str, Any]] = field(default_factory=list)
     journal_path: str = ""
     lock: threading.Lock = field(default_factory=threading.Lock)
@@ -132,6 +133,7 @@
                 "running": state.running,
                 "most_running": state.most_running,
                 "cancelled": state.cancelled,
+                "tokens": state.tokens,
             }
         self.answer_json(document)
 
@@ -194,6 +196,7 @@
                 self.cut()
                 return
             self.wfile.write(f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n")
+            state.tokens += 1
             self._wait(state.token_ms)
         self.wfile.write(b"0\r\n\r\n")
 
