Serve TLS to callers and between processes, with certificates replaced in service

Cause: records and requests crossed the network in the clear, and anybody who reached a side's port could give its endpoint work.

Change: optional TLS with files that are loaded again when they change; between processes both ends must show a certificate of the fleet's authority. cheroot's own adapter does the handshake on the thread that accepts connections, where one silent caller would hold up all others; the adapter here leaves it to the thread that reads the request, which the read watch bounds. Whether a caller has gone is now read from the connection's hang-up flag, since TLS input can't be peeked at.

Ruled out: host names in peers' certificates (peers are dialled by IP number and the authority is the fleet's own).

--- a/src/pearshed/_internal/entry/http_server.py
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -1,15 +1,19 @@
 """The HTTP server for callers: cheroot, guarded against slow and silent callers."""
 
 import contextlib
+import io
 import math
 import select
 import socket
+import ssl
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from absl import logging
 from cheroot import server, wsgi
+from cheroot.makefile import MakeFile
+from cheroot.ssl import Adapter
 
 from pearshed._internal.entry import answers
 from pearshed._internal.entry.classifier import new_request_id
@@ -136,6 +140,35 @@
         return environ
 
 
+class _TlsAdapter(Adapter):
+    """Serves TLS with a context whose certificate may be replaced.
+
+    The handshake is left to the thread that reads the request: in the thread that accepts
+    connections, one silent caller would hold up all others.
+    """
+
+    def __init__(self, context: ssl.SSLContext) -> None:
+        super().__init__("", "")
+        self.context = context
+
+    def bind(self, sock: socket.socket) -> socket.socket:
+        """Return the listening socket as it is."""
+        return sock
+
+    def wrap(self, sock: socket.socket) -> tuple[ssl.SSLSocket, dict[str, str]]:
+        """Wrap an accepted socket."""
+        wrapped = self.context.wrap_socket(sock, server_side=True, do_handshake_on_connect=False)
+        return wrapped, self.get_environ()
+
+    def get_environ(self) -> dict[str, str]:
+        """Describe the connection to the application."""
+        return {"wsgi.url_scheme": "https", "HTTPS": "on"}
+
+    def makefile(self, sock: Any, mode: str = "r", bufsize: int = io.DEFAULT_BUFFER_SIZE) -> Any:
+        """Make the file that requests are read from or answers are written to."""
+        return MakeFile(sock, mode, bufsize)
+
+
 class CallerServer(wsgi.Server):
     """Serves callers with a bounded number of threads.
 
@@ -145,7 +178,12 @@
 
     ConnectionClass = _WatchedConnection
 
-    def __init__(self, settings: EntrySettings, application: WsgiApplication) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        application: WsgiApplication,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         threads = settings.max_requests + _SPARE_THREADS
         super().__init__(
             (settings.listen.host, settings.listen.port),
@@ -159,6 +197,8 @@
         self.gateway = _Gateway
         self.max_request_header_size = _LARGEST_HEAD_BYTES
         self.keep_alive_conn_limit = settings.max_connections
+        if tls is not None:
+            self.ssl_adapter = _TlsAdapter(tls)
         self.read_watch = ReadWatch(settings.read_timeout_s, _SPARE_THREADS)
 
     def error_log(self, msg: str = "", level: int = _INFO_LEVEL, traceback: bool = False) -> None:
@@ -173,13 +213,12 @@
 def caller_has_gone(sock: socket.socket) -> bool:
     """Look whether the caller has closed its connection, without taking any input.
 
-    The socket has a timeout, for which a plain ``recv`` would wait whatever its flags say.
+    The socket has a timeout, for which a plain ``recv`` would wait whatever its flags say, and
+    may carry TLS, whose input can't be peeked at.
     """
     poll = select.poll()
     try:
-        poll.register(sock, select.POLLIN)
-        if not poll.poll(0):
-            return False
-        return sock.recv(1, socket.MSG_PEEK) == b""
+        poll.register(sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
     except (OSError, ValueError):
         return True
--- a/src/pearshed/_internal/entry/link.py
+++ b/src/pearshed/_internal/entry/link.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import ssl
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -72,7 +73,9 @@
         settings: PeerSettings,
         timers: TimerService,
         relay: FeedRelay,
+        tls: ssl.SSLContext | None,
     ) -> None:
+        self._tls = tls
         self._endpoint = endpoint
         self._identity = identity
         self._settings = settings
@@ -204,6 +207,7 @@
             address.host,
             address.port,
             config=connection_configuration(),
+            ssl=self._tls,
         )
         batch_s = self._settings.batch_ms / clock.MILLISECONDS_PER_SECOND
         writer = FrameWriter(batch_s)
--- a/src/pearshed/_internal/entry/links.py
+++ b/src/pearshed/_internal/entry/links.py
@@ -1,6 +1,7 @@
 """The links of an entry, kept in step with the records."""
 
 import asyncio
+import ssl
 from collections.abc import Mapping
 
 from pearshed._internal.configuration.catalogue import Catalogue
@@ -35,7 +36,9 @@
         health: EndpointHealth,
         view: VMView,
         subset: int,
+        tls: ssl.SSLContext | None,
     ) -> None:
+        self._tls = tls
         self._identity = identity
         self._settings = settings
         self._timers = timers
@@ -108,7 +111,9 @@
     def _open(self, endpoint: Endpoint) -> SideLink:
         link = self._links.get(endpoint.name)
         if link is None:
-            link = SideLink(endpoint, self._identity, self._settings, self._timers, self._relay)
+            link = SideLink(
+                endpoint, self._identity, self._settings, self._timers, self._relay, self._tls
+            )
             self._links[endpoint.name] = link
             link.start()
         return link
--- a/src/pearshed/_internal/entry/process.py
+++ b/src/pearshed/_internal/entry/process.py
@@ -24,6 +24,7 @@
 from pearshed._internal.processes.base import Process
 from pearshed._internal.settings.model import EntrySettings
 from pearshed._internal.telemetry.metrics import Metric
+from pearshed._internal.utils.tls import caller_server_context, peer_client_context
 
 _READ_SWEEP_PERIOD_S = 0.25
 _IDLE_CHECK_S = 0.05
@@ -38,6 +39,8 @@
         identity = EntryIdentity(
             settings.process.name, self._incarnation, settings.process.data_centre
         )
+        self._peer_tls = self._reloading(settings.peer_tls, peer_client_context)
+        self._caller_tls = self._reloading(settings.caller_tls, caller_server_context)
         self._health = EndpointHealth()
         self._budget = RetryBudget()
         self._links = LinkTable(
@@ -48,6 +51,7 @@
             self._health,
             self._view,
             settings.subset,
+            self._peer_tls.context if self._peer_tls is not None else None,
         )
         self._dispatcher = Dispatcher(
             Candidates(self._list_links, self._health, self._view),
@@ -63,7 +67,11 @@
             lambda: len(self._view.live_entries()),
         )
         self._request_log = RequestLog()
-        self._server = CallerServer(settings, self._application())
+        self._server = CallerServer(
+            settings,
+            self._application(),
+            self._caller_tls.context if self._caller_tls is not None else None,
+        )
         self._server_thread = threading.Thread(
             target=self._server.serve, name="callers", daemon=True
         )
--- a/src/pearshed/_internal/processes/base.py
+++ b/src/pearshed/_internal/processes/base.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 import uuid
-from collections.abc import Coroutine, Iterable, Mapping
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 from typing import Any
 
 from absl import logging
@@ -19,9 +19,12 @@
 from pearshed._internal.errors import InvariantBrokenError
 from pearshed._internal.membership.vm_view import VMView
 from pearshed._internal.peers.relay import FeedRelay
-from pearshed._internal.settings.model import PlatformSettings, ProcessSettings
+from pearshed._internal.settings.model import PlatformSettings, ProcessSettings, TlsFiles
 from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
 from pearshed._internal.timers.service import TimerService
+from pearshed._internal.utils.tls import ReloadingContext
+
+_TLS_CHECK_PERIOD_S = 5.0
 
 
 class Process(Inspectable):
@@ -124,6 +127,16 @@
     def _dump(self) -> Mapping[str, Any]:
         """Describe the parts of this kind of process."""
 
+    def _reloading(
+        self, files: TlsFiles | None, create: Callable[[TlsFiles], ReloadingContext]
+    ) -> ReloadingContext | None:
+        """Create a TLS context and watch its files, if there are any."""
+        if files is None:
+            return None
+        reloading = create(files)
+        self._timers.every(_TLS_CHECK_PERIOD_S, reloading.reload_if_changed)
+        return reloading
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/src/pearshed/_internal/settings/loader.py
+++ b/src/pearshed/_internal/settings/loader.py
@@ -18,6 +18,7 @@
     ProcessSettings,
     Settings,
     SideSettings,
+    TlsFiles,
 )
 from pearshed._internal.utils.addresses import Address, parse_address
 from pearshed._internal.utils.fields import FieldReader
@@ -88,9 +89,27 @@
     process = _read_process(reader)
     platform = _read_platform(reader.section("platform", required=True))
     peers = _read_peers(reader.section("peers"))
+    tls = reader.section("tls")
+    peer_tls = _read_tls(tls, "peers", authority=True)
+    caller_tls = _read_tls(tls, "callers", authority=False)
+    tls.finish()
     if reader.has("side"):
-        return _read_side(reader.section("side"), process, platform, peers)
-    return _read_entry(reader.section("entry", required=True), process, platform, peers)
+        return _read_side(reader.section("side"), process, platform, peers, peer_tls)
+    section = reader.section("entry", required=True)
+    return _read_entry(section, process, platform, peers, peer_tls, caller_tls)
+
+
+def _read_tls(tls: FieldReader, name: str, *, authority: bool) -> TlsFiles | None:
+    section = tls.section(name)
+    if not tls.has(name):
+        return None
+    files = TlsFiles(
+        certificate=section.text("certificate"),
+        key=section.text("key"),
+        authority=section.text("authority") if authority else "",
+    )
+    section.finish()
+    return files
 
 
 def _read_process(reader: FieldReader) -> ProcessSettings:
@@ -136,11 +155,15 @@
     process: ProcessSettings,
     platform: PlatformSettings,
     peers: PeerSettings,
+    peer_tls: TlsFiles | None,
+    caller_tls: TlsFiles | None,
 ) -> EntrySettings:
     settings = EntrySettings(
         process=process,
         platform=platform,
         peers=peers,
+        peer_tls=peer_tls,
+        caller_tls=caller_tls,
         listen=_read_address(section, "listen"),
         max_requests=section.integer("max_requests", 256, minimum=1, maximum=10_000),
         max_connections=section.integer("max_connections", 1024, minimum=1, maximum=100_000),
@@ -161,11 +184,13 @@
     process: ProcessSettings,
     platform: PlatformSettings,
     peers: PeerSettings,
+    peer_tls: TlsFiles | None,
 ) -> SideSettings:
     settings = SideSettings(
         process=process,
         platform=platform,
         peers=peers,
+        peer_tls=peer_tls,
         endpoint=section.text("endpoint"),
         listen=_read_address(section, "listen"),
         endpoint_address=_read_address(section, "endpoint_address"),
--- a/src/pearshed/_internal/settings/model.py
+++ b/src/pearshed/_internal/settings/model.py
@@ -71,10 +71,24 @@
     batch_ms: float
 
 
+@dataclass(frozen=True)
+class TlsFiles:
+    """PEM files of one use of TLS.
+
+    :ivar authority: certificates that the other end's must come from; empty towards callers.
+    """
+
+    certificate: str
+    key: str
+    authority: str = ""
+
+
 @dataclass(frozen=True)
 class EntrySettings:
     """Settings of an entry.
 
+    :ivar peer_tls: files for connections to sides, or nothing for plain connections.
+    :ivar caller_tls: files for callers' connections, or nothing.
     :ivar listen: address for callers.
     :ivar max_requests: requests in flight at once, over all callers.
     :ivar max_connections: caller connections held open, idle ones included.
@@ -89,6 +103,8 @@
     process: ProcessSettings
     platform: PlatformSettings
     peers: PeerSettings
+    peer_tls: TlsFiles | None
+    caller_tls: TlsFiles | None
     listen: Address
     max_requests: int
     max_connections: int
@@ -105,6 +121,7 @@
 class SideSettings:
     """Settings of a side process.
 
+    :ivar peer_tls: files for connections from entries, or nothing for plain connections.
     :ivar endpoint: name of the endpoint's record.
     :ivar listen: address for entries.
     :ivar endpoint_address: address of the endpoint itself.
@@ -118,6 +135,7 @@
     process: ProcessSettings
     platform: PlatformSettings
     peers: PeerSettings
+    peer_tls: TlsFiles | None
     endpoint: str
     listen: Address
     endpoint_address: Address
--- a/src/pearshed/_internal/side/process.py
+++ b/src/pearshed/_internal/side/process.py
@@ -22,6 +22,7 @@
 from pearshed._internal.telemetry.metrics import Metric, Sample, counter, gauge
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.mailbox import Mailbox
+from pearshed._internal.utils.tls import peer_server_context
 
 _ENDPOINT_THREADS = 256
 _DRAIN_NOTICE_S = 0.2
@@ -33,6 +34,7 @@
     def __init__(self, settings: SideSettings) -> None:
         super().__init__(settings.process, settings.platform, is_entry=False)
         self._settings = settings
+        self._peer_tls = self._reloading(settings.peer_tls, peer_server_context)
         self._client = EndpointClient(
             settings.endpoint_address,
             Mailbox(asyncio.get_running_loop()),
@@ -84,7 +86,8 @@
     async def _start(self) -> None:
         listen = self._settings.listen
         try:
-            await self._server.start(listen.host, listen.port)
+            tls = self._peer_tls.context if self._peer_tls is not None else None
+            await self._server.start(listen.host, listen.port, ssl=tls)
         except OSError as error:
             raise AddressInUseError(
                 f"can't listen on {listen} for entries",
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -250,6 +250,7 @@
             },
             "platform": {"url": self.platform.url, **section.pop("platform", {})},
             "peers": {"heartbeat_s": 0.2, "silence_s": 1.0, **section.pop("peers", {})},
+            "tls": section.pop("tls", {}),
             kind: section,
         }
         path = pathlib.Path(self._folder.name) / f"{name}.yaml"
@@ -286,6 +287,7 @@
 class SmallSite:
     """Entries, some endpoints of a service with their sides, and the platform.
 
+    :param side: further settings of each side, as ``entry`` is of each entry.
     :param links: links that each entry must have before the site counts as started.
     :param cuttable: put a proxy between entries and each side, to cut and silence connections.
     :ivar engines: the engine stand-ins, in the order of the sides.
@@ -300,9 +302,11 @@
         cuttable: bool = False,
         peers: Document | None = None,
         links: int = 0,
+        side: Document | None = None,
         **entry: Any,
     ) -> None:
         self.fleet = fleet
+        self._side = side or {}
         self._peers = peers or {}
         names = [f"engine-{number + 1}" for number in range(endpoints)]
         self.names = names
@@ -333,6 +337,7 @@
             engine.port,
             self.listen_ports[number],
             peers=self._peers,
+            **self._side,
         )
 
     @property
