--- a/src/pearshed/_internal/side/desk.py
+++ b/src/pearshed/_internal/side/desk.py
@@ -228,6 +228,9 @@
 
     def _reserve(self, key: AttemptKey, frame: pb.Reserve) -> None:
         owner, attempt = key
+        if self._is_known(key):
+            self._counts["repeated_reservations"] += 1
+            return
         request_class = self._catalogue.classes.get(frame.class_name)
         if request_class is None:
             detail = f"the side does not know class {frame.class_name!r} yet"
@@ -251,6 +254,11 @@
         self._reservations[key] = reservation
         self._scheduler.reserve(reservation)
 
+    def _is_known(self, key: AttemptKey) -> bool:
+        """Tell whether an attempt has been seen; its number is never used again."""
+        known = (self._reservations, self._runs, self._ended, self._void)
+        return any(key in attempts for attempts in known)
+
     def _claim_key(self, key: AttemptKey, frame: pb.Reserve) -> bool:
         """Claim a reservation's idempotency key.
 
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -108,6 +108,7 @@
     receiver: AnswerReceiver
     fresh: bool
     cancelled: bool = False
+    ended: bool = False
 
     def cancel(self) -> None:
         """Cut the call off."""
@@ -115,6 +116,7 @@
 
     def answer(self, content: bytes = b"answer", complete: bool = True) -> None:
         """Answer whole, or break off."""
+        self.ended = True
         self.receiver.set_head(200, ())
         self.receiver.add(content)
         self.receiver.finish(Execution.RAN if complete else Execution.MAY_HAVE_RUN, complete, "")
