Try an idempotent request elsewhere when an endpoint answers with an error

Cause: a sick endpoint that answers 5xx at once looked healthy and idle, so it drew traffic; its errors went to callers although another endpoint could have answered. And a request that one side had refused for an expired lease failed as 'no endpoint' at a site with one endpoint left.

Change: a whole 5xx answer counts against the endpoint's health, is held back, and an idempotent request is tried elsewhere within the retry budget; otherwise the caller gets the endpoint's own error. Endpoints that failed a request before are asked again when no others are left.

Ruled out: retrying calls that are not idempotent after a 5xx (the endpoint has run them).

--- a/src/pearshed/_internal/entry/attempt.py
+++ b/src/pearshed/_internal/entry/attempt.py
@@ -16,6 +16,9 @@
     from pearshed._internal.entry.link import SideLink
 
 
+SERVER_ERROR = 500
+
+
 class LinkLoss(enum.Enum):
     """Why an attempt lost its connection to a side."""
 
@@ -155,16 +158,24 @@
         if self._bound is None:
             # An answer replayed for an idempotency key comes without a grant.
             self._events.put_nowait((link, frame))
-        if self.request.streaming:
+        if self._passes_on():
             self._delivered = True
             self._sink.put(self._head)
 
+    def _passes_on(self) -> bool:
+        """Tell whether the answer goes on as it comes.
+
+        An error of the endpoint is held back: another endpoint may answer instead.
+        """
+        good = self._head is not None and self._head.status < SERVER_ERROR
+        return self.request.streaming and good
+
     def _receive_delta(self, delta: pb.Delta) -> None:
         if delta.offset != self._offset:
             self._dropped += 1
             return
         self._offset += len(delta.content)
-        if self.request.streaming:
+        if self._passes_on():
             self._sink.put(AnswerPart(delta.content))
         else:
             self._parts.append(delta.content)
--- a/src/pearshed/_internal/entry/dispatcher.py
+++ b/src/pearshed/_internal/entry/dispatcher.py
@@ -7,7 +7,7 @@
 
 from absl import logging
 
-from pearshed._internal.entry.attempt import Attempt, LinkLoss, LinkLost
+from pearshed._internal.entry.attempt import SERVER_ERROR, Attempt, LinkLoss, LinkLost
 from pearshed._internal.entry.health import EndpointHealth
 from pearshed._internal.entry.homes import KeyHomes
 from pearshed._internal.entry.link import SideLink
@@ -58,11 +58,13 @@
 
     :ivar endpoints: those that were asked; the next attempt leaves them out.
     :ivar elsewhere: another attempt may succeed, as far as capacity goes.
+    :ivar answered: the attempt, when the endpoint itself answered with an error.
     """
 
     failure: RequestFailure
     endpoints: frozenset[str] = frozenset()
     elsewhere: bool = False
+    answered: Attempt | None = None
 
 
 class Dispatcher:
@@ -111,7 +113,7 @@
                 sink.put(AnswerEnd())
                 return
             if not remaining or not self._may_retry(request, failed):
-                sink.put(failed.failure)
+                _pass_on(failed, sink)
                 return
             logging.info("request %s is tried again: %s", request.request_id, failed)
             excluded = excluded | failed.endpoints
@@ -231,9 +233,7 @@
         acknowledge = pb.Frame(attempt=attempt.number, acknowledge=pb.Acknowledge())
         link.close_attempt(attempt, acknowledge)
         if end.complete and end.length == attempt.offset:
-            self._health.note_success(name)
-            attempt.flush_whole()
-            return None
+            return self._answered(attempt, name)
         execution = frames.execution_from_wire(end.execution)
         self._health.note_failure(name)
         failure = RequestFailure(
@@ -244,6 +244,20 @@
         )
         return _Failed(failure, frozenset((name,)), elsewhere=not attempt.delivered)
 
+    def _answered(self, attempt: Attempt, name: str) -> _Failed | None:
+        """Pass a whole answer on, unless it is an error that another endpoint may not make."""
+        if attempt.head is None or attempt.head.status < SERVER_ERROR:
+            self._health.note_success(name)
+            attempt.flush_whole()
+            return None
+        self._health.note_failure(name)
+        failure = RequestFailure(
+            FailureCode.ENDPOINT_FAILED,
+            f"the endpoint answered with status {attempt.head.status}",
+            Execution.RAN,
+        )
+        return _Failed(failure, frozenset((name,)), elsewhere=True, answered=attempt)
+
     def _lost(self, attempt: Attempt, name: str, loss: LinkLoss) -> _Failed:
         execution = Execution.MAY_HAVE_RUN if attempt.body_sent else Execution.NOT_RUN
         failure = RequestFailure(
@@ -255,6 +269,15 @@
         return _Failed(failure, frozenset((name,)), elsewhere=not attempt.delivered)
 
 
+def _pass_on(failed: _Failed, sink: AnswerSink) -> None:
+    """End a request that is not tried again: with the endpoint's own error, if it made one."""
+    if failed.answered is None:
+        sink.put(failed.failure)
+        return
+    failed.answered.flush_whole()
+    sink.put(AnswerEnd())
+
+
 def _reservation(attempt: Attempt) -> pb.Frame:
     request = attempt.request
     remaining_s = max(0.0, request.deadline - clock.now())
--- a/src/pearshed/_internal/entry/placement.py
+++ b/src/pearshed/_internal/entry/placement.py
@@ -133,18 +133,19 @@
     def for_service(self, service: str, excluded: frozenset[str]) -> list[SideLink]:
         """List the usable links of a service.
 
-        When every endpoint is ejected, all of them are tried: ejection must never turn a
+        Excluded and ejected endpoints are left out as long as others are left: neither may turn a
         partial failure into a total one.
+
+        :param excluded: endpoints that have failed the request before.
         """
         usable = [
             link
             for link in self._links()
-            if link.endpoint.service == service
-            and link.endpoint.name not in excluded
-            and self._takes_work(link)
+            if link.endpoint.service == service and self._takes_work(link)
         ]
-        healthy = [link for link in usable if self._health.is_available(link.endpoint.name)]
-        return healthy or usable
+        fresh = [link for link in usable if link.endpoint.name not in excluded]
+        healthy = [link for link in fresh if self._health.is_available(link.endpoint.name)]
+        return healthy or fresh or usable
 
     def _takes_work(self, link: SideLink) -> bool:
         return (
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -114,6 +114,7 @@
         kinds: dict[str, dict[str, Any]] = {
             "grant": {"grant": pb.Grant()},
             "head": {"head": pb.Head(status=200)},
+            "sick": {"head": pb.Head(status=503)},
             "part": {"delta": pb.Delta(offset=0, content=b"answer")},
             "end": {"end": pb.End(**ended)},  # type: ignore[arg-type]
             "not_run": {"end": pb.End(execution=pb.EXECUTION_NOT_RUN)},
@@ -221,6 +222,20 @@
                 None,
                 None,
             ),
+            (
+                "error_elsewhere",
+                [{"reserve": "grant", "body": "sick part end"}, GOOD],
+                {},
+                None,
+                None,
+            ),
+            (
+                "lease_expired_at_the_only_one",
+                [{"reserve": "grant", "body": "expired"}],
+                {},
+                "no_endpoint",
+                "not_run",
+            ),
             ("past_deadline", [{}], {"deadline": 1.0}, "deadline_exceeded", "not_run"),
         ]
     )
@@ -246,6 +261,14 @@
             self.assertEqual((code, execution), (last.code.value, last.execution.value))
             self.assertGreaterEqual(last.retry_after_s, 0)
 
+    def test_an_error_that_may_not_be_repeated_is_the_endpoints_own(self) -> None:
+        script = {"reserve": "grant", "body": "sick part end"}
+        links = [FakeLink("engine-0", **script), FakeLink("engine-1", **GOOD)]
+        events, _ = self.dispatch(links, class_name="order")
+        heads = [event.status for event in events if isinstance(event, AnswerHead)]
+        self.assertEqual(([503], AnswerEnd()), (heads, events[-1]))
+        self.assertEqual([], links[1].sent)
+
     def test_the_first_grant_wins_and_the_others_are_withdrawn(self) -> None:
         links = [FakeLink("engine-0"), FakeLink("engine-1", **GOOD), FakeLink("engine-2", **GOOD)]
         events, _ = self.dispatch(links, fanout=3)
