--- a/src/pearshed/_internal/configuration/catalogue.py
+++ b/src/pearshed/_internal/configuration/catalogue.py
@@ -1,8 +1,9 @@
 """The records in force, indexed for the questions that requests ask."""
 
+import dataclasses
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import TypeVar
+from typing import Any
 
 from pearshed._internal.models.records import (
     Customer,
@@ -10,11 +11,18 @@
     Model,
     Record,
     RecordKind,
+    RecordValue,
     RequestClass,
     Tier,
 )
 
-_Value = TypeVar("_Value")
+_FIELD_BY_KIND = {
+    RecordKind.TIER: "tiers",
+    RecordKind.CLASS: "classes",
+    RecordKind.CUSTOMER: "customers",
+    RecordKind.MODEL: "models",
+    RecordKind.ENDPOINT: "endpoints",
+}
 
 
 @dataclass(frozen=True)
@@ -40,28 +48,34 @@
         return self.tiers.get(request_class.tier, Tier(request_class.tier, rank=100))
 
 
+def update_catalogue(
+    catalogue: Catalogue, revision: int, changed: Mapping[RecordKind, Mapping[str, RecordValue]]
+) -> Catalogue:
+    """Make the view of a new revision.
+
+    :param changed: all records in force of each kind that has changed; other kinds are kept, so
+        that a change of one costs nothing for the thousands of others.
+    """
+    fields: dict[str, Any] = {"revision": revision}
+    for kind, values in changed.items():
+        fields[_FIELD_BY_KIND[kind]] = values
+    updated = dataclasses.replace(catalogue, **fields)
+    derived: dict[str, Any] = {}
+    if RecordKind.CUSTOMER in changed:
+        customers = updated.customers.values()
+        derived["customers_by_key"] = {customer.api_key_sha256: customer for customer in customers}
+    if RecordKind.ENDPOINT in changed:
+        derived["endpoints_by_service"] = _group_by_service(updated.endpoints)
+    return dataclasses.replace(updated, **derived)
+
+
 def build_catalogue(revision: int, records: Iterable[Record]) -> Catalogue:
-    """Index the records."""
-    by_kind: dict[RecordKind, dict[str, object]] = {kind: {} for kind in RecordKind}
+    """Index records from scratch."""
+    by_kind: dict[RecordKind, dict[str, RecordValue]] = {kind: {} for kind in RecordKind}
     for record in records:
         if record.value is not None:
             by_kind[record.kind][record.name] = record.value
-    customers: dict[str, Customer] = _typed(by_kind[RecordKind.CUSTOMER], Customer)
-    endpoints: dict[str, Endpoint] = _typed(by_kind[RecordKind.ENDPOINT], Endpoint)
-    return Catalogue(
-        revision=revision,
-        tiers=_typed(by_kind[RecordKind.TIER], Tier),
-        classes=_typed(by_kind[RecordKind.CLASS], RequestClass),
-        customers=customers,
-        models=_typed(by_kind[RecordKind.MODEL], Model),
-        endpoints=endpoints,
-        customers_by_key={customer.api_key_sha256: customer for customer in customers.values()},
-        endpoints_by_service=_group_by_service(endpoints),
-    )
-
-
-def _typed(values: Mapping[str, object], kind: type[_Value]) -> dict[str, _Value]:
-    return {name: value for name, value in values.items() if isinstance(value, kind)}
+    return update_catalogue(Catalogue(), revision, by_kind)
 
 
 def _group_by_service(endpoints: Mapping[str, Endpoint]) -> dict[str, tuple[Endpoint, ...]]:
--- a/src/pearshed/_internal/configuration/store.py
+++ b/src/pearshed/_internal/configuration/store.py
@@ -5,10 +5,10 @@
 from absl import logging
 from returns.pipeline import is_successful
 
-from pearshed._internal.configuration.catalogue import Catalogue, build_catalogue
+from pearshed._internal.configuration.catalogue import Catalogue, update_catalogue
 from pearshed._internal.configuration.feed import Feed, FeedName
 from pearshed._internal.configuration.parser import RecordProblemError, parse_document
-from pearshed._internal.models.records import Record, RecordKind
+from pearshed._internal.models.records import Record, RecordKind, RecordValue
 
 CatalogueCallback = Callable[[Catalogue], None]
 
@@ -22,6 +22,8 @@
     def __init__(self) -> None:
         super().__init__(FeedName.RECORDS)
         self._records: dict[tuple[RecordKind, str], Record] = {}
+        self._values: dict[RecordKind, dict[str, RecordValue]] = {kind: {} for kind in RecordKind}
+        self._touched: set[RecordKind] = set()
         self._refused: dict[str, RecordProblemError] = {}
         self._catalogue = Catalogue()
         self._callbacks: list[CatalogueCallback] = []
@@ -60,11 +62,22 @@
         if held is not None and held.revision >= record.revision:
             return False
         self._records[record.key] = record
+        self._put(record)
         self._refused.pop(f"{record.kind}/{record.name}", None)
         return True
 
+    def _put(self, record: Record) -> None:
+        values = self._values[record.kind]
+        if record.value is None:
+            values.pop(record.name, None)
+        else:
+            values[record.name] = record.value
+        self._touched.add(record.kind)
+
     def _changed(self, accepted: int) -> None:
-        self._catalogue = build_catalogue(self._revision, self._records.values())
+        changed = {kind: dict(self._values[kind]) for kind in self._touched}
+        self._touched.clear()
+        self._catalogue = update_catalogue(self._catalogue, self._revision, changed)
         logging.info("configuration revision %d in force, %d changed", self._revision, accepted)
         for callback in self._callbacks:
             callback(self._catalogue)
--- a/src/pearshed/_internal/entry/links.py
+++ b/src/pearshed/_internal/entry/links.py
@@ -7,14 +7,14 @@
 from pearshed._internal.configuration.catalogue import Catalogue
 from pearshed._internal.entry.health import EndpointHealth
 from pearshed._internal.entry.link import EntryIdentity, SideLink
-from pearshed._internal.membership.subset import SubsetChooser
+from pearshed._internal.membership.subset import SubsetChooser, endpoints_without_list
 from pearshed._internal.membership.vm_view import VMView
 from pearshed._internal.models.records import Endpoint
 from pearshed._internal.peers.relay import FeedRelay
 from pearshed._internal.settings.model import PeerSettings
 from pearshed._internal.timers.service import TimerService
 
-_EXTRA_IDLE_CHECK_S = 30.0
+_EXTRA_IDLE_CHECK_S = 5.0
 _DIAL_CHECK_S = 0.02
 
 
@@ -46,6 +46,7 @@
         self._health = health
         self._view = view
         self._subset = subset
+        self._listed = False
         self._entries = {identity.name: identity.data_centre}
         self._chooser = SubsetChooser(self._entries, subset)
         self._links: dict[str, SideLink] = {}
@@ -77,7 +78,8 @@
     def update_entries(self) -> None:
         """Take a new VM list; the subset moves when entries come and go."""
         entries = {**self._view.live_entries(), self._identity.name: self._identity.data_centre}
-        if entries != self._entries:
+        if entries != self._entries or not self._listed:
+            self._listed = True
             self._entries = entries
             self._chooser = SubsetChooser(entries, self._subset)
             self._follow_subset()
@@ -102,9 +104,11 @@
 
     def _follow_subset(self) -> None:
         """Open the links of the subset; those that fell out are closed when they are idle."""
-        self._wanted = self._chooser.endpoints_of(
-            self._identity.name, self._catalogue.endpoints_by_service
-        )
+        groups = self._catalogue.endpoints_by_service
+        if self._view.revision:
+            self._wanted = self._chooser.endpoints_of(self._identity.name, groups)
+        else:
+            self._wanted = endpoints_without_list(self._identity.name, groups, self._subset)
         for endpoint in self._wanted.values():
             self._open(endpoint)
 
--- a/src/pearshed/_internal/entry/process.py
+++ b/src/pearshed/_internal/entry/process.py
@@ -26,7 +26,7 @@
 from pearshed._internal.telemetry.metrics import Metric
 from pearshed._internal.utils.tls import caller_server_context, peer_client_context
 
-_READ_SWEEP_PERIOD_S = 0.25
+_READ_SWEEP_PERIOD_S = 0.5
 _IDLE_CHECK_S = 0.05
 
 
--- a/src/pearshed/_internal/membership/ring.py
+++ b/src/pearshed/_internal/membership/ring.py
@@ -9,7 +9,6 @@
 _DIGEST_BYTES = 8
 
 
-@functools.lru_cache(maxsize=65_536)
 def _position(text: str) -> int:
     digest = hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).digest()
     return int.from_bytes(digest, "big")
--- a/src/pearshed/_internal/membership/subset.py
+++ b/src/pearshed/_internal/membership/subset.py
@@ -11,6 +11,25 @@
 _FEWEST_ENDPOINTS = 2
 
 
+def endpoints_without_list(
+    entry: str, endpoints_by_service: Mapping[str, Sequence[Endpoint]], size: int
+) -> dict[str, Endpoint]:
+    """Choose endpoints while the live entries are not known.
+
+    An entry that took itself for the only one would open a link to every endpoint of the fleet.
+    """
+    endpoints = {
+        endpoint.name: endpoint
+        for endpoint in itertools.chain.from_iterable(endpoints_by_service.values())
+    }
+    if len(endpoints) <= size:
+        return endpoints
+    chosen = {name: endpoints[name] for name in ranked(entry, endpoints)[:size]}
+    for group in endpoints_by_service.values():
+        _add_for_service(entry, group, chosen)
+    return chosen
+
+
 class SubsetChooser:
     """Chooses for each endpoint the entries that serve it, so that none is left without.
 
@@ -46,7 +65,7 @@
             if entry in self._choose_entries(endpoint, count)
         }
         for group in endpoints_by_service.values():
-            self._add_for_service(entry, group, chosen)
+            _add_for_service(entry, group, chosen)
         return chosen
 
     def _entries_per_endpoint(self, endpoints: int) -> int:
@@ -70,14 +89,13 @@
             chosen.extend(list(itertools.islice(others, count - len(chosen))))
         return chosen
 
-    def _add_for_service(
-        self, entry: str, group: Sequence[Endpoint], chosen: dict[str, Endpoint]
-    ) -> None:
-        """Add endpoints until the entry can serve every service."""
-        missing = min(_FEWEST_ENDPOINTS, len(group))
-        missing -= sum(endpoint.name in chosen for endpoint in group)
-        if missing <= 0:
-            return
-        by_name = {endpoint.name: endpoint for endpoint in group if endpoint.name not in chosen}
-        for name in ranked(entry, by_name)[:missing]:
-            chosen[name] = by_name[name]
+
+def _add_for_service(entry: str, group: Sequence[Endpoint], chosen: dict[str, Endpoint]) -> None:
+    """Add endpoints until the entry can serve every service."""
+    missing = min(_FEWEST_ENDPOINTS, len(group))
+    missing -= sum(endpoint.name in chosen for endpoint in group)
+    if missing <= 0:
+        return
+    by_name = {endpoint.name: endpoint for endpoint in group if endpoint.name not in chosen}
+    for name in ranked(entry, by_name)[:missing]:
+        chosen[name] = by_name[name]
--- a/src/pearshed/_internal/side/desk.py
+++ b/src/pearshed/_internal/side/desk.py
@@ -32,7 +32,6 @@
 from pearshed._internal.timers.service import TimerService
 
 RESUME_WINDOW_S = 10.0
-_LEASE_CHECK_PERIOD_S = 0.1
 _SWEEP_PERIOD_S = 0.5
 _KEY_SWEEP_PERIOD_S = 10.0
 _FINISHED_KEPT_S = 30.0
@@ -90,7 +89,6 @@
         self._leaving = False
         self._stopping = False
         self._idle = asyncio.Event()
-        timers.every(_LEASE_CHECK_PERIOD_S, self._scheduler.expire_leases)
         timers.every(_SWEEP_PERIOD_S, self._sweep)
         timers.every(_KEY_SWEEP_PERIOD_S, keys.sweep)
 
--- a/src/pearshed/_internal/side/process.py
+++ b/src/pearshed/_internal/side/process.py
@@ -34,6 +34,7 @@
     def __init__(self, settings: SideSettings) -> None:
         super().__init__(settings.process, settings.platform, is_entry=False)
         self._settings = settings
+        self._serving = False
         self._peer_tls = self._reloading(settings.peer_tls, peer_server_context)
         self._client = EndpointClient(
             settings.endpoint_address,
@@ -88,6 +89,7 @@
         try:
             tls = self._peer_tls.context if self._peer_tls is not None else None
             await self._server.start(listen.host, listen.port, ssl=tls)
+            self._serving = True
         except OSError as error:
             raise AddressInUseError(
                 f"can't listen on {listen} for entries",
@@ -103,7 +105,8 @@
         await asyncio.sleep(_DRAIN_NOTICE_S)
 
     def _close(self) -> None:
-        self._server.close()
+        if self._serving:
+            self._server.close()
         self._client.close()
 
     def _dump(self) -> Mapping[str, Any]:
--- a/src/pearshed/_internal/side/scheduler.py
+++ b/src/pearshed/_internal/side/scheduler.py
@@ -170,10 +170,10 @@
         ahead = self._policy.count_ahead(reservation.tier.rank)
         return (ahead + 1) * self._service_s / self._slots
 
-    def expire_leases(self) -> None:
+    def _expire_leases(self) -> None:
         """Take back slots whose lease has ended."""
         moment = clock.now()
-        for reservation in [held for held in self._leases if held.lease_until < moment]:
+        for reservation in [held for held in self._leases if held.lease_until <= moment]:
             self._leases.discard(reservation)
             self._expired += 1
             self._refuse(reservation, pb.REFUSAL_LEASE_EXPIRED)
@@ -222,6 +222,7 @@
             reservation.lease_until = clock.now() + self._lease_s
             self._leases.add(reservation)
             self._grants += 1
+            self._timers.after(self._lease_s, self._expire_leases)
             self._listener.granted(reservation)
 
     def _remove_waiting(self, reservation: Reservation) -> None:
--- a/src/pearshed/_internal/timers/service.py
+++ b/src/pearshed/_internal/timers/service.py
@@ -14,7 +14,7 @@
 PauseCallback = Callable[[float], None]
 
 PAUSE_THRESHOLD_S = 1.0
-_LONGEST_SLEEP_S = 0.25
+_LONGEST_SLEEP_S = 0.5
 
 
 class Subscription:
--- a/src/pearshed/_internal/utils/addresses.py
+++ b/src/pearshed/_internal/utils/addresses.py
@@ -8,7 +8,7 @@
 _LARGEST_PORT = 65535
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Address:
     """An IP number and a port.
 
--- a/src/pearshed/_internal/utils/fields.py
+++ b/src/pearshed/_internal/utils/fields.py
@@ -1,5 +1,6 @@
 """Checked reading of mappings that come from YAML or JSON."""
 
+import sys
 from collections.abc import Mapping, Sequence
 from typing import Any, TypeVar
 
@@ -49,7 +50,10 @@
     def text(
         self, name: str, default: str | _Required = REQUIRED, choices: Sequence[str] = ()
     ) -> str:
-        """Read a non-empty string, one of ``choices`` if any are given."""
+        """Read a non-empty string, one of ``choices`` if any are given.
+
+        Equal strings are shared: thousands of records name the same few services and places.
+        """
         value = self._take(name, default, "")
         if not isinstance(value, str):
             self.report(name, f"expected text, found {_kind(value)}")
@@ -58,7 +62,7 @@
             self.report(name, "must not be empty")
         if choices and name in self._raw and value not in choices:
             self.report(name, f"must be one of {', '.join(choices)}, found {value!r}")
-        return value
+        return sys.intern(value)
 
     def integer(
         self,
@@ -109,7 +113,7 @@
         if not all(isinstance(item, str) for item in value):
             self.report(name, "expected a list of texts, found another kind of item")
             return ()
-        return tuple(value)
+        return tuple(sys.intern(item) for item in value)
 
     def section(self, name: str, *, required: bool = False) -> "FieldReader":
         """Read a nested mapping; an absent optional one reads as empty."""
--- a/tests/functional/test_command_line.py
+++ b/tests/functional/test_command_line.py
@@ -71,6 +71,7 @@
             self.assertEqual(status_codes.ERROR, second.wait_end())
             self.assertIn("can't listen on 127.0.0.1", second.log_text())
             self.assertIn("hint:", second.log_text())
+            self.assertNotIn("Traceback", second.log_text())
 
     def test_json_logs_carry_the_request_id(self) -> None:
         with Fleet() as fleet:
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -60,6 +60,13 @@
         self.repeated.append(callback)
         return mock.Mock()
 
+    def after(self, delay_s: float, callback: Callable[[], None]) -> Any:
+        """Keep a callback that is called with the repeated ones."""
+        del delay_s
+        if callback not in self.repeated:
+            self.repeated.insert(0, callback)
+        return mock.Mock()
+
     def check_pause(self) -> None:
         """Find no pause."""
 
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -19,7 +19,7 @@
 from pearshed._internal.entry.placement import Candidates, SampledPlacement
 from pearshed._internal.entry.retry_budget import RetryBudget
 from pearshed._internal.entry.sink import AnswerSink
-from pearshed._internal.membership.subset import SubsetChooser
+from pearshed._internal.membership.subset import SubsetChooser, endpoints_without_list
 from pearshed._internal.membership.vm_view import VMView
 from pearshed._internal.models.outcomes import (
     AnswerEnd,
@@ -463,6 +463,11 @@
         new = sum(len(after[entry] - before[entry]) for entry in fewer)
         self.assertLessEqual(new, 2 * len(before["entry-7"]))
 
+    def test_an_entry_that_knows_no_list_keeps_to_its_size(self) -> None:
+        chosen = endpoints_without_list("entry-1", self.groups, 30)
+        self.assertLessEqual(len(chosen), 31)
+        self.assertIn("lone-0", chosen)
+
     def test_a_small_site_is_linked_fully(self) -> None:
         few = {"large": self.groups["large"][:20]}
         self.assertEqual(20, len(SubsetChooser({"e": "dc-0"}, 30).endpoints_of("e", few)))
