Make a tier's share one of the slots' time

The background tier had a tenth of the grants, but a summary holds its slot 2.3 times as long as a notice, so it took about a fifth of the time, and notices alone need 90% of it.

Ways weighed: no share under overload (summaries starve; not allowed); preemption (wasted work); a grant's cost by its tier's usual time (this one).

Change: a side learns the time that requests of each tier hold a slot; a lower tier pays that much, relative to the mean, for a grant.

Figures: unit test with tiers of 0.5 s and 2 s: the lower tier's part of the time lies between 5% and 25% for a share of 0.1.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,6 +10,7 @@
 import pathlib
 import sys
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 
 from bench import confirm, slopes
 from bench.model import ControlCost, DataCost, control_costs, data_costs
@@ -30,12 +31,24 @@
     "records": slopes.measure_records,
 }
 _STEPS = ("measure", "confirm", "page")
-_UNIT_SCALE = {
-    "core s": (1e6, "µs of a core"),
-    "core": (1e6, "millionths of a core"),
-    "bytes": (1e-3, "KB"),
-    "bytes/s": (1.0, "bytes/s"),
-    "ms": (1.0, "ms"),
+
+
+@dataclass(frozen=True)
+class _Unit:
+    """How a series is shown: the cost of one more, and its base and points."""
+
+    step_scale: float
+    step: str
+    point_scale: float
+    point: str
+
+
+_UNITS = {
+    "core s": _Unit(1e6, "µs of a core", 1.0, "cores"),
+    "core": _Unit(1e6, "millionths of a core", 1.0, "cores"),
+    "bytes": _Unit(1e-3, "KB", 1e-6, "MB"),
+    "bytes/s": _Unit(1.0, "bytes/s", 1.0, "bytes/s"),
+    "ms": _Unit(1.0, "ms", 1.0, "ms"),
 }
 
 
@@ -104,10 +117,12 @@
 def _slope_table(known: Iterable[Slope]) -> str:
     rows = []
     for slope in known:
-        scale, unit = _UNIT_SCALE[slope.unit]
-        points = ", ".join(f"{point.x:,.4g}: {point.y * scale:,.4g}" for point in slope.points)
-        per = f"{slope.per_unit * scale:,.3g} {unit}"
-        rows.append((slope.name, per, f"{slope.base * scale:,.3g}", f"{slope.fit:.3f}", points))
+        unit = _UNITS[slope.unit]
+        scale = unit.point_scale
+        points = ", ".join(f"{point.x:,.0f}: {point.y * scale:,.4g}" for point in slope.points)
+        step = f"{slope.per_unit * unit.step_scale:,.3g} {unit.step}"
+        base = f"{slope.base * scale:,.3g} {unit.point}"
+        rows.append((slope.name, step, base, f"{slope.fit:.3f}", points))
     return table(("series", "for one more", "base", "r²", "points (x: y)"), rows)
 
 
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -47,12 +47,14 @@
     """A user's endpoints, data centres and traffic.
 
     :ivar services: number of endpoints of each service.
+    :ivar shares: shares of the standard and the background tier.
     """
 
     name: str
     data_centres: tuple[str, ...]
     services: dict[str, int]
     traffic: tuple[Traffic, ...]
+    shares: tuple[float, float]
     customers: int = 10
 
     def capacity_per_s(self) -> float:
@@ -67,7 +69,11 @@
 
     def documents(self) -> list[Document]:
         """Make the site's records, endpoints left out."""
-        documents = records.tiers()
+        documents = [
+            records.record("tier", "urgent", rank=0, protected=True),
+            records.record("tier", "standard", rank=1, share=self.shares[0]),
+            records.record("tier", "background", rank=2, share=self.shares[1]),
+        ]
         names = [item.class_name for item in self.traffic]
         for item in self.traffic:
             documents.append(
@@ -100,6 +106,8 @@
         Traffic("status", "standard", "orders", 0.35, 500, 1_500),
         Traffic("summary", "background", "writing", 0.30, 2_000, 4_000, (15, 60)),
     ),
+    # Kronwacht weighs attainment of notices and orders most.
+    (0.05, 0.02),
 )
 
 CASCADE = Site(
@@ -112,6 +120,8 @@
         Traffic("explain", "standard", "writing", 0.45, 800, 2_000, (8, 30)),
         Traffic("draft", "background", "writing", 0.35, 2_000, 4_000, (15, 60)),
     ),
+    # Cascade weighs goodput most, and drafts count.
+    (0.2, 0.1),
 )
 
 SITES = {site.name: site for site in (KRONWACHT, CASCADE)}
--- a/src/pearshed/_internal/models/records.py
+++ b/src/pearshed/_internal/models/records.py
@@ -29,7 +29,7 @@
 
     :ivar rank: 0 is the most urgent.
     :ivar protected: requests of the tier are never shed for a lower one.
-    :ivar share: fraction of an endpoint's grants kept for the tier while it has a backlog.
+    :ivar share: fraction of an endpoint's slot time kept for the tier while it has a backlog.
     """
 
     name: str
--- a/src/pearshed/_internal/side/desk.py
+++ b/src/pearshed/_internal/side/desk.py
@@ -198,7 +198,7 @@
             self._counts["runs_wasted"] += 1
         if active.idempotency_key:
             self._note_key_finished(active, key)
-        self._scheduler.finish(active.run.held_s)
+        self._scheduler.finish(active.rank, active.run.held_s)
         if active.run.cancelled:
             self._runs.forget(key)
         self._idle.set()
@@ -287,7 +287,7 @@
             return
         del self._reservations[key]
         run = Run(attempt, reservation.idempotent)
-        active = ActiveRun(run, idempotency_key=reservation.key)
+        active = ActiveRun(run, idempotency_key=reservation.key, rank=reservation.tier.rank)
         self._runs.add(key, active)
         if reservation.key:
             self._keys.run_started(reservation.key, run)
--- a/src/pearshed/_internal/side/order.py
+++ b/src/pearshed/_internal/side/order.py
@@ -9,6 +9,8 @@
 
 # Just under 1, since ten times a share of 0.1 adds up to a little less.
 _WHOLE_GRANT = 1.0 - 1e-9
+_LARGEST_COST = 20.0
+_SMOOTHING = 0.1
 
 
 @dataclass(eq=False, slots=True)
@@ -61,6 +63,10 @@
     def waiting(self) -> Iterator[Reservation]:
         """List the waiting reservations, in no particular order."""
 
+    def note_service(self, rank: int, held_s: float) -> None:
+        """Learn how long a request of a tier's rank held its slot, seconds."""
+        del rank, held_s
+
     @abc.abstractmethod
     def count_ahead(self, rank: int) -> int:
         """Count the waiting reservations that would go before a new one of a tier's rank."""
@@ -158,12 +164,15 @@
 class TieredOrder(OrderPolicy):
     """The most urgent tier first, with a small share kept for each tier below.
 
-    Each grant adds a tier's share to the credit of every lower tier that waits. A tier with a
-    whole grant's credit goes first once, so its wait is bounded however long the tiers above
-    are saturated. Within a tier, customers share by weight.
+    Each grant adds a tier's share to the credit of every lower tier that waits. A tier whose
+    credit pays for a grant goes first once, so its wait is bounded however long the tiers above
+    are saturated. A grant of a tier with long answers costs more, so that the share is one of the
+    slots' time and not of their number. Within a tier, customers share by weight.
     """
 
     def __init__(self) -> None:
+        self._service_s: dict[int, float] = {}
+        self._mean_service_s = 0.0
         self._queues: dict[int, _CustomerQueues] = {}
         self._shares: dict[int, float] = {}
         self._credits: dict[int, float] = {}
@@ -189,6 +198,13 @@
         chosen = self._choose(ranks)
         return self._queues[chosen].take()
 
+    def note_service(self, rank: int, held_s: float) -> None:
+        """Learn how long requests of a tier hold their slots, beside those of all tiers."""
+        known = self._service_s.get(rank, held_s)
+        self._service_s[rank] = known + _SMOOTHING * (held_s - known)
+        mean = self._mean_service_s or held_s
+        self._mean_service_s = mean + _SMOOTHING * (held_s - mean)
+
     def waiting(self) -> Iterator[Reservation]:
         """List the waiting reservations."""
         for queue in self._queues.values():
@@ -202,12 +218,20 @@
         """Count the waiting reservations."""
         return sum(len(queue) for queue in self._queues.values())
 
+    def _cost(self, rank: int) -> float:
+        """Find what a grant of a tier costs: its time relative to the mean, one at least."""
+        if not self._mean_service_s:
+            return 1.0
+        relative = self._service_s.get(rank, 0.0) / self._mean_service_s
+        return min(_LARGEST_COST, max(1.0, relative))
+
     def _choose(self, ranks: list[int]) -> int:
         for rank in ranks[1:]:
             self._credits[rank] = self._credits.get(rank, 0.0) + self._shares[rank]
         for rank in ranks[1:]:
-            if self._credits[rank] >= _WHOLE_GRANT:
-                self._credits[rank] -= 1.0
+            cost = self._cost(rank)
+            if self._credits[rank] >= cost * _WHOLE_GRANT:
+                self._credits[rank] -= cost
                 return rank
         return ranks[0]
 
--- a/src/pearshed/_internal/side/run_table.py
+++ b/src/pearshed/_internal/side/run_table.py
@@ -20,12 +20,14 @@
 
     :ivar call: the call to the endpoint; nothing for a replayed answer.
     :ivar idempotency_key: the key that the run was claimed for, or an empty string.
+    :ivar rank: rank of the request's tier.
     :ivar finished_at: clock reading of its end; 0 while it runs.
     """
 
     run: Run
     call: EndpointCall | None = None
     idempotency_key: str = ""
+    rank: int = 0
     finished_at: float = 0.0
 
 
--- a/src/pearshed/_internal/side/scheduler.py
+++ b/src/pearshed/_internal/side/scheduler.py
@@ -152,11 +152,13 @@
         self._running += 1
         return True
 
-    def finish(self, held_s: float) -> None:
+    def finish(self, rank: int, held_s: float) -> None:
         """Free the slot of a run.
 
+        :param rank: rank of the run's tier.
         :param held_s: time that the run held the slot, seconds.
         """
+        self._policy.note_service(rank, held_s)
         self._running -= 1
         self._service_s += _SMOOTHING * (held_s - self._service_s)
         self._grant_free_slots()
--- a/tests/functional/test_faults.py
+++ b/tests/functional/test_faults.py
@@ -269,7 +269,7 @@
             site = SmallSite(fleet, endpoints=1)
             load = Load(fleet, site.entries, [STREAM], tokens=600, callers=4).start()
             wait_for(lambda: site.entry.dump()["in_flight"] == 4, "streams in flight")
-            load._stop.set()
+            load.stop()
             site.entry.signal(signal.SIGTERM)
             wait_for(lambda: b"stopping" in site.entry.page("readyz").data, "readiness off")
             outcomes = load.finish()
--- a/tests/lib/load.py
+++ b/tests/lib/load.py
@@ -83,9 +83,13 @@
             thread.start()
         return self
 
+    def stop(self) -> None:
+        """Let the callers end their calls."""
+        self._stop.set()
+
     def finish(self) -> list[Outcome]:
         """Let the callers end their calls and return all outcomes."""
-        self._stop.set()
+        self.stop()
         for thread in self._threads:
             thread.join()
         return self.outcomes
--- a/tests/unit/test_side.py
+++ b/tests/unit/test_side.py
@@ -57,6 +57,18 @@
         order = [item.tier.rank for item in take_all(policy, 100)]
         self.assertLessEqual(order.index(2), 10)
 
+    def test_a_share_is_one_of_time(self) -> None:
+        policy = TieredOrder()
+        for _ in range(100):
+            policy.note_service(0, 0.5)
+            policy.note_service(2, 2.0)
+        for number in range(400):
+            policy.add(reservation(number % 2 * 2, number))
+        ranks = Counter(item.tier.rank for item in take_all(policy, 200))
+        time_part = ranks[2] * 2.0 / (ranks[2] * 2.0 + ranks[0] * 0.5)
+        self.assertLess(time_part, 0.25)
+        self.assertGreater(time_part, 0.05)
+
     def test_customers_share_by_weight(self) -> None:
         policy = TieredOrder()
         for number in range(200):
