--- a/tests/unit/test_adapters.py
+++ b/tests/unit/test_adapters.py
@@ -54,6 +54,7 @@
         self.content = b""
         self.execution: Execution | None = None
         self.complete = False
+        self.ended = asyncio.Event()
 
     def set_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         del headers
@@ -66,6 +67,7 @@
         del detail
         self.execution = execution
         self.complete = complete
+        self.ended.set()
 
 
 class EndpointContractTest(unittest.TestCase):
@@ -78,8 +80,7 @@
             running = client.start(Call("POST", "/x", (), b"body"), received, fresh=False)
             if meddle is not None:
                 meddle(running)
-            while received.execution is None:
-                await asyncio.sleep(0.01)
+            await received.ended.wait()
             client.close()
 
         asyncio.run(run())
