--- a/src/pearshed/_internal/entry/dispatcher.py
+++ b/src/pearshed/_internal/entry/dispatcher.py
@@ -150,7 +150,8 @@
             if isinstance(granted, _Failed):
                 return granted
             return await self._run(attempt, granted)
-        except asyncio.CancelledError:
+        except BaseException:
+            # Cancelled with its caller, or broken: either way no side may go on waiting for it.
             self._abandon(attempt)
             raise
         finally:
--- a/src/pearshed/_internal/side/endpoint_client.py
+++ b/src/pearshed/_internal/side/endpoint_client.py
@@ -19,7 +19,7 @@
 from pearshed._internal.utils.addresses import Address
 from pearshed._internal.utils.mailbox import Mailbox
 
-LARGEST_ANSWER_BYTES = 64 * 1024 * 1024
+LARGEST_ANSWER_BYTES = 16 * 1024 * 1024
 _READ_BYTES = 64 * 1024
 
 
--- a/src/pearshed/_internal/side/process.py
+++ b/src/pearshed/_internal/side/process.py
@@ -24,7 +24,8 @@
 from pearshed._internal.utils.mailbox import Mailbox
 from pearshed._internal.utils.tls import peer_server_context
 
-_ENDPOINT_THREADS = 256
+# As many as the slots of the largest endpoint record; they start as they are needed.
+_ENDPOINT_THREADS = 1024
 _DRAIN_NOTICE_S = 0.2
 
 
--- a/src/pearshed/_internal/timers/service.py
+++ b/src/pearshed/_internal/timers/service.py
@@ -121,6 +121,11 @@
         for callback in self._pause_callbacks:
             callback(lost_s)
 
+    def tick(self) -> None:
+        """Look for a pause, then call what is due."""
+        self.check_pause()
+        self._fire_due()
+
     def _push(self, subscription: Subscription, delay_s: float) -> None:
         due = clock.now() + delay_s
         heapq.heappush(self._due, (due, next(self._order), subscription))
@@ -129,8 +134,7 @@
 
     async def _run(self) -> None:
         while True:
-            self.check_pause()
-            self._fire_due()
+            self.tick()
             self._wake.clear()
             try:
                 await asyncio.wait_for(self._wake.wait(), self._sleep_s())
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -134,6 +134,14 @@
         self.store.apply(change(6, []).__class__(6, late))
         self.assertEqual((6, 1, 0), self._state())
 
+    def test_an_answer_may_come_in_parts(self) -> None:
+        first = change(3, [records.record("tier", "a", rank=1)])
+        second = change(8, [records.record("tier", "b", rank=2)])
+        for part in (first, second, first):
+            self.store.apply(part)
+        self.assertEqual((8, 1, 1), self._state())
+        self.assertEqual({"a", "b"}, set(self.store.catalogue.tiers))
+
     def test_a_bad_record_leaves_the_last_one_in_force(self) -> None:
         self.store.apply(change(1, [records.record("tier", "a", rank=1)]))
         good = records.record("tier", "b", rank=2)
