Forward requests on the users' platform, straight from gateway to endpoint

Change: a gateway process (routes, keys, engines from the store; HTTP by httptools on asyncio) and the adapter in _internal/platform. Sides are left out: a machine in use is priced and engines queue by priority themselves.

--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,14 @@
+#!/bin/sh
+# Builds everything that runs on the users' platform into target/deps.
+set -eu
+cd "$(dirname "$0")/.."
+requirements=requirements/runtime.txt
+stamp=target/requirements.installed
+if ! cmp -s "$requirements" "$stamp"; then
+    rm -rf target/deps
+    python3 -m pip install --quiet --disable-pip-version-check --target target/deps -r "$requirements"
+    cp "$requirements" "$stamp"
+fi
+rm -rf target/deps/pearshed
+cp -r src/pearshed target/deps/pearshed
+python3 -m compileall -q target/deps
--- a/src/pearshed/_internal/commands/__init__.py
+++ b/src/pearshed/_internal/commands/__init__.py
@@ -27,6 +27,11 @@
     "side": CommandInfo(
         "pearshed._internal.commands.side", "SideCommand", "Stand before one endpoint."
     ),
+    "gateway": CommandInfo(
+        "pearshed._internal.commands.gateway",
+        "GatewayCommand",
+        "Forward requests on the users' platform.",
+    ),
     "check": CommandInfo(
         "pearshed._internal.commands.check",
         "CheckCommand",
--- /dev/null
+++ b/src/pearshed/_internal/commands/gateway.py
@@ -0,0 +1,49 @@
+"""``pearshed gateway``: forward callers' requests on the users' platform."""
+
+import argparse
+import asyncio
+import pathlib
+
+from pearshed._internal import logs
+from pearshed._internal.cli import status_codes
+from pearshed._internal.commands.base import Command
+from pearshed._internal.gateway.process import GatewayProcess
+from pearshed._internal.platform.documents import PlatformDocuments
+from pearshed._internal.platform.headers import PlatformHeaders
+from pearshed._internal.platform.settings_file import load_gateway_settings, settings_path
+from pearshed._internal.platform.store_client import PlatformStore
+from pearshed._internal.telemetry.log_stream import BoundedLogStream
+
+_STANDARD_OUTPUT = 1
+
+
+class GatewayCommand(Command):
+    """Runs a gateway process."""
+
+    description = (
+        "Reads routes, customers and endpoints from the platform's store and forwards requests "
+        "straight to endpoints. The settings are the file that the platform provides. Stops on "
+        "SIGTERM once every request in flight is answered."
+    )
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's arguments."""
+        parser.add_argument(
+            "--settings", type=pathlib.Path, metavar="FILE", help="the platform's settings file"
+        )
+
+    def run(self, options: argparse.Namespace) -> int:
+        """Run the process until SIGTERM or SIGINT, then finish what is in flight."""
+        settings = load_gateway_settings(options.settings or settings_path())
+        stream = BoundedLogStream(_STANDARD_OUTPUT)
+        logs.configure_stream(settings.name, stream)
+        asyncio.run(
+            GatewayProcess(
+                settings,
+                PlatformStore(settings.store),
+                PlatformDocuments(),
+                PlatformHeaders(),
+                stream,
+            ).run()
+        )
+        return status_codes.SUCCESS
--- /dev/null
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -0,0 +1,210 @@
+"""One attempt at a request: one endpoint, one connection, one answer."""
+
+import asyncio
+
+from pearshed._internal.gateway.answer_writer import AnswerWriter
+from pearshed._internal.gateway.call import (
+    Answered,
+    AttemptOutcome,
+    Call,
+    Failed,
+    Interrupted,
+    NotExecuted,
+    OutOfTime,
+)
+from pearshed._internal.gateway.endpoints import Endpoint
+from pearshed._internal.gateway.event_stream import EventBuffer
+from pearshed._internal.gateway.header_codec import EndpointFields, EndpointOrder, HeaderCodec
+from pearshed._internal.http import messages
+from pearshed._internal.http.endpoint_connection import EndKind, EndpointConnection, ResponseEnd
+from pearshed._internal.http.messages import ResponseHead
+from pearshed._internal.timers import clock
+
+_SUCCESS = range(200, 300)
+_SERVER_ERRORS = range(500, 600)
+#: Time by which the endpoint's deadline lies behind ours, so that its own answer comes first.
+_ENDPOINT_MARGIN_MS = 20
+_MISDIRECTED = 421
+
+
+class Attempt:
+    """Sends a request to an endpoint and passes its answer on.
+
+    :param patience_s: longest time to wait for the start of the answer, seconds.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        codec: HeaderCodec,
+        writer: AnswerWriter,
+        patience_s: float,
+    ) -> None:
+        self._call = call
+        self._endpoint = endpoint
+        self._codec = codec
+        self._writer = writer
+        self._patience_s = patience_s
+        self._whole = False
+        self._run = 0
+
+    async def run(self) -> AttemptOutcome:
+        """Make the attempt.
+
+        A cancelled attempt resets its connection, so the endpoint stops working on it.
+        """
+        try:
+            connection = await self._endpoint.acquire(self._call.route.repeatable)
+        except (OSError, TimeoutError) as error:
+            self._endpoint.note_unreachable()
+            return NotExecuted(f"can't connect: {error or 'timed out'}", arrived=False)
+        try:
+            return await self._exchange(connection)
+        finally:
+            self._endpoint.end(self._run)
+            self._endpoint.release(connection, self._whole)
+
+    async def _exchange(self, connection: EndpointConnection) -> AttemptOutcome:
+        remaining_s = self._call.remaining_s
+        if remaining_s <= 0:
+            self._whole = True
+            return OutOfTime(sent=False)
+        self._run = self._endpoint.begin(self._call.fields.prompt_tokens)
+        connection.send(self._encode(remaining_s), self._recognise)
+        if not self._call.route.repeatable and not self._call.route.streaming:
+            self._writer.detach()
+        try:
+            async with asyncio.timeout(min(remaining_s, self._patience_s)):
+                first = await connection.next_event()
+        except TimeoutError:
+            return self._timed_out(remaining_s)
+        if isinstance(first, ResponseEnd):
+            self._endpoint.note_failure()
+            return Failed(first.reason)
+        assert isinstance(first, ResponseHead)
+        fields = self._codec.read_endpoint(first)
+        self._endpoint.note_heard(fields.load)
+        try:
+            async with asyncio.timeout(max(0.0, self._call.remaining_s)):
+                return await self._take_answer(connection, first, fields)
+        except TimeoutError:
+            if self._writer.begun:
+                return Interrupted("the request's time ran out")
+            return OutOfTime(sent=True)
+
+    def _timed_out(self, remaining_s: float) -> AttemptOutcome:
+        if remaining_s <= self._patience_s:
+            return OutOfTime(sent=True)
+        self._endpoint.note_unreachable()
+        return Failed(f"no answer within {self._patience_s:.2f} s")
+
+    async def _take_answer(
+        self, connection: EndpointConnection, head: ResponseHead, fields: EndpointFields
+    ) -> AttemptOutcome:
+        if fields.not_executed:
+            await self._collect(connection)
+            return NotExecuted(
+                f"the endpoint answered {head.status}", True, head.status == _MISDIRECTED
+            )
+        if head.status in _SUCCESS:
+            problem = _success_problem(head, fields)
+            if problem:
+                self._endpoint.note_failure()
+                return Failed(problem)
+            if self._call.route.streaming:
+                return await self._pass_stream_on(connection, head)
+        return await self._pass_whole_on(connection, head)
+
+    async def _pass_whole_on(
+        self, connection: EndpointConnection, head: ResponseHead
+    ) -> AttemptOutcome:
+        body, end = await self._collect(connection)
+        if end.kind is not EndKind.WHOLE:
+            self._endpoint.note_failure()
+            return Failed(f"the answer broke off: {end.reason}")
+        if head.status in _SERVER_ERRORS:
+            self._endpoint.note_failure()
+            return Failed(f"the endpoint answered {head.status}", head, body)
+        self._endpoint.note_success()
+        self._writer.write_whole(head.status, head.reason, messages.end_to_end(head.headers), body)
+        return Answered(head.status)
+
+    async def _collect(self, connection: EndpointConnection) -> tuple[bytes, ResponseEnd]:
+        pieces: list[bytes] = []
+        while True:
+            event = await connection.next_event()
+            if isinstance(event, ResponseEnd):
+                self._whole = event.kind is EndKind.WHOLE
+                return b"".join(pieces), event
+            if isinstance(event, bytes):
+                pieces.append(event)
+
+    async def _pass_stream_on(
+        self, connection: EndpointConnection, head: ResponseHead
+    ) -> AttemptOutcome:
+        buffer = EventBuffer()
+        while True:
+            piece = await connection.next_event()
+            if isinstance(piece, ResponseEnd):
+                return self._end_stream(head, buffer, piece)
+            if not isinstance(piece, bytes):
+                continue
+            self._endpoint.note_heard()
+            for event in buffer.feed(piece):
+                if not self._writer.begun:
+                    self._writer.begin_stream(head)
+                if not self._is_repeated(event.event_id):
+                    await self._writer.write_event(event)
+            self._endpoint.prompt_read(self._run)
+
+    def _end_stream(
+        self, head: ResponseHead, buffer: EventBuffer, end: ResponseEnd
+    ) -> AttemptOutcome:
+        if end.kind is EndKind.WHOLE:
+            self._whole = True
+            if not self._writer.begun:
+                self._writer.begin_stream(head)
+            self._writer.end_stream(buffer.rest)
+            self._endpoint.note_success()
+            return Answered(head.status)
+        self._endpoint.note_failure()
+        if self._writer.begun:
+            return Interrupted(end.reason)
+        return Failed(f"the stream broke off: {end.reason}")
+
+    def _is_repeated(self, event_id: str | None) -> bool:
+        """Tell whether an event of a resumed stream has reached the caller before."""
+        last = self._writer.last_event
+        if event_id is None or not last:
+            return False
+        return event_id.isdigit() and last.isdigit() and int(event_id) <= int(last)
+
+    def _encode(self, remaining_s: float) -> bytes:
+        call = self._call
+        remaining_ms = int(remaining_s * clock.MILLISECONDS_PER_SECOND) + _ENDPOINT_MARGIN_MS
+        order = EndpointOrder(
+            self._endpoint.entry,
+            remaining_ms,
+            call.customer,
+            call.rank if call.route.has_prompt else None,
+            self._writer.last_event or call.fields.last_event,
+        )
+        headers = [*call.fields.passed_on, *self._codec.write_order(order)]
+        body = call.request.body
+        if body or call.request.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"content-length", b"%d" % len(body)))
+        start = call.request.method + b" " + call.request.target + b" HTTP/1.1"
+        return messages.encode_head(start, headers) + body
+
+    def _recognise(self, head: ResponseHead) -> bool:
+        return self._codec.read_endpoint(head).request_id == self._call.request_id
+
+
+def _success_problem(head: ResponseHead, fields: EndpointFields) -> str:
+    """Find why a success can't be the endpoint's own answer."""
+    if not fields.signed:
+        return "the answer is not signed by the endpoint"
+    if messages.header_value(head.headers, b"content-encoding") is not None:
+        return "the answer's body is encoded by something between"
+    return ""
--- /dev/null
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -0,0 +1,255 @@
+"""Serves a caller's request: routes it, tries endpoints, and gives one final answer."""
+
+import random
+from collections.abc import Callable, Mapping
+
+from absl import logging
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from pearshed._internal.gateway.answer_writer import AnswerWriter
+from pearshed._internal.gateway.attempt import Attempt
+from pearshed._internal.gateway.call import (
+    Answered,
+    AttemptOutcome,
+    Call,
+    Failed,
+    Interrupted,
+    NotExecuted,
+    OutOfTime,
+    Refusal,
+)
+from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
+from pearshed._internal.gateway.header_codec import CallerFields, HeaderCodec
+from pearshed._internal.gateway.placement import Placement
+from pearshed._internal.gateway.repeat_budget import RepeatBudget
+from pearshed._internal.http import messages
+from pearshed._internal.http.caller_connection import CallerConnection
+from pearshed._internal.http.messages import HttpRequest
+from pearshed._internal.models.routing import Route, RoutingConfiguration
+from pearshed._internal.timers import clock
+
+#: Endpoints that may turn one request away before it is refused.
+_MOST_REJECTIONS = 2
+#: Connections that may fail to open for one request.
+_MOST_UNREACHABLE = 4
+#: Part of the route's time that the first endpoint gets to begin an answer, plain requests.
+_PATIENCE_SHARE = 0.5
+#: Bounds of the random part of Retry-After, so that refused callers don't return together.
+_RETRY_AFTER_S = (0.3, 0.9)
+
+
+class Forwarder:
+    """Forwards requests by the configuration in force.
+
+    :param knowledge: the configuration in force, or nothing before the first.
+    :param keys_trusted: whether the configuration is fresh enough to accept API keys.
+    """
+
+    def __init__(
+        self,
+        codec: HeaderCodec,
+        knowledge: Callable[[], RoutingConfiguration | None],
+        keys_trusted: Callable[[], bool],
+        endpoints: EndpointTable,
+        plain_placement: Placement,
+        prompt_placement: Placement,
+        budget: Callable[[str], RepeatBudget],
+        source: random.Random,
+    ) -> None:
+        self._codec = codec
+        self._knowledge = knowledge
+        self._keys_trusted = keys_trusted
+        self._endpoints = endpoints
+        self._plain_placement = plain_placement
+        self._prompt_placement = prompt_placement
+        self._budget = budget
+        self._random = source
+
+    async def serve(
+        self, request: HttpRequest, connection: CallerConnection, close: bool
+    ) -> AnswerWriter:
+        """Answer one request.
+
+        :param close: the connection is to be closed after the answer.
+        """
+        fields = self._codec.read_caller(request.headers)
+        writer = AnswerWriter(connection, request, close)
+        routed = self._route(request, fields)
+        if not is_successful(routed):
+            self._refuse(writer, fields, routed.failure())
+            return writer
+        call = routed.unwrap()
+        self._budget(call.service).note_request()
+        await self._forward(call, writer)
+        return writer
+
+    def _route(self, request: HttpRequest, fields: CallerFields) -> Result[Call, Refusal]:
+        configuration = self._knowledge()
+        if configuration is None:
+            return Failure(Refusal(503, "no configuration is known yet", self._retry_after_s()))
+        host = messages.header_value(request.headers, b"host") or b""
+        host_name = host.decode("latin-1").partition(":")[0].lower()
+        route = configuration.match(host_name, request.path)
+        if route is None:
+            if not self._keys_trusted():
+                return Failure(Refusal(503, "the routes known are too old", self._retry_after_s()))
+            return Failure(Refusal(404, "no route matches host and path"))
+        if not fields.request_id:
+            return Failure(Refusal(400, "the request has no id"))
+        customer, rank = "", route.rank
+        if configuration.keys_required and not route.public:
+            if not self._keys_trusted():
+                return Failure(Refusal(503, "the keys known are too old", self._retry_after_s()))
+            holder = configuration.holders.get(fields.api_key)
+            if holder is None:
+                return Failure(Refusal(401, "the API key is unknown"))
+            customer = holder.name
+            rank = holder.rank if holder.rank is not None else rank
+        limit_ms = float(route.timeout_ms)
+        if fields.deadline_ms is not None:
+            limit_ms = min(limit_ms, fields.deadline_ms)
+        return Success(
+            Call(
+                request,
+                fields,
+                route,
+                self._pick_service(route),
+                customer,
+                rank,
+                request.received + limit_ms / clock.MILLISECONDS_PER_SECOND,
+                configuration.version,
+            )
+        )
+
+    def _pick_service(self, route: Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return self._random.choices(route.shares, weights)[0].service
+
+    async def _forward(self, call: Call, writer: AnswerWriter) -> None:
+        """Try endpoints until one answers or the request must be given up."""
+        tried: list[Endpoint] = []
+        ran = 0
+        rejected = 0
+        unreachable = 0
+        last: AttemptOutcome | None = None
+        while True:
+            endpoint = self._choose(call, tried)
+            if endpoint is None:
+                self._give_up(call, writer, last, ran, "no endpoint is available")
+                return
+            outcome = await self._attempt(call, endpoint, writer, ran)
+            tried.append(endpoint)
+            self._log_attempt(call, endpoint, outcome, ran + rejected + unreachable)
+            if isinstance(outcome, Answered):
+                return
+            if isinstance(outcome, NotExecuted):
+                if outcome.misdirected:
+                    endpoint.misdirected()
+                rejected += outcome.arrived
+                unreachable += not outcome.arrived
+                again = (
+                    rejected <= _MOST_REJECTIONS
+                    and unreachable <= _MOST_UNREACHABLE
+                    and (not outcome.arrived or self._budget(call.service).try_repeat())
+                )
+                last = last if isinstance(last, Failed) else outcome
+            else:
+                ran += not isinstance(outcome, OutOfTime) or outcome.sent
+                again = (
+                    isinstance(outcome, Failed | Interrupted)
+                    and call.route.repeatable
+                    and ran < call.route.max_endpoints
+                    and call.remaining_s > 0.05
+                    and self._budget(call.service).try_repeat()
+                )
+                last = outcome
+            if not again:
+                self._give_up(call, writer, last, ran, "no other attempt is allowed")
+                return
+
+    def _choose(self, call: Call, tried: list[Endpoint]) -> Endpoint | None:
+        placement = self._prompt_placement if call.route.has_prompt else self._plain_placement
+        candidates = [
+            endpoint
+            for endpoint in self._endpoints.of_service(call.service)
+            if endpoint not in tried
+        ]
+        return placement.choose(call, candidates)
+
+    async def _attempt(
+        self, call: Call, endpoint: Endpoint, writer: AnswerWriter, ran: int
+    ) -> AttemptOutcome:
+        patience_s = call.remaining_s
+        if call.route.repeatable and not call.route.streaming and ran == 0:
+            patience_s *= _PATIENCE_SHARE
+        return await Attempt(call, endpoint, self._codec, writer, patience_s).run()
+
+    def _give_up(
+        self,
+        call: Call,
+        writer: AnswerWriter,
+        last: AttemptOutcome | None,
+        ran: int,
+        cause: str,
+    ) -> None:
+        """Give the final answer to a request that no endpoint has answered."""
+        if writer.begun:
+            logging.info(
+                "request.broken_off",
+                extra={"fields": {"request": call.request_id, "events": writer.events}},
+            )
+            writer.break_off()
+            return
+        if isinstance(last, Failed) and last.head is not None:
+            headers = messages.end_to_end(last.head.headers)
+            writer.write_whole(last.head.status, last.head.reason, headers, last.body)
+            return
+        reason = getattr(last, "reason", "its time ran out")
+        if isinstance(last, OutOfTime) and last.sent:
+            refusal = Refusal(504, reason)
+        elif ran:
+            refusal = Refusal(502, reason)
+        else:
+            refusal = Refusal(503, f"{cause}: {reason}", self._retry_after_s())
+        self._refuse(writer, call.fields, refusal, call)
+
+    def _refuse(
+        self,
+        writer: AnswerWriter,
+        fields: CallerFields,
+        refusal: Refusal,
+        call: Call | None = None,
+    ) -> None:
+        logged: dict[str, object] = {
+            "request": fields.request_id,
+            "status": refusal.status,
+            "reason": refusal.reason,
+            "retry_after_s": refusal.retry_after_s,
+        }
+        if call is not None:
+            logged |= {"route": call.route.name, "version": call.version}
+        logging.info("request.refused", extra={"fields": logged})
+        headers = self._codec.write_refusal(fields.request_id, refusal.retry_after_s)
+        writer.write_whole(refusal.status, None, headers, refusal.reason.encode() + b"\n")
+
+    def _retry_after_s(self) -> float:
+        return round(self._random.uniform(*_RETRY_AFTER_S), 2)
+
+    def _log_attempt(
+        self, call: Call, endpoint: Endpoint, outcome: AttemptOutcome, number: int
+    ) -> None:
+        fields: Mapping[str, object] = {
+            "request": call.request_id,
+            "route": call.route.name,
+            "endpoint": endpoint.entry.identity,
+            "attempt": number,
+            "outcome": type(outcome).__name__,
+            "reason": getattr(outcome, "reason", ""),
+            "status": getattr(outcome, "status", 0),
+            "elapsed_ms": round((clock.now() - call.request.received) * 1000),
+            "version": call.version,
+        }
+        logging.info("request.attempt", extra={"fields": fields})
--- /dev/null
+++ b/src/pearshed/_internal/gateway/header_codec.py
@@ -0,0 +1,95 @@
+"""What the gateway reads from and writes into headers, whatever they are called."""
+
+import abc
+from dataclasses import dataclass, field
+
+from pearshed._internal.http.messages import Header, Headers, ResponseHead
+from pearshed._internal.models.routing import EndpointEntry, PromptPart
+
+
+@dataclass(frozen=True, slots=True)
+class CallerFields:
+    """What a caller says of its request.
+
+    :ivar request_id: the caller's id of this attempt; empty when it sent none.
+    :ivar deadline_ms: time that the caller waits, milliseconds; nothing when it doesn't say.
+    :ivar api_key: empty when it sent none.
+    :ivar last_event: id of the last event that the caller has; empty when it starts anew.
+    :ivar prompt: parts of the prompt in order; the last belongs to this request alone.
+    :ivar prompt_tokens: tokens of the whole prompt.
+    :ivar output_tokens: largest number of tokens to generate.
+    :ivar passed_on: headers that the endpoint gets as they came.
+    """
+
+    request_id: str
+    deadline_ms: float | None
+    api_key: str
+    last_event: str
+    prompt: tuple[PromptPart, ...]
+    prompt_tokens: int
+    output_tokens: int
+    passed_on: tuple[Header, ...] = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointOrder:
+    """What the gateway adds to a request for one endpoint.
+
+    :ivar remaining_ms: time that is left of the caller's, milliseconds.
+    :ivar customer: name of the key's holder; empty when the route is public.
+    :ivar rank: urgency, 0 is the most urgent; nothing leaves it to the endpoint.
+    :ivar last_event: id of the last event that the caller has.
+    """
+
+    endpoint: EndpointEntry
+    remaining_ms: int
+    customer: str
+    rank: int | None
+    last_event: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointLoadReport:
+    """Load as an endpoint reports it with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointFields:
+    """What an endpoint says of its answer.
+
+    :ivar request_id: the request that is answered; empty when it doesn't say.
+    :ivar signed: the endpoint vouches for the answer.
+    :ivar not_executed: the endpoint promises that the request has not run and won't.
+    """
+
+    request_id: str
+    signed: bool
+    not_executed: bool
+    load: EndpointLoadReport | None
+
+
+class HeaderCodec(abc.ABC):
+    """Translates between headers and what they mean."""
+
+    @abc.abstractmethod
+    def read_caller(self, headers: Headers) -> CallerFields:
+        """Read the headers of a caller's request."""
+
+    @abc.abstractmethod
+    def write_order(self, order: EndpointOrder) -> list[Header]:
+        """Write the headers that the gateway adds for an endpoint."""
+
+    @abc.abstractmethod
+    def read_endpoint(self, head: ResponseHead) -> EndpointFields:
+        """Read the headers of an endpoint's answer."""
+
+    @abc.abstractmethod
+    def write_refusal(self, request_id: str, retry_after_s: float) -> list[Header]:
+        """Write the headers of an answer of the gateway's own.
+
+        :param retry_after_s: when the caller may come back, seconds; 0 for no word on it.
+        """
--- /dev/null
+++ b/src/pearshed/_internal/gateway/process.py
@@ -0,0 +1,295 @@
+"""The gateway process: callers on one side, endpoints on the other, nothing between."""
+
+import asyncio
+import gc
+import random
+import signal
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import orjson
+from absl import logging
+
+import pearshed
+from pearshed._internal.errors import AddressInUseError
+from pearshed._internal.gateway.endpoints import EndpointTable
+from pearshed._internal.gateway.forwarder import Forwarder
+from pearshed._internal.gateway.header_codec import HeaderCodec
+from pearshed._internal.gateway.knowledge import DecodeDocuments, Knowledge
+from pearshed._internal.gateway.placement import LeastLoadPlacement, PromptPlacement
+from pearshed._internal.gateway.repeat_budget import RepeatBudget
+from pearshed._internal.gateway.settings import GatewaySettings
+from pearshed._internal.gateway.store import Store
+from pearshed._internal.http import messages
+from pearshed._internal.http.caller_connection import CallerConnection, ConnectionState
+from pearshed._internal.http.messages import HttpRequest, RequestProblem
+from pearshed._internal.models.routing import CallerLimits
+from pearshed._internal.telemetry.log_stream import BoundedLogStream
+from pearshed._internal.timers import clock
+from pearshed._internal.timers.service import TimerService
+from pearshed._internal.utils.addresses import Address
+
+LISTEN_BACKLOG = 1024
+#: In force until a configuration is known.
+INITIAL_LIMITS = CallerLimits(16 * 1024, 4 * 1024 * 1024, 5.0, 30.0)
+#: Time before the bound at which keys are no longer trusted: checks and clocks are not exact.
+REVOCATION_MARGIN_S = 0.5
+#: The balancer turns away after two misses a second apart, and a little later.
+BALANCER_TURNS_S = 3.2
+#: Time kept at the end of the grace for the last bytes to be sent.
+STOP_MARGIN_S = 0.3
+_SWEEP_PERIOD_S = 0.25
+_LOG_PERIOD_S = 0.1
+_IDLE_CHECK_S = 0.02
+#: Gateways that share the fleet's allowances while their number is not known.
+ASSUMED_GATEWAYS = 8
+
+
+class GatewayProcess:
+    """Forwards callers' requests straight to endpoints.
+
+    :param log_stream: where log lines wait to be written.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        store: Store,
+        decode: DecodeDocuments,
+        codec: HeaderCodec,
+        log_stream: BoundedLogStream,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._log_stream = log_stream
+        self._random = random.Random()
+        self._timers = TimerService()
+        self._knowledge = Knowledge(store, decode, self._random)
+        self._endpoints = EndpointTable()
+        self._knowledge.on_endpoints(self._endpoints.update)
+        self._budgets: dict[str, RepeatBudget] = {}
+        self._connections: set[CallerConnection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._servers: list[asyncio.Server] = []
+        self._stopping = False
+        self._stop_requested = asyncio.Event()
+        self._forwarder = Forwarder(
+            codec,
+            lambda: self._knowledge.configuration,
+            self._keys_trusted,
+            self._endpoints,
+            LeastLoadPlacement(settings.data_centre, self._random),
+            PromptPlacement(settings.data_centre, self._random),
+            self._budget,
+            self._random,
+        )
+
+    async def run(self) -> None:
+        """Run until a signal asks the process to stop, then finish what is in flight."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop_requested.set)
+        self._timers.start()
+        self._timers.every(_SWEEP_PERIOD_S, self._sweep)
+        self._timers.every(_LOG_PERIOD_S, self._log_stream.drain)
+        await self._listen(self._settings.readiness, self._serve_operator)
+        callers = await self._listen(self._settings.callers, self._serve_caller)
+        self._spawn(self._knowledge.run())
+        logging.info("process.started", extra={"fields": {"version": pearshed.__version__}})
+        gc.collect()
+        gc.freeze()
+        await self._stop_requested.wait()
+        await self._stop(callers)
+
+    def not_ready_reasons(self) -> list[str]:
+        """List why the gateway should get no callers."""
+        reasons = []
+        if self._stopping:
+            reasons.append("stopping")
+        if self._knowledge.configuration is None:
+            reasons.append("no configuration yet")
+        elif not self._keys_trusted():
+            reasons.append("the configuration is too old to trust its keys")
+        return reasons
+
+    def dump(self) -> Mapping[str, Any]:
+        """Describe the state of the process."""
+        configuration = self._knowledge.configuration
+        return {
+            "process": self._settings.name,
+            "version": pearshed.__version__,
+            "stopping": self._stopping,
+            "not_ready": self.not_ready_reasons(),
+            "configuration": configuration.version if configuration is not None else None,
+            "confirmed_ago_s": round(self._knowledge.age_s, 3) if configuration else None,
+            "store_revision": self._knowledge.revision,
+            "connections": len(self._connections),
+            "log_lines_dropped": self._log_stream.dropped,
+            "endpoints": [
+                {
+                    "identity": endpoint.entry.identity,
+                    "service": endpoint.entry.service,
+                    "address": str(endpoint.entry.address),
+                    "state": endpoint.entry.state.value,
+                    "in_flight": endpoint.in_flight,
+                    "connections": endpoint.open_connections,
+                    "failure_share": round(endpoint.failure_share, 3),
+                }
+                for endpoint in self._endpoints.endpoints
+            ],
+        }
+
+    async def _stop(self, callers: asyncio.Server) -> None:
+        """Serve until the balancer has turned away, then finish what is in flight."""
+        self._stopping = True
+        started = clock.now()
+        last = started + self._settings.grace_s - STOP_MARGIN_S
+        logging.info("process.stopping", extra={"fields": {"connections": len(self._connections)}})
+        await asyncio.sleep(min(BALANCER_TURNS_S, self._settings.grace_s / 2))
+        callers.close()
+        while clock.now() < last:
+            for connection in tuple(self._connections):
+                if connection.state is ConnectionState.IDLE:
+                    connection.close()
+            if not self._connections:
+                break
+            await asyncio.sleep(_IDLE_CHECK_S)
+        logging.info("process.stopped", extra={"fields": {"cut": len(self._connections)}})
+        self._timers.stop()
+        for task in self._tasks:
+            task.cancel()
+        self._store.close()
+        self._log_stream.drain()
+
+    async def _listen(
+        self, address: Address, serve: Callable[[CallerConnection], Any]
+    ) -> asyncio.Server:
+        def connect() -> CallerConnection:
+            return CallerConnection(
+                self._limits, lambda connection: self._spawn(serve(connection)), self._forget
+            )
+
+        try:
+            server = await asyncio.get_running_loop().create_server(
+                connect, address.host, address.port, backlog=LISTEN_BACKLOG
+            )
+        except OSError as error:
+            raise AddressInUseError(f"can't listen on {address}", context=[str(error)]) from error
+        self._servers.append(server)
+        return server
+
+    async def _serve_caller(self, connection: CallerConnection) -> None:
+        self._connections.add(connection)
+        while True:
+            request = await connection.next_request()
+            if request is None:
+                return
+            if isinstance(request, RequestProblem):
+                self._answer_problem(connection, request)
+                return
+            if not await self._serve_request(connection, request):
+                return
+            connection.finish_request()
+
+    async def _serve_request(self, connection: CallerConnection, request: HttpRequest) -> bool:
+        """Serve one request.
+
+        :returns: whether the connection can take another.
+        """
+        task = asyncio.current_task()
+        assert task is not None
+        connection.on_gone(lambda: _cancel(task))
+        try:
+            writer = await self._forwarder.serve(request, connection, self._stopping)
+        except asyncio.CancelledError:
+            if not connection.gone:
+                raise
+            logging.info("request.cancelled", extra={"fields": {"cause": "the caller left"}})
+            return False
+        finally:
+            connection.on_gone(None)
+        if writer.closes:
+            connection.close()
+            return False
+        return not connection.gone
+
+    def _answer_problem(self, connection: CallerConnection, problem: RequestProblem) -> None:
+        logging.info(
+            "request.malformed",
+            extra={"fields": {"status": problem.status, "reason": problem.message}},
+        )
+        body = problem.message.encode() + b"\n"
+        headers = (
+            (b"content-type", b"text/plain"),
+            (b"content-length", b"%d" % len(body)),
+            (b"connection", b"close"),
+        )
+        connection.write(messages.encode_head(messages.status_line(problem.status), headers) + body)
+        connection.close()
+
+    async def _serve_operator(self, connection: CallerConnection) -> None:
+        """Answer the balancer and the operator."""
+        while True:
+            request = await connection.next_request()
+            if request is None:
+                return
+            if isinstance(request, RequestProblem):
+                self._answer_problem(connection, request)
+                return
+            status, body = self._operator_page(request.path)
+            headers = [(b"content-length", b"%d" % len(body))]
+            connection.write(messages.encode_head(messages.status_line(status), headers) + body)
+            if not request.keep_alive:
+                connection.close()
+                return
+            connection.finish_request()
+
+    def _operator_page(self, path: str) -> tuple[int, bytes]:
+        if path.endswith("/dump"):
+            return 200, orjson.dumps(self.dump(), option=orjson.OPT_INDENT_2)
+        reasons = self.not_ready_reasons()
+        return (503 if reasons else 200), "\n".join(reasons or ["ready"]).encode()
+
+    def _sweep(self) -> None:
+        moment = clock.now()
+        for connection in tuple(self._connections):
+            connection.close_if_overdue(moment)
+        self._endpoints.sweep()
+        self._knowledge.sweep()
+
+    def _keys_trusted(self) -> bool:
+        if not self._settings.keys_fail_closed:
+            return True
+        return self._knowledge.age_s < self._settings.revocation_s - REVOCATION_MARGIN_S
+
+    def _limits(self) -> CallerLimits:
+        configuration = self._knowledge.configuration
+        return configuration.limits if configuration is not None else INITIAL_LIMITS
+
+    def _budget(self, service: str) -> RepeatBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            settings = self._settings
+            budget = RepeatBudget(
+                settings.repeat_ratio, settings.repeat_slack, settings.repeat_window_s
+            )
+            budget.set_nodes(ASSUMED_GATEWAYS)
+            self._budgets[service] = budget
+        return budget
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+
+    def _task_done(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logging.error("a task broke", exc_info=task.exception())
+
+    def _forget(self, connection: CallerConnection) -> None:
+        self._connections.discard(connection)
+
+
+def _cancel(task: "asyncio.Task[Any]") -> None:
+    task.cancel()
--- /dev/null
+++ b/src/pearshed/_internal/gateway/store.py
@@ -0,0 +1,79 @@
+"""The platform's store as the gateway sees it: items under keys, changes after a revision."""
+
+import abc
+from dataclasses import dataclass, field
+
+from returns.result import Result
+
+
+@dataclass(frozen=True, slots=True)
+class StoreItem:
+    """One item of the store, or word that it is gone.
+
+    :ivar revision: revision of its last change.
+    :ivar value: nothing when the item was deleted.
+    """
+
+    key: str
+    revision: int
+    value: bytes | None = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """Items that were read or changed.
+
+    :ivar revision: revision of the whole store that the answer covers.
+    :ivar asked: clock reading at which the question was sent: the answer is no older.
+    :ivar complete: whether all items that match were read.
+    """
+
+    items: tuple[StoreItem, ...]
+    revision: int
+    asked: float
+    complete: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFailure:
+    """A call that brought nothing.
+
+    :ivar history_lost: the revision asked for is too old; everything must be read again.
+    """
+
+    reason: str
+    history_lost: bool = False
+
+
+StoreResult = Result[StoreAnswer, StoreFailure]
+
+
+class Store(abc.ABC):
+    """Reads and watches the platform's store."""
+
+    @abc.abstractmethod
+    async def read_configuration(self) -> StoreResult:
+        """Read the item that holds the configuration."""
+
+    @abc.abstractmethod
+    async def read_endpoints(self) -> StoreResult:
+        """Read all entries of endpoints, page by page; the pages are no snapshot."""
+
+    @abc.abstractmethod
+    async def watch(self, after: int, wait_s: float) -> StoreResult:
+        """Wait for changes after a revision.
+
+        :returns: the changes; none when ``wait_s`` passed without one.
+        """
+
+    @abc.abstractmethod
+    def is_configuration(self, key: str) -> bool:
+        """Tell whether a key is the configuration's."""
+
+    @abc.abstractmethod
+    def endpoint_identity(self, key: str) -> str:
+        """Read the identity of an endpoint from the key of its entry; empty for other keys."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Drop the connection."""
--- /dev/null
+++ b/src/pearshed/_internal/http/messages.py
@@ -0,0 +1,143 @@
+"""HTTP messages as the parsers deliver them."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+Header = tuple[bytes, bytes]
+Headers = tuple[Header, ...]
+
+#: Headers that concern one connection only (RFC 9110, section 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+REASONS = {
+    100: b"Continue",
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    421: b"Misdirected Request",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A whole request of a caller.
+
+    :ivar target: path with query string, as sent.
+    :ivar headers: names in lower case.
+    :ivar received: clock reading at which its first byte was read, seconds.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = field(repr=False)
+    keep_alive: bool
+    http_1_1: bool
+    received: float
+
+    @property
+    def path(self) -> str:
+        """The target without its query string."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+@dataclass(frozen=True, slots=True)
+class RequestProblem:
+    """A request that can't be taken; its connection is closed after the answer.
+
+    :ivar status: HTTP status of the answer.
+    """
+
+    status: int
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Start of an endpoint's answer.
+
+    :ivar headers: names in lower case.
+    :ivar reason: reason phrase as sent.
+    """
+
+    status: int
+    reason: bytes
+    headers: Headers
+
+
+def header_value(headers: Iterable[Header], name: bytes) -> bytes | None:
+    """Find the first value of a header.
+
+    :param name: in lower case.
+    """
+    for candidate, value in headers:
+        if candidate == name:
+            return value
+    return None
+
+
+def header_values(headers: Iterable[Header], name: bytes) -> list[bytes]:
+    """List the values of a header that may stand several times."""
+    return [value for candidate, value in headers if candidate == name]
+
+
+def connection_options(headers: Iterable[Header]) -> frozenset[bytes]:
+    """List the options of the Connection headers, in lower case."""
+    options: set[bytes] = set()
+    for value in header_values(headers, b"connection"):
+        options.update(option.strip().lower() for option in value.split(b","))
+    options.discard(b"")
+    return frozenset(options)
+
+
+def end_to_end(headers: Headers) -> list[Header]:
+    """Leave out the headers that concern one connection only, and the length of the body."""
+    options = connection_options(headers)
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in CONNECTION_HEADERS and name not in options and name != b"content-length"
+    ]
+
+
+def encode_head(start_line: bytes, headers: Iterable[Header]) -> bytes:
+    """Encode a start line with its headers."""
+    lines = [start_line]
+    lines.extend(name + b": " + value for name, value in headers)
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines)
+
+
+def status_line(status: int, reason: bytes | None = None) -> bytes:
+    """Encode the first line of an answer."""
+    phrase = reason if reason is not None else REASONS.get(status, b"Status")
+    return b"HTTP/1.1 %d %s" % (status, phrase)
+
+
+def encode_chunk(content: bytes) -> bytes:
+    """Encode a chunk of a body."""
+    return b"%x\r\n%s\r\n" % (len(content), content)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
--- a/src/pearshed/_internal/logs.py
+++ b/src/pearshed/_internal/logs.py
@@ -1,9 +1,11 @@
 """Logging of a process: plain text or one JSON object a line, by ``absl.logging``."""
 
+import io
 import json
 import logging as standard_logging
 import sys
 import time
+from typing import Any
 
 from absl import flags, logging
 
@@ -57,12 +59,22 @@
 
     :param verbosity: ``debug``, ``info``, ``warning`` or ``error``.
     """
+    formatter = JsonFormatter(process) if log_format is LogFormat.JSON else PlainFormatter()
+    _configure(sys.stderr, formatter, verbosity)
+
+
+def configure_stream(process: str, stream: io.TextIOBase, verbosity: str = "info") -> None:
+    """Send the logs of this process to a stream, one JSON object a line.
+
+    :param verbosity: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+    _configure(stream, JsonFormatter(process), verbosity)
+
+
+def _configure(stream: Any, formatter: standard_logging.Formatter, verbosity: str) -> None:
     handler = logging.get_absl_handler()
-    handler.python_handler.stream = sys.stderr
-    if log_format is LogFormat.JSON:
-        handler.setFormatter(JsonFormatter(process))
-    else:
-        handler.setFormatter(PlainFormatter())
+    handler.python_handler.stream = stream
+    handler.setFormatter(formatter)
     if not flags.FLAGS.is_parsed():
         # The command line is argparse's; absl would else warn that its flags are not parsed.
         flags.FLAGS.mark_as_parsed()
--- /dev/null
+++ b/src/pearshed/_internal/platform/settings_file.py
@@ -0,0 +1,120 @@
+"""The platform's settings file (JSON), decoded into the gateway's settings."""
+
+import os
+import pathlib
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+from returns.pipeline import is_successful
+
+from pearshed._internal.errors import FieldProblem, SettingsError
+from pearshed._internal.gateway.settings import GatewaySettings
+from pearshed._internal.platform import names
+from pearshed._internal.timers.clock import MILLISECONDS_PER_SECOND
+from pearshed._internal.utils.addresses import Address, parse_address
+
+_UNSET_ADDRESS = Address("127.0.0.1", 0)
+
+
+def settings_path() -> pathlib.Path:
+    """Find the settings file that the platform names in the environment.
+
+    :raises SettingsError: when the environment names none.
+    """
+    path = os.environ.get(names.SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(
+            f"the environment variable {names.SETTINGS_VARIABLE} is not set",
+            hint="it holds the path of the platform's settings file; or use --settings FILE",
+        )
+    return pathlib.Path(path)
+
+
+def load_gateway_settings(path: pathlib.Path) -> GatewaySettings:
+    """Read and check the settings of a gateway.
+
+    Fields that are not known are ignored, since the platform may add some at any time.
+
+    :raises SettingsError: naming every field that is wrong.
+    """
+    try:
+        raw = orjson.loads(path.read_bytes())
+    except OSError as error:
+        raise SettingsError(f"can't read the settings file {path}", context=[str(error)]) from error
+    except orjson.JSONDecodeError as error:
+        raise SettingsError(f"{path} is not JSON", context=[str(error)]) from error
+    reader = _Reader(raw)
+    settings = _read(reader)
+    if reader.problems:
+        raise SettingsError(
+            f"the settings in {path} are wrong",
+            context=[str(problem) for problem in reader.problems],
+            hint="docs/configuration.md lists the fields that a gateway needs",
+        )
+    return settings
+
+
+def _read(reader: "_Reader") -> GatewaySettings:
+    bounds = reader.mapping("bounds")
+    seeds = reader.raw.get("seeds")
+    parsed = [parse_address(str(seed)) for seed in seeds] if isinstance(seeds, list) else []
+    return GatewaySettings(
+        name=reader.text("node"),
+        data_centre=reader.text("zone"),
+        callers=reader.address("listen", "front"),
+        readiness=reader.address("listen", "ready"),
+        control=reader.address("listen", "control", required=False),
+        seeds=tuple(seed.unwrap() for seed in parsed if is_successful(seed)),
+        store=reader.address("provider", "address"),
+        keys_fail_closed=bounds.get("failClosed") is True,
+        revocation_s=reader.seconds("bounds", "revokeMs"),
+        grace_s=reader.number("bounds", "graceS"),
+        repeat_ratio=reader.number("bounds", "retryBudgetRatio"),
+        repeat_slack=reader.number("bounds", "budgetSlack"),
+        repeat_window_s=reader.number("bounds", "budgetWindowS"),
+        bounds=bounds,
+    )
+
+
+class _Reader:
+    """Reads fields of the file and collects what is wrong with them."""
+
+    def __init__(self, raw: Any) -> None:
+        self.raw: Mapping[str, Any] = raw if isinstance(raw, dict) else {}
+        self.problems: list[FieldProblem] = []
+        if not isinstance(raw, dict):
+            self.problems.append(FieldProblem((), "expected an object"))
+
+    def mapping(self, name: str) -> Mapping[str, Any]:
+        value = self.raw.get(name)
+        return value if isinstance(value, dict) else {}
+
+    def text(self, name: str) -> str:
+        value = self.raw.get(name)
+        if not isinstance(value, str) or not value:
+            self.problems.append(FieldProblem((name,), f"expected text, found {value!r}"))
+            return ""
+        return value
+
+    def number(self, section: str, name: str) -> float:
+        value = self.mapping(section).get(name)
+        if not isinstance(value, int | float) or isinstance(value, bool):
+            self.problems.append(
+                FieldProblem((section, name), f"expected a number, found {value!r}")
+            )
+            return 0.0
+        return float(value)
+
+    def seconds(self, section: str, name: str) -> float:
+        return self.number(section, name) / MILLISECONDS_PER_SECOND
+
+    def address(self, section: str, name: str, *, required: bool = True) -> Address:
+        value = self.mapping(section).get(name)
+        if value is None and not required:
+            return _UNSET_ADDRESS
+        parsed = parse_address(str(value))
+        if not is_successful(parsed):
+            self.problems.append(FieldProblem((section, name), parsed.failure()))
+            return _UNSET_ADDRESS
+        return parsed.unwrap()
--- /dev/null
+++ b/src/pearshed/_internal/platform/store_client.py
@@ -0,0 +1,185 @@
+"""Client of the platform's store: reads and watches over one kept connection."""
+
+import asyncio
+import base64
+import binascii
+import urllib.parse
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+from returns.result import Failure, Success
+
+from pearshed._internal.gateway.store import (
+    Store,
+    StoreAnswer,
+    StoreFailure,
+    StoreItem,
+    StoreResult,
+)
+from pearshed._internal.http import messages
+from pearshed._internal.http.endpoint_connection import (
+    EndKind,
+    EndpointConnection,
+    ResponseEnd,
+    connect,
+)
+from pearshed._internal.http.messages import ResponseHead
+from pearshed._internal.platform import names
+from pearshed._internal.timers import clock
+from pearshed._internal.utils.addresses import Address
+
+#: The store is one hop away and answers in milliseconds; it is given up on after this.
+CONNECT_TIMEOUT_S = 0.8
+#: Time beyond the wait asked for: answers may take 100 times their usual 4 ms.
+ANSWER_TIMEOUT_S = 0.9
+_GONE = 410
+_OK = 200
+_NOT_FOUND = 404
+
+
+class PlatformStore(Store):
+    """Speaks to the platform's store.
+
+    :param address: of the store, by IP number.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._connection: EndpointConnection | None = None
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Calls made, a watch counting as one."""
+        return self._calls
+
+    async def read_configuration(self) -> StoreResult:
+        """Read the operator's configuration."""
+        answer = await self._call(names.ITEM_CALL, {"key": names.CONFIGURATION_KEY})
+        if isinstance(answer, StoreFailure):
+            return Failure(answer)
+        status, raw, asked = answer
+        items = (_item(raw),) if status == _OK else ()
+        return _answer(items, raw, asked)
+
+    async def read_endpoints(self) -> StoreResult:
+        """Read all entries of endpoints."""
+        found: list[StoreItem | None] = []
+        after = ""
+        first: tuple[Mapping[str, Any], float] | None = None
+        while True:
+            query = {"pathPrefix": names.ENDPOINT_PREFIX}
+            if after:
+                query["sinceRev"] = after
+            answer = await self._call(names.RANGE_CALL, query)
+            if isinstance(answer, StoreFailure):
+                return Failure(answer)
+            _, raw, asked = answer
+            # Changes between pages are covered by a watch from the first page's revision.
+            first = first or (raw, asked)
+            page = raw.get("items")
+            if not isinstance(page, list):
+                return Failure(StoreFailure("the page of entries has no items"))
+            found.extend(_item(entry) for entry in page)
+            if raw.get("truncated") is not True or not page:
+                return _answer(tuple(found), *first)
+            after = str(page[-1].get("key", ""))
+
+    async def watch(self, after: int, wait_s: float) -> StoreResult:
+        """Wait for changes of any key after a revision."""
+        wait_ms = int(wait_s * clock.MILLISECONDS_PER_SECOND)
+        query = {"pathPrefix": "", "sinceRev": str(after), "waitMs": str(wait_ms)}
+        answer = await self._call(names.WATCH_CALL, query, wait_s)
+        if isinstance(answer, StoreFailure):
+            return Failure(answer)
+        _, raw, asked = answer
+        events = raw.get("events")
+        if not isinstance(events, list):
+            return Failure(StoreFailure("the watch brought no events"))
+        return _answer(tuple(_item(event) for event in events), raw, asked)
+
+    def is_configuration(self, key: str) -> bool:
+        """Tell whether a key is the configuration's."""
+        return key == names.CONFIGURATION_KEY
+
+    def endpoint_identity(self, key: str) -> str:
+        """Read the identity of an endpoint from the key of its entry."""
+        if not key.startswith(names.ENDPOINT_PREFIX):
+            return ""
+        return key.removeprefix(names.ENDPOINT_PREFIX)
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    async def _call(
+        self, path: str, query: Mapping[str, str], wait_s: float = 0.0
+    ) -> tuple[int, Mapping[str, Any], float] | StoreFailure:
+        asked = clock.now()
+        self._calls += 1
+        try:
+            async with asyncio.timeout(wait_s + CONNECT_TIMEOUT_S + ANSWER_TIMEOUT_S):
+                status, body = await self._exchange(f"{path}?{urllib.parse.urlencode(query)}")
+        except (OSError, TimeoutError) as error:
+            self.close()
+            return StoreFailure(f"{path}: {error or 'no answer in time'}")
+        if status == _GONE:
+            return StoreFailure(f"{path}: the history asked for is gone", history_lost=True)
+        if status not in (_OK, _NOT_FOUND):
+            return StoreFailure(f"{path} answered status {status}")
+        try:
+            raw = orjson.loads(body)
+        except orjson.JSONDecodeError as error:
+            return StoreFailure(f"{path}: {error}")
+        if not isinstance(raw, dict):
+            return StoreFailure(f"{path}: expected an object")
+        return status, raw, asked
+
+    async def _exchange(self, target: str) -> tuple[int, bytes]:
+        if self._connection is None or not self._connection.usable:
+            self._connection = await connect(self._address, CONNECT_TIMEOUT_S)
+        connection = self._connection
+        request = messages.encode_head(
+            b"GET %s HTTP/1.1" % target.encode("ascii"), ((b"host", str(self._address).encode()),)
+        )
+        connection.send(request, lambda _: True)
+        status = 0
+        body: list[bytes] = []
+        while True:
+            event = await connection.next_event()
+            if isinstance(event, ResponseHead):
+                status = event.status
+            elif isinstance(event, ResponseEnd):
+                connection.finish()
+                if event.kind is not EndKind.WHOLE:
+                    raise OSError(event.reason)
+                return status, b"".join(body)
+            else:
+                body.append(event)
+
+
+def _answer(
+    items: tuple[StoreItem | None, ...], raw: Mapping[str, Any], asked: float
+) -> StoreResult:
+    revision = raw.get("storeRevision")
+    if not isinstance(revision, int):
+        return Failure(StoreFailure("the answer names no revision of the store"))
+    return Success(StoreAnswer(tuple(item for item in items if item is not None), revision, asked))
+
+
+def _item(raw: Any) -> StoreItem | None:
+    """Decode an item; one that can't be decoded names nothing and is left out."""
+    if not isinstance(raw, dict):
+        return None
+    key, revision, value = raw.get("key"), raw.get("revision"), raw.get("value")
+    if not isinstance(key, str) or not isinstance(revision, int):
+        return None
+    if raw.get("deleted") is True:
+        return StoreItem(key, revision, None)
+    try:
+        return StoreItem(key, revision, base64.b64decode(value or "", validate=True))
+    except (binascii.Error, TypeError, ValueError):
+        return StoreItem(key, revision, b"")
