Split lanes by size before traffic is known, and copy shared parts between engines

Change: until 20 requests are seen prompts are split at two reading chunks; a request whose shared part was last read elsewhere tells its engine to copy it from there.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -1,6 +1,7 @@
 """One attempt at a request: one endpoint, one connection, one answer."""
 
 import asyncio
+from collections.abc import Callable
 
 from pearshed._internal.gateway.answer_writer import AnswerWriter
 from pearshed._internal.gateway.call import (
@@ -12,9 +13,9 @@
     NotExecuted,
     OutOfTime,
 )
-from pearshed._internal.gateway.endpoints import Endpoint
 from pearshed._internal.gateway.event_stream import EventBuffer
 from pearshed._internal.gateway.header_codec import EndpointFields, EndpointOrder, HeaderCodec
+from pearshed._internal.gateway.placement import Placing
 from pearshed._internal.http import messages
 from pearshed._internal.http.endpoint_connection import EndKind, EndpointConnection, ResponseEnd
 from pearshed._internal.http.messages import ResponseHead
@@ -31,18 +32,22 @@
     """Sends a request to an endpoint and passes its answer on.
 
     :param patience_s: longest time to wait for the start of the answer, seconds.
+    :param on_read: called when the endpoint has read the request's prompt.
     """
 
     def __init__(
         self,
         call: Call,
-        endpoint: Endpoint,
+        placing: Placing,
         codec: HeaderCodec,
         writer: AnswerWriter,
         patience_s: float,
+        on_read: Callable[[], None],
     ) -> None:
         self._call = call
-        self._endpoint = endpoint
+        self._endpoint = placing.endpoint
+        self._fetch_from = placing.fetch_from
+        self._on_read = on_read
         self._codec = codec
         self._writer = writer
         self._patience_s = patience_s
@@ -144,6 +149,7 @@
         self, connection: EndpointConnection, head: ResponseHead
     ) -> AttemptOutcome:
         buffer = EventBuffer()
+        prompt_read = False
         while True:
             piece = await connection.next_event()
             if isinstance(piece, ResponseEnd):
@@ -152,11 +158,14 @@
                 continue
             self._endpoint.note_heard()
             for event in buffer.feed(piece):
+                if not prompt_read:
+                    prompt_read = True
+                    self._endpoint.prompt_read(self._run)
+                    self._on_read()
                 if not self._writer.begun:
                     self._writer.begin_stream(head)
                 if not self._is_repeated(event.event_id):
                     await self._writer.write_event(event)
-            self._endpoint.prompt_read(self._run)
 
     def _end_stream(
         self, head: ResponseHead, buffer: EventBuffer, end: ResponseEnd
@@ -189,6 +198,7 @@
             call.customer,
             call.rank if call.route.has_prompt else None,
             self._writer.last_event or call.fields.last_event,
+            self._fetch_from.entry.address if self._fetch_from is not None else None,
         )
         headers = [*call.fields.passed_on, *self._codec.write_order(order)]
         body = call.request.body
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -21,7 +21,7 @@
 )
 from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
 from pearshed._internal.gateway.header_codec import CallerFields, HeaderCodec
-from pearshed._internal.gateway.placement import Placement
+from pearshed._internal.gateway.placement import Placement, Placing
 from pearshed._internal.gateway.repeat_budget import RepeatBudget
 from pearshed._internal.http import messages
 from pearshed._internal.http.caller_connection import CallerConnection
@@ -142,11 +142,12 @@
         unreachable = 0
         last: AttemptOutcome | None = None
         while True:
-            endpoint = self._choose(call, tried)
-            if endpoint is None:
+            placing = self._placement(call).choose(call, self._candidates(call, tried))
+            if placing is None:
                 self._give_up(call, writer, last, ran, "no endpoint is available")
                 return
-            outcome = await self._attempt(call, endpoint, writer, ran)
+            endpoint = placing.endpoint
+            outcome = await self._attempt(call, placing, writer, ran)
             tried.append(endpoint)
             self._log_attempt(call, endpoint, outcome, ran + rejected + unreachable)
             if isinstance(outcome, Answered):
@@ -176,22 +177,27 @@
                 self._give_up(call, writer, last, ran, "no other attempt is allowed")
                 return
 
-    def _choose(self, call: Call, tried: list[Endpoint]) -> Endpoint | None:
-        placement = self._prompt_placement if call.route.has_prompt else self._plain_placement
-        candidates = [
+    def _placement(self, call: Call) -> Placement:
+        return self._prompt_placement if call.route.has_prompt else self._plain_placement
+
+    def _candidates(self, call: Call, tried: list[Endpoint]) -> list[Endpoint]:
+        return [
             endpoint
             for endpoint in self._endpoints.of_service(call.service)
             if endpoint not in tried
         ]
-        return placement.choose(call, candidates)
 
     async def _attempt(
-        self, call: Call, endpoint: Endpoint, writer: AnswerWriter, ran: int
+        self, call: Call, placing: Placing, writer: AnswerWriter, ran: int
     ) -> AttemptOutcome:
         patience_s = call.remaining_s
         if call.route.repeatable and not call.route.streaming and ran == 0:
             patience_s *= _PATIENCE_SHARE
-        return await Attempt(call, endpoint, self._codec, writer, patience_s).run()
+
+        def note_read() -> None:
+            self._placement(call).note_read(call, placing.endpoint)
+
+        return await Attempt(call, placing, self._codec, writer, patience_s, note_read).run()
 
     def _give_up(
         self,
--- a/src/pearshed/_internal/gateway/header_codec.py
+++ b/src/pearshed/_internal/gateway/header_codec.py
@@ -5,6 +5,7 @@
 
 from pearshed._internal.http.messages import Header, Headers, ResponseHead
 from pearshed._internal.models.routing import EndpointEntry, PromptPart
+from pearshed._internal.utils.addresses import Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +40,7 @@
     :ivar customer: name of the key's holder; empty when the route is public.
     :ivar rank: urgency, 0 is the most urgent; nothing leaves it to the endpoint.
     :ivar last_event: id of the last event that the caller has.
+    :ivar fetch_from: an engine that likely keeps parts of the prompt, to be copied from there.
     """
 
     endpoint: EndpointEntry
@@ -46,6 +48,7 @@
     customer: str
     rank: int | None
     last_event: str
+    fetch_from: Address | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pearshed/_internal/gateway/lanes.py
+++ b/src/pearshed/_internal/gateway/lanes.py
@@ -20,6 +20,12 @@
 SHORT_LANE_HEADROOM = 1.3
 #: Time over which the traffic of a route is averaged, seconds.
 AVERAGING_S = 10.0
+#: Requests that must have been seen before their sizes are trusted.
+ENOUGH_REQUESTS = 20
+#: Until then a prompt shorter than two chunks of an engine's reading is taken as short, tokens.
+ASSUMED_SHORT_TOKENS = 4096
+#: Until then this part of the engines is for short prompts.
+ASSUMED_SHORT_SHARE = 0.2
 
 
 @dataclass(slots=True)
@@ -50,27 +56,31 @@
         if held is None:
             self._traffic[route.name] = _RouteTraffic(tokens, unshared, 1.0, moment)
             return
-        fading = 2.0 ** (-(moment - held.updated) / AVERAGING_S)
-        held.weight = held.weight * fading + 1.0
+        held.weight = held.weight * _fading(moment - held.updated) + 1.0
         # Sizes vary far more slowly than rates, so they are averaged over all requests alike.
         share = max(1.0 / held.weight, 0.01)
         held.tokens += (tokens - held.tokens) * share
         held.unshared += (unshared - held.unshared) * share
         held.updated = moment
 
-    def lane_of(self, route: Route) -> int:
-        """Number of the route's lane, the shortest prompts first."""
-        lanes = self._group()
-        return next((at for at, lane in enumerate(lanes) if route.name in lane), 0)
+    def select(
+        self, route: Route, tokens: int, endpoints: Sequence[Endpoint]
+    ) -> Sequence[Endpoint]:
+        """List the engines of the route's lane.
 
-    def select(self, route: Route, endpoints: Sequence[Endpoint]) -> Sequence[Endpoint]:
-        """List the engines of the route's lane."""
+        :param tokens: of the request's whole prompt.
+        """
+        if len(endpoints) < 2:
+            return endpoints
+        ordered = sorted(endpoints, key=_order)
+        if sum(traffic.weight for traffic in self._traffic.values()) < ENOUGH_REQUESTS:
+            short = max(1, round(len(ordered) * ASSUMED_SHORT_SHARE))
+            return ordered[:short] if tokens < ASSUMED_SHORT_TOKENS else ordered[short:]
         lanes = self._group()
         if len(lanes) < 2 or len(endpoints) < len(lanes):
             return endpoints
         at = next((at for at, lane in enumerate(lanes) if route.name in lane), 0)
         sizes = self._sizes(lanes, len(endpoints))
-        ordered = sorted(endpoints, key=_order)
         start = sum(sizes[:at])
         return ordered[start : start + sizes[at]]
 
@@ -102,8 +112,12 @@
     def _demand(self, name: str) -> float:
         """Tokens that a route's requests make the engines read, per averaging time."""
         traffic = self._traffic[name]
-        age_s = clock.now() - traffic.updated
-        return traffic.weight * 2.0 ** (-age_s / AVERAGING_S) * traffic.unshared
+        return traffic.weight * _fading(clock.now() - traffic.updated) * traffic.unshared
+
+
+def _fading(age_s: float) -> float:
+    """Weight of a request of some age."""
+    return float(2.0 ** (-age_s / AVERAGING_S))
 
 
 def _order(endpoint: Endpoint) -> bytes:
--- a/src/pearshed/_internal/gateway/placement.py
+++ b/src/pearshed/_internal/gateway/placement.py
@@ -1,9 +1,11 @@
 """Chooses the endpoint for a request."""
 
 import abc
+import collections
 import hashlib
 import random
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from pearshed._internal.gateway.call import Call
 from pearshed._internal.gateway.endpoints import Endpoint
@@ -16,15 +18,35 @@
 _FAILING_SHARE = 0.5
 #: Part of requests that try a failing endpoint, so that it is noticed when it is well again.
 _TRIAL_SHARE = 0.05
+#: Shared parts whose last reader is remembered; about 100 bytes each.
+_MOST_PARTS = 20_000
+#: Shared parts shorter than this are read again sooner than they are copied.
+_LEAST_COPIED_TOKENS = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Placing:
+    """Where a request goes.
+
+    :ivar fetch_from: an engine that likely keeps the shared part of the prompt, when the chosen
+        one likely doesn't; copying it costs less than reading it again.
+    """
+
+    endpoint: Endpoint
+    fetch_from: Endpoint | None = None
 
 
 class Placement(abc.ABC):
-    """Orders endpoints for a request."""
+    """Chooses endpoints for requests."""
 
     @abc.abstractmethod
-    def choose(self, call: Call, candidates: Sequence[Endpoint]) -> Endpoint | None:
+    def choose(self, call: Call, candidates: Sequence[Endpoint]) -> Placing | None:
         """Choose one endpoint, or nothing where there is none."""
 
+    @abc.abstractmethod
+    def note_read(self, call: Call, endpoint: Endpoint) -> None:
+        """Note that an endpoint has read the prompt of a request."""
+
 
 def preferred(candidates: Sequence[Endpoint], source: random.Random) -> Sequence[Endpoint]:
     """Leave out endpoints that are ejected, silent or failing, while others remain."""
@@ -55,7 +77,7 @@
         self._data_centre = data_centre
         self._random = source
 
-    def choose(self, call: Call, candidates: Sequence[Endpoint]) -> Endpoint | None:
+    def choose(self, call: Call, candidates: Sequence[Endpoint]) -> Placing | None:
         """Choose the endpoint with the least load."""
         moment = clock.now()
         usable = preferred(candidates, self._random)
@@ -72,7 +94,10 @@
                 + self._random.random() * 0.5
             )
 
-        return min(usable, key=load)
+        return Placing(min(usable, key=load))
+
+    def note_read(self, call: Call, endpoint: Endpoint) -> None:
+        """Do nothing: plain requests have no prompt."""
 
 
 class PromptPlacement(Placement):
@@ -93,8 +118,9 @@
         self._data_centre = data_centre
         self._random = source
         self._lanes: dict[str, Lanes] = {}
+        self._readers: collections.OrderedDict[str, Endpoint] = collections.OrderedDict()
 
-    def choose(self, call: Call, candidates: Sequence[Endpoint]) -> Endpoint | None:
+    def choose(self, call: Call, candidates: Sequence[Endpoint]) -> Placing | None:
         """Choose by the shared part, within bounds on load."""
         usable = preferred(candidates, self._random)
         if not usable:
@@ -103,13 +129,36 @@
         prompt = call.fields.prompt
         unshared = prompt[-1].tokens if prompt else call.fields.prompt_tokens
         lanes.note(call.route, call.fields.prompt_tokens, unshared)
-        usable = lanes.select(call.route, usable)
+        usable = lanes.select(call.route, call.fields.prompt_tokens, usable)
         moment = clock.now()
         loads = {endpoint: endpoint.in_flight + endpoint.others_load(moment) for endpoint in usable}
         bound = min(loads.values()) + self.OVERLOAD
         part = call.shared_part or call.request_id
         ranked = sorted(usable, key=lambda endpoint: _score(part, endpoint), reverse=True)
-        return next(endpoint for endpoint in ranked if loads[endpoint] <= bound)
+        chosen = next(endpoint for endpoint in ranked if loads[endpoint] <= bound)
+        return Placing(chosen, self._source(call, chosen, ranked[0], candidates))
+
+    def note_read(self, call: Call, endpoint: Endpoint) -> None:
+        """Remember which engine has read a shared part last."""
+        part = call.shared_part
+        if not part:
+            return
+        self._readers[part] = endpoint
+        self._readers.move_to_end(part)
+        if len(self._readers) > _MOST_PARTS:
+            self._readers.popitem(last=False)
+
+    def _source(
+        self, call: Call, chosen: Endpoint, home: Endpoint, candidates: Sequence[Endpoint]
+    ) -> Endpoint | None:
+        """Find the engine from which the shared part can be copied."""
+        prompt = call.fields.prompt
+        if len(prompt) < 2 or sum(part.tokens for part in prompt[:-1]) < _LEAST_COPIED_TOKENS:
+            return None
+        reader = self._readers.get(call.shared_part, home)
+        if reader is chosen or reader not in candidates or not reader.accepting:
+            return None
+        return reader
 
 
 def _score(part: str, endpoint: Endpoint) -> bytes:
--- a/src/pearshed/_internal/platform/headers.py
+++ b/src/pearshed/_internal/platform/headers.py
@@ -48,6 +48,8 @@
             headers.append((names.CUSTOMER, order.customer.encode("latin-1")))
         if order.rank is not None:
             headers.append((names.RANK, b"%d" % min(order.rank, _LOWEST_RANK)))
+        if order.fetch_from is not None:
+            headers.append((names.FETCH_FROM, str(order.fetch_from).encode()))
         if order.last_event:
             headers.append((names.LAST_EVENT_ID, order.last_event.encode("latin-1")))
         return headers
--- a/src/pearshed/_internal/platform/names.py
+++ b/src/pearshed/_internal/platform/names.py
@@ -15,6 +15,7 @@
 NOT_EXECUTED = b"pearshed-not-executed"
 IDENTITY = b"pearshed-instance-id"
 RANK = b"pearshed-request-priority"
+FETCH_FROM = b"kv-fetch"
 RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 KEY_SCHEME = "token "
@@ -33,7 +34,7 @@
         b"pearshed-pin-ms",
         b"pearshed-kv-backup",
         b"kv-from",
-        b"kv-fetch",
+        FETCH_FROM,
         b"expect",
     )
 )
