Let sides admit requests to their engines

Cause: in bursts an engine took every request. Ruled out: a limit at each gateway (21 gateways share an engine, each sees one request in two seconds there, so its share of a limit is below one). Change: a light process beside each engine knows what the engine keeps and runs, and grants, queues or refuses requests by rank; gateways ask by datagrams and go straight where a side is silent.

--- a/src/pearshed/_internal/commands/__init__.py
+++ b/src/pearshed/_internal/commands/__init__.py
@@ -32,6 +32,11 @@
         "GatewayCommand",
         "Forward requests on the users' platform.",
     ),
+    "engine-side": CommandInfo(
+        "pearshed._internal.commands.engine_side",
+        "EngineSideCommand",
+        "Admit requests to the engine on this VM.",
+    ),
     "check": CommandInfo(
         "pearshed._internal.commands.check",
         "CheckCommand",
--- /dev/null
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -0,0 +1,177 @@
+"""The process beside an engine: it admits requests, which gateways then send to the engine."""
+
+import asyncio
+import signal
+from collections.abc import Mapping
+from typing import Any, cast
+
+from absl import logging
+from returns.pipeline import is_successful
+
+import pearshed
+from pearshed._internal.engine_side import messages
+from pearshed._internal.engine_side.admission_queue import AdmissionQueue, Reservation
+from pearshed._internal.engine_side.messages import (
+    Ask,
+    Done,
+    Granted,
+    Message,
+    PromptRead,
+    Refused,
+    Waiting,
+)
+from pearshed._internal.engine_side.monitor import EngineMonitor
+from pearshed._internal.engine_side.prompt_cache import PromptCache
+from pearshed._internal.engine_side.settings import EngineSideSettings
+from pearshed._internal.telemetry.log_stream import BoundedLogStream
+from pearshed._internal.timers import clock
+from pearshed._internal.timers.service import TimerService
+
+#: Period of the engine's reports; gateways tell of starts and ends at once, so this only corrects.
+REPORT_PERIOD_S = 0.1
+#: Wait for changes of the cache; the engine's longest.
+CACHE_WAIT_S = 1.0
+_RETRY_S = 0.25
+_SWEEP_PERIOD_S = 0.02
+_LOG_PERIOD_S = 0.1
+
+_Peer = tuple[str, int]
+
+
+class EngineSideProcess(asyncio.DatagramProtocol):
+    """Answers the gateways' questions for admission to one engine."""
+
+    def __init__(
+        self, settings: EngineSideSettings, monitor: EngineMonitor, log_stream: BoundedLogStream
+    ) -> None:
+        self._settings = settings
+        self._monitor = monitor
+        self._log_stream = log_stream
+        self._timers = TimerService()
+        self._cache = PromptCache()
+        self._queue = AdmissionQueue(self._cache, self._grant, self._refuse)
+        self._transport: asyncio.DatagramTransport | None = None
+        self._stop_requested = asyncio.Event()
+        self._stopping = False
+        self._counts = {"granted": 0, "refused": 0, "malformed": 0}
+
+    async def run(self) -> None:
+        """Run until a signal asks the process to stop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop_requested.set)
+        loop.add_signal_handler(signal.SIGHUP, _note_reload)
+        self._timers.start()
+        self._timers.every(_SWEEP_PERIOD_S, self._queue.advance)
+        self._timers.every(_LOG_PERIOD_S, self._log_stream.drain)
+        address = self._settings.listen
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(address.host, address.port))
+        tasks = [loop.create_task(self._follow_reports()), loop.create_task(self._follow_cache())]
+        logging.info("process.started", extra={"fields": {"version": pearshed.__version__}})
+        await self._stop_requested.wait()
+        logging.info("process.stopping", extra={"fields": self.dump()})
+        for task in tasks:
+            task.cancel()
+        self._timers.stop()
+        self._monitor.close()
+        self._log_stream.drain()
+
+    def dump(self) -> Mapping[str, Any]:
+        """Describe the state of the process."""
+        return {
+            "engine": str(self._settings.engine),
+            "waiting": self._queue.waiting,
+            "admitted": self._queue.granted,
+            "tokens_per_s": round(self._queue.tokens_per_s),
+            **self._counts,
+        }
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: _Peer) -> None:
+        """Take a message of a gateway."""
+        decoded = messages.decode(data)
+        if not is_successful(decoded):
+            self._counts["malformed"] += 1
+            logging.info("datagram.malformed", extra={"fields": {"reason": decoded.failure()}})
+            return
+        message = decoded.unwrap()
+        if isinstance(message, Ask):
+            self._take_ask(message, addr)
+        elif isinstance(message, PromptRead):
+            self._queue.note_read(message.reservation)
+        elif isinstance(message, Done):
+            self._queue.note_done(message.reservation)
+
+    def _take_ask(self, ask: Ask, peer: _Peer) -> None:
+        if self._queue.is_granted(ask.reservation):
+            self._send(Granted(ask.reservation), peer)
+            return
+
+        def notify(message: object) -> None:
+            self._send(message, peer)  # type: ignore[arg-type]
+
+        accepted = self._queue.ask(ask, notify)
+        if accepted and not self._queue.is_granted(ask.reservation):
+            self._send(Waiting(ask.reservation), peer)
+
+    def _grant(self, reservation: Reservation) -> None:
+        self._counts["granted"] += 1
+        reservation.notify(Granted(reservation.ask.reservation))
+
+    def _refuse(self, reservation: Reservation, wait_s: float) -> None:
+        self._counts["refused"] += 1
+        wait_ms = int(wait_s * clock.MILLISECONDS_PER_SECOND)
+        reservation.notify(Refused(reservation.ask.reservation, wait_ms))
+        logging.info(
+            "admission.refused",
+            extra={
+                "fields": {
+                    "request": reservation.ask.reservation.partition("/")[0],
+                    "rank": reservation.ask.rank,
+                    "unread": reservation.unread,
+                    "waiting": self._queue.waiting,
+                    "admitted": self._queue.granted,
+                    "expected_wait_ms": wait_ms,
+                }
+            },
+        )
+
+    def _send(self, message: Message, peer: _Peer) -> None:
+        if self._transport is not None:
+            self._transport.sendto(messages.encode(message), peer)
+
+    async def _follow_reports(self) -> None:
+        known = False
+        while True:
+            report = await self._monitor.report()
+            if is_successful(report):
+                self._queue.note_report(report.unwrap())
+            if is_successful(report) is not known:
+                known = is_successful(report)
+                reason = "" if known else report.failure()
+                event = "engine.reached" if known else "engine.lost"
+                logging.info(event, extra={"fields": {"reason": reason}})
+            await asyncio.sleep(REPORT_PERIOD_S if known else _RETRY_S)
+
+    async def _follow_cache(self) -> None:
+        since = 0
+        epoch = ""
+        while True:
+            news = await self._monitor.cache_news(since, CACHE_WAIT_S)
+            if not is_successful(news):
+                await asyncio.sleep(_RETRY_S)
+                continue
+            found = news.unwrap()
+            if found.epoch != epoch and epoch:
+                logging.info("engine.started_anew", extra={"fields": {"epoch": found.epoch}})
+                self._cache.forget()
+            epoch = found.epoch
+            since = found.next_number
+            self._cache.apply(found)
+
+
+def _note_reload() -> None:
+    logging.info("settings.unchanged", extra={"fields": {"cause": "SIGHUP"}})
--- /dev/null
+++ b/src/pearshed/_internal/engine_side/settings.py
@@ -0,0 +1,19 @@
+"""Settings of the process beside an engine."""
+
+from dataclasses import dataclass
+
+from pearshed._internal.utils.addresses import Address
+
+
+@dataclass(frozen=True)
+class EngineSideSettings:
+    """Settings of the process beside an engine.
+
+    :ivar listen: address for gateways (UDP).
+    :ivar engine: address of the engine.
+    """
+
+    name: str
+    data_centre: str
+    listen: Address
+    engine: Address
--- /dev/null
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -0,0 +1,206 @@
+"""Asks the sides of engines to admit requests before these are sent."""
+
+import abc
+import asyncio
+from dataclasses import dataclass
+from typing import cast
+
+from absl import logging
+from returns.pipeline import is_successful
+
+from pearshed._internal.engine_side import messages
+from pearshed._internal.engine_side.messages import (
+    Ask,
+    Done,
+    Granted,
+    Message,
+    PromptRead,
+    Refused,
+    Waiting,
+)
+from pearshed._internal.gateway.call import Call
+from pearshed._internal.gateway.endpoints import Endpoint
+from pearshed._internal.timers import clock
+
+#: A side answers in a few milliseconds; a lost datagram is sent again after this.
+ASK_AGAIN_S = 0.06
+#: Questions without any answer after which a side is taken as silent.
+MOST_UNANSWERED = 3
+#: A silent side isn't asked for this long; requests then go straight to its engine.
+SILENT_S = 1.5
+#: A waiting reservation is renewed this often, so that its side knows it is still wanted.
+RENEW_S = 0.2
+#: Time beyond its budget after which a reservation that hears nothing is given up.
+_OVERDUE_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request may be sent now.
+
+    :ivar reservation: to be told of the request's end; empty where no side was asked.
+    """
+
+    reservation: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotAdmitted:
+    """The engine can't begin the request in time; nothing was sent.
+
+    :ivar wait_s: time after which it likely could, seconds.
+    """
+
+    wait_s: float
+
+
+Admission = Admitted | NotAdmitted
+
+
+class EngineAdmission(abc.ABC):
+    """Decides whether a request may be sent to an engine now."""
+
+    @abc.abstractmethod
+    async def admit(
+        self, call: Call, endpoint: Endpoint, attempt: int, budget_s: float
+    ) -> Admission:
+        """Ask for admission.
+
+        :param attempt: number of the attempt at the request.
+        :param budget_s: longest time to wait for it, seconds.
+        """
+
+    @abc.abstractmethod
+    def note_read(self, admitted: Admitted, endpoint: Endpoint) -> None:
+        """Tell that the engine has read the prompt."""
+
+    @abc.abstractmethod
+    def note_done(self, admitted: Admitted, endpoint: Endpoint) -> None:
+        """Tell that the request has ended."""
+
+
+class SideAdmission(EngineAdmission, asyncio.DatagramProtocol):
+    """Asks the sides by datagrams. Where a side is silent, requests are sent unasked.
+
+    :param port: of the sides, alike on all VMs.
+    """
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._transport: asyncio.DatagramTransport | None = None
+        self._answers: dict[str, asyncio.Queue[Message]] = {}
+        self._silent_until: dict[str, float] = {}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take an answer of a side."""
+        decoded = messages.decode(data)
+        if not is_successful(decoded):
+            logging.info("datagram.malformed", extra={"fields": {"reason": decoded.failure()}})
+            return
+        message = decoded.unwrap()
+        self._silent_until.pop(addr[0], None)
+        answers = self._answers.get(message.reservation)
+        if answers is not None:
+            answers.put_nowait(message)
+        elif isinstance(message, Granted):
+            # The request is no longer wanted here.
+            self._send(Done(message.reservation), addr[0])
+
+    async def admit(
+        self, call: Call, endpoint: Endpoint, attempt: int, budget_s: float
+    ) -> Admission:
+        """Ask the side of an engine."""
+        host = endpoint.entry.address.host
+        if clock.now() < self._silent_until.get(host, 0.0):
+            return Admitted("")
+        reservation = f"{call.request_id}/{attempt}"
+        answers: asyncio.Queue[Message] = asyncio.Queue()
+        self._answers[reservation] = answers
+        granted = False
+        try:
+            outcome = await self._converse(call, host, reservation, answers, budget_s)
+            granted = isinstance(outcome, Admitted)
+            return outcome
+        finally:
+            del self._answers[reservation]
+            if not granted:
+                self._send(Done(reservation), host)
+
+    def note_read(self, admitted: Admitted, endpoint: Endpoint) -> None:
+        """Tell the side that the engine has read the prompt."""
+        if admitted.reservation:
+            self._send(PromptRead(admitted.reservation), endpoint.entry.address.host)
+
+    def note_done(self, admitted: Admitted, endpoint: Endpoint) -> None:
+        """Tell the side that the request has ended."""
+        if admitted.reservation:
+            self._send(Done(admitted.reservation), endpoint.entry.address.host)
+
+    async def _converse(
+        self,
+        call: Call,
+        host: str,
+        reservation: str,
+        answers: "asyncio.Queue[Message]",
+        budget_s: float,
+    ) -> Admission:
+        ends = clock.now() + budget_s
+        unanswered = 0
+        pause_s = ASK_AGAIN_S
+        while True:
+            left_s = ends - clock.now()
+            if left_s < -_OVERDUE_S:
+                return NotAdmitted(budget_s)
+            self._send(self._ask(call, reservation, left_s), host)
+            try:
+                async with asyncio.timeout(pause_s):
+                    answer = await answers.get()
+            except TimeoutError:
+                unanswered += 1
+                if unanswered >= MOST_UNANSWERED and pause_s == ASK_AGAIN_S:
+                    self._note_silent(host)
+                    return Admitted("")
+                continue
+            if isinstance(answer, Granted):
+                return Admitted(reservation)
+            if isinstance(answer, Refused):
+                return NotAdmitted(answer.wait_ms / clock.MILLISECONDS_PER_SECOND)
+            if isinstance(answer, Waiting):
+                decided = await self._wait(answers)
+                if decided is not None:
+                    return decided
+                pause_s = RENEW_S
+
+    async def _wait(self, answers: "asyncio.Queue[Message]") -> Admission | None:
+        """Wait for a decision on a reservation until it must be renewed."""
+        try:
+            async with asyncio.timeout(RENEW_S):
+                while True:
+                    answer = await answers.get()
+                    if isinstance(answer, Granted):
+                        return Admitted(answer.reservation)
+                    if isinstance(answer, Refused):
+                        return NotAdmitted(answer.wait_ms / clock.MILLISECONDS_PER_SECOND)
+        except TimeoutError:
+            return None
+
+    def _ask(self, call: Call, reservation: str, left_s: float) -> Ask:
+        return Ask(
+            reservation,
+            call.rank,
+            max(0, int(left_s * clock.MILLISECONDS_PER_SECOND)),
+            call.fields.prompt,
+            call.fields.expected_output,
+        )
+
+    def _note_silent(self, host: str) -> None:
+        self._silent_until[host] = clock.now() + SILENT_S
+        logging.info("side.silent", extra={"fields": {"host": host, "for_s": SILENT_S}})
+
+    def _send(self, message: Message, host: str) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(messages.encode(message), (host, self._port))
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -2,11 +2,18 @@
 
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 
 from absl import logging
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from pearshed._internal.gateway.admission import (
+    Admission,
+    Admitted,
+    EngineAdmission,
+    NotAdmitted,
+)
 from pearshed._internal.gateway.answer_writer import AnswerWriter
 from pearshed._internal.gateway.attempt import Attempt
 from pearshed._internal.gateway.call import (
@@ -31,6 +38,13 @@
 
 #: Endpoints that may turn one request away before it is refused.
 _MOST_REJECTIONS = 2
+#: Engines that are asked to admit one request before it is refused.
+_MOST_NOT_ADMITTED = 3
+#: Part of the route's target for which a request waits for admission; the rest of the target is
+#: for reading its prompt.
+_WAITING_SHARE = 0.5
+#: Another attempt with less time than this can't succeed, seconds.
+_LEAST_REMAINING_S = 0.05
 #: Connections that may fail to open for one request.
 _MOST_UNREACHABLE = 4
 #: Part of the route's time that the first endpoint gets to begin an answer, plain requests.
@@ -39,6 +53,24 @@
 _RETRY_AFTER_S = (0.3, 0.9)
 
 
+@dataclass(slots=True)
+class _Progress:
+    """What was tried for a request so far.
+
+    :ivar ran: endpoints that may have run it.
+    :ivar rejected: endpoints that got it and turned it away.
+    :ivar wait_s: shortest time after which an engine likely could begin it, seconds.
+    """
+
+    tried: list[Endpoint] = field(default_factory=list)
+    ran: int = 0
+    rejected: int = 0
+    unreachable: int = 0
+    not_admitted: int = 0
+    wait_s: float = 0.0
+    last: AttemptOutcome | None = None
+
+
 class Forwarder:
     """Forwards requests by the configuration in force.
 
@@ -54,9 +86,11 @@
         endpoints: EndpointTable,
         plain_placement: Placement,
         prompt_placement: Placement,
+        admission: EngineAdmission,
         budget: Callable[[str], RepeatBudget],
         source: random.Random,
     ) -> None:
+        self._admission = admission
         self._codec = codec
         self._knowledge = knowledge
         self._keys_trusted = keys_trusted
@@ -136,47 +170,62 @@
 
     async def _forward(self, call: Call, writer: AnswerWriter) -> None:
         """Try endpoints until one answers or the request must be given up."""
-        tried: list[Endpoint] = []
-        ran = 0
-        rejected = 0
-        unreachable = 0
-        last: AttemptOutcome | None = None
+        progress = _Progress()
         while True:
-            placing = self._placement(call).choose(call, self._candidates(call, tried))
+            placing = self._placement(call).choose(call, self._candidates(call, progress.tried))
             if placing is None:
-                self._give_up(call, writer, last, ran, "no endpoint is available")
+                self._give_up(call, writer, progress, "no endpoint is available")
                 return
-            endpoint = placing.endpoint
-            outcome = await self._attempt(call, placing, writer, ran)
-            tried.append(endpoint)
-            self._log_attempt(call, endpoint, outcome, ran + rejected + unreachable)
+            progress.tried.append(placing.endpoint)
+            admission = await self._admit(call, placing.endpoint, progress)
+            if isinstance(admission, NotAdmitted):
+                progress.not_admitted += 1
+                progress.wait_s = min(progress.wait_s or admission.wait_s, admission.wait_s)
+                if progress.not_admitted >= _MOST_NOT_ADMITTED:
+                    self._give_up(call, writer, progress, "the engines are busy")
+                    return
+                continue
+            outcome = await self._attempt(call, placing, writer, progress, admission)
+            self._log_attempt(call, placing.endpoint, outcome, len(progress.tried))
             if isinstance(outcome, Answered):
                 return
-            if isinstance(outcome, NotExecuted):
-                if outcome.misdirected:
-                    endpoint.misdirected()
-                rejected += outcome.arrived
-                unreachable += not outcome.arrived
-                again = (
-                    rejected <= _MOST_REJECTIONS
-                    and unreachable <= _MOST_UNREACHABLE
-                    and (not outcome.arrived or self._budget(call.service).try_repeat())
-                )
-                last = last if isinstance(last, Failed) else outcome
-            else:
-                ran += not isinstance(outcome, OutOfTime) or outcome.sent
-                again = (
-                    isinstance(outcome, Failed | Interrupted)
-                    and call.route.repeatable
-                    and ran < call.route.max_endpoints
-                    and call.remaining_s > 0.05
-                    and self._budget(call.service).try_repeat()
-                )
-                last = outcome
-            if not again:
-                self._give_up(call, writer, last, ran, "no other attempt is allowed")
+            if not self._may_go_on(call, placing.endpoint, outcome, progress):
+                self._give_up(call, writer, progress, "no other attempt is allowed")
                 return
 
+    def _may_go_on(
+        self, call: Call, endpoint: Endpoint, outcome: AttemptOutcome, progress: "_Progress"
+    ) -> bool:
+        """Count an attempt that brought no whole answer, and decide on another."""
+        budget = self._budget(call.service)
+        if isinstance(outcome, NotExecuted):
+            if outcome.misdirected:
+                endpoint.misdirected()
+            if not isinstance(progress.last, Failed):
+                progress.last = outcome
+            if not outcome.arrived:
+                progress.unreachable += 1
+                return progress.unreachable <= _MOST_UNREACHABLE
+            progress.rejected += 1
+            return progress.rejected <= _MOST_REJECTIONS and budget.try_repeat()
+        progress.last = outcome
+        progress.ran += not isinstance(outcome, OutOfTime) or outcome.sent
+        return (
+            isinstance(outcome, Failed | Interrupted)
+            and call.route.repeatable
+            and progress.ran < call.route.max_endpoints
+            and call.remaining_s > _LEAST_REMAINING_S
+            and budget.try_repeat()
+        )
+
+    async def _admit(self, call: Call, endpoint: Endpoint, progress: "_Progress") -> Admission:
+        if not call.route.has_prompt:
+            return Admitted("")
+        waited_s = clock.now() - call.request.received
+        target_s = call.route.target_ms / clock.MILLISECONDS_PER_SECOND
+        budget_s = max(0.0, min(target_s * _WAITING_SHARE, call.remaining_s) - waited_s)
+        return await self._admission.admit(call, endpoint, len(progress.tried), budget_s)
+
     def _placement(self, call: Call) -> Placement:
         return self._prompt_placement if call.route.has_prompt else self._plain_placement
 
@@ -188,26 +237,30 @@
         ]
 
     async def _attempt(
-        self, call: Call, placing: Placing, writer: AnswerWriter, ran: int
+        self,
+        call: Call,
+        placing: Placing,
+        writer: AnswerWriter,
+        progress: "_Progress",
+        admitted: Admitted,
     ) -> AttemptOutcome:
         patience_s = call.remaining_s
-        if call.route.repeatable and not call.route.streaming and ran == 0:
+        if call.route.repeatable and not call.route.streaming and progress.ran == 0:
             patience_s *= _PATIENCE_SHARE
 
         def note_read() -> None:
             self._placement(call).note_read(call, placing.endpoint)
+            self._admission.note_read(admitted, placing.endpoint)
 
-        return await Attempt(call, placing, self._codec, writer, patience_s, note_read).run()
+        attempt = Attempt(call, placing, self._codec, writer, patience_s, note_read)
+        try:
+            return await attempt.run()
+        finally:
+            self._admission.note_done(admitted, placing.endpoint)
 
-    def _give_up(
-        self,
-        call: Call,
-        writer: AnswerWriter,
-        last: AttemptOutcome | None,
-        ran: int,
-        cause: str,
-    ) -> None:
+    def _give_up(self, call: Call, writer: AnswerWriter, progress: "_Progress", cause: str) -> None:
         """Give the final answer to a request that no endpoint has answered."""
+        last = progress.last
         if writer.begun:
             logging.info(
                 "request.broken_off",
@@ -219,13 +272,13 @@
             headers = messages.end_to_end(last.head.headers)
             writer.write_whole(last.head.status, last.head.reason, headers, last.body)
             return
-        reason = getattr(last, "reason", "its time ran out")
+        reason = getattr(last, "reason", "its time ran out" if last is not None else cause)
         if isinstance(last, OutOfTime) and last.sent:
             refusal = Refusal(504, reason)
-        elif ran:
+        elif progress.ran:
             refusal = Refusal(502, reason)
         else:
-            refusal = Refusal(503, f"{cause}: {reason}", self._retry_after_s())
+            refusal = Refusal(503, f"{cause}: {reason}", self._retry_after_s(progress.wait_s))
         self._refuse(writer, call.fields, refusal, call)
 
     def _refuse(
@@ -247,8 +300,10 @@
         headers = self._codec.write_refusal(fields.request_id, refusal.retry_after_s)
         writer.write_whole(refusal.status, None, headers, refusal.reason.encode() + b"\n")
 
-    def _retry_after_s(self) -> float:
-        return round(self._random.uniform(*_RETRY_AFTER_S), 2)
+    def _retry_after_s(self, wait_s: float = 0.0) -> float:
+        """Choose when a refused caller may come back: not before its turn, nor all at once."""
+        least_s, most_s = _RETRY_AFTER_S
+        return round(wait_s + self._random.uniform(least_s, most_s), 2)
 
     def _log_attempt(
         self, call: Call, endpoint: Endpoint, outcome: AttemptOutcome, number: int
--- a/src/pearshed/_internal/gateway/header_codec.py
+++ b/src/pearshed/_internal/gateway/header_codec.py
@@ -19,6 +19,7 @@
     :ivar prompt: parts of the prompt in order; the last belongs to this request alone.
     :ivar prompt_tokens: tokens of the whole prompt.
     :ivar output_tokens: largest number of tokens to generate.
+    :ivar output_hint: the caller's guess of that number; 0 when it gives none.
     :ivar passed_on: headers that the endpoint gets as they came.
     """
 
@@ -29,8 +30,16 @@
     prompt: tuple[PromptPart, ...]
     prompt_tokens: int
     output_tokens: int
+    output_hint: int
     passed_on: tuple[Header, ...] = field(repr=False)
 
+    @property
+    def expected_output(self) -> int:
+        """Tokens that the request likely generates."""
+        if not self.output_hint:
+            return self.output_tokens
+        return min(self.output_hint, self.output_tokens or self.output_hint)
+
 
 @dataclass(frozen=True, slots=True)
 class EndpointOrder:
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -12,6 +12,7 @@
 
 import pearshed
 from pearshed._internal.errors import AddressInUseError
+from pearshed._internal.gateway.admission import SideAdmission
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.forwarder import Forwarder
 from pearshed._internal.gateway.header_codec import HeaderCodec
@@ -74,6 +75,7 @@
         self._stopping = False
         self._refusing = False
         self._stop_requested = asyncio.Event()
+        self._admission = SideAdmission(settings.peers.port)
         self._forwarder = Forwarder(
             codec,
             lambda: self._knowledge.configuration,
@@ -81,6 +83,7 @@
             self._endpoints,
             LeastLoadPlacement(settings.data_centre, self._random),
             PromptPlacement(settings.data_centre, self._random),
+            self._admission,
             self._budget,
             self._random,
         )
@@ -93,6 +96,11 @@
         self._timers.start()
         self._timers.every(_SWEEP_PERIOD_S, self._sweep)
         self._timers.every(_LOG_PERIOD_S, self._log_stream.drain)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        peers = self._settings.peers
+        await loop.create_datagram_endpoint(
+            lambda: self._admission, local_addr=(peers.host, peers.port)
+        )
         await self._listen(self._settings.readiness, self._serve_operator)
         callers = await self._listen(self._settings.callers, self._serve_caller)
         self._spawn(self._knowledge.run())
@@ -256,6 +264,9 @@
         reasons = self.not_ready_reasons()
         return (503 if reasons else 200), "\n".join(reasons or ["ready"]).encode()
 
+    def _reload(self) -> None:
+        logging.info("settings.unchanged", extra={"fields": {"cause": "SIGHUP"}})
+
     def _sweep(self) -> None:
         moment = clock.now()
         for connection in tuple(self._connections):
--- a/src/pearshed/_internal/gateway/settings.py
+++ b/src/pearshed/_internal/gateway/settings.py
@@ -14,6 +14,7 @@
     :ivar callers: address for callers.
     :ivar readiness: address at which the platform's balancer asks for readiness.
     :ivar control: address for other gateways and for operators; port 0 when not served.
+    :ivar peers: address for messages to and from the sides of engines (UDP); sides use its port.
     :ivar seeds: control addresses of some gateways; they may be stale.
     :ivar store: address of the platform's store.
     :ivar keys_fail_closed: keys are refused when it isn't known in time whether they still hold.
@@ -30,6 +31,7 @@
     callers: Address
     readiness: Address
     control: Address
+    peers: Address
     seeds: tuple[Address, ...]
     store: Address
     keys_fail_closed: bool
--- a/src/pearshed/_internal/logs.py
+++ b/src/pearshed/_internal/logs.py
@@ -82,4 +82,5 @@
         standard_logging.getLogger(name).setLevel(standard_logging.WARNING)
     logging.use_absl_handler()
     logging.set_verbosity(verbosity)
-    logging.set_stderrthreshold(verbosity)
+    # The handler writes to standard error by itself what reaches this threshold.
+    logging.set_stderrthreshold(verbosity if stream is sys.stderr else "fatal")
--- a/src/pearshed/_internal/platform/headers.py
+++ b/src/pearshed/_internal/platform/headers.py
@@ -31,6 +31,7 @@
             prompt=_prompt_parts(found.get(names.PROMPT_PARTS, b"")),
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
+            output_hint=_whole(found.get(names.LENGTH_HINT, b"")),
             passed_on=tuple(
                 header
                 for header in messages.end_to_end(headers)
@@ -81,6 +82,10 @@
         return None
 
 
+def _whole(value: bytes) -> int:
+    return int(value) if value.isdigit() else 0
+
+
 def _api_key(value: bytes) -> str:
     text = value.decode("latin-1")
     if text[: len(names.KEY_SCHEME)].lower() != names.KEY_SCHEME:
--- /dev/null
+++ b/src/pearshed/_internal/platform/json_call.py
@@ -0,0 +1,98 @@
+"""Calls with JSON answers over one kept connection, as the platform's services take them."""
+
+import asyncio
+import urllib.parse
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import orjson
+from returns.result import Failure, Result, Success
+
+from pearshed._internal.http import messages
+from pearshed._internal.http.endpoint_connection import (
+    EndKind,
+    EndpointConnection,
+    ResponseEnd,
+    connect,
+)
+from pearshed._internal.http.messages import Header, ResponseHead
+from pearshed._internal.utils.addresses import Address
+
+#: Every service is one hop away.
+CONNECT_TIMEOUT_S = 0.8
+
+
+class JsonCaller:
+    """Makes one call at a time.
+
+    :param address: of the service, by IP number.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._connection: EndpointConnection | None = None
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Calls made."""
+        return self._calls
+
+    async def call(
+        self,
+        path: str,
+        query: Mapping[str, str],
+        timeout_s: float,
+        headers: Sequence[Header] = (),
+    ) -> Result[tuple[int, Mapping[str, Any]], str]:
+        """Call and decode the answer.
+
+        :returns: status and body, or why there is none; a connection that failed is dropped.
+        """
+        self._calls += 1
+        target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S + timeout_s):
+                status, body = await self._exchange(target, headers)
+        except (OSError, TimeoutError) as error:
+            self.close()
+            return Failure(f"{path}: {error or 'no answer in time'}")
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        try:
+            raw = orjson.loads(body) if body else {}
+        except orjson.JSONDecodeError as error:
+            return Failure(f"{path}: status {status}, {error}")
+        if not isinstance(raw, dict):
+            return Failure(f"{path}: expected an object")
+        return Success((status, raw))
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    async def _exchange(self, target: str, headers: Sequence[Header]) -> tuple[int, bytes]:
+        if self._connection is None or not self._connection.usable:
+            self._connection = await connect(self._address, CONNECT_TIMEOUT_S)
+        connection = self._connection
+        request = messages.encode_head(
+            b"GET %s HTTP/1.1" % target.encode("ascii"),
+            ((b"host", str(self._address).encode()), *headers),
+        )
+        connection.send(request, lambda _: True)
+        status = 0
+        body: list[bytes] = []
+        while True:
+            event = await connection.next_event()
+            if isinstance(event, ResponseHead):
+                status = event.status
+            elif isinstance(event, ResponseEnd):
+                connection.finish()
+                if event.kind is not EndKind.WHOLE:
+                    raise OSError(event.reason)
+                return status, b"".join(body)
+            else:
+                body.append(event)
--- a/src/pearshed/_internal/platform/settings_file.py
+++ b/src/pearshed/_internal/platform/settings_file.py
@@ -2,18 +2,20 @@
 
 import os
 import pathlib
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
 
 import orjson
 from returns.pipeline import is_successful
 
+from pearshed._internal.engine_side.settings import EngineSideSettings
 from pearshed._internal.errors import FieldProblem, SettingsError
 from pearshed._internal.gateway.settings import GatewaySettings
 from pearshed._internal.platform import names
 from pearshed._internal.timers.clock import MILLISECONDS_PER_SECOND
 from pearshed._internal.utils.addresses import Address, parse_address
 
+_Settings = TypeVar("_Settings")
 _UNSET_ADDRESS = Address("127.0.0.1", 0)
 
 
@@ -38,6 +40,18 @@
 
     :raises SettingsError: naming every field that is wrong.
     """
+    return _load(path, _read_gateway)
+
+
+def load_engine_side_settings(path: pathlib.Path) -> EngineSideSettings:
+    """Read and check the settings of the process beside an engine.
+
+    :raises SettingsError: naming every field that is wrong.
+    """
+    return _load(path, _read_engine_side)
+
+
+def _load(path: pathlib.Path, read: Callable[["_Reader"], _Settings]) -> _Settings:
     try:
         raw = orjson.loads(path.read_bytes())
     except OSError as error:
@@ -45,17 +59,27 @@
     except orjson.JSONDecodeError as error:
         raise SettingsError(f"{path} is not JSON", context=[str(error)]) from error
     reader = _Reader(raw)
-    settings = _read(reader)
+    settings = read(reader)
     if reader.problems:
         raise SettingsError(
             f"the settings in {path} are wrong",
             context=[str(problem) for problem in reader.problems],
-            hint="docs/configuration.md lists the fields that a gateway needs",
+            hint="docs/configuration.md lists the fields that are needed",
         )
     return settings
 
 
-def _read(reader: "_Reader") -> GatewaySettings:
+def _read_engine_side(reader: "_Reader") -> EngineSideSettings:
+    host = reader.text("ip")
+    return EngineSideSettings(
+        name=reader.text("node"),
+        data_centre=reader.text("zone"),
+        listen=Address(host, reader.first_peer_port()),
+        engine=reader.address("", "app"),
+    )
+
+
+def _read_gateway(reader: "_Reader") -> GatewaySettings:
     bounds = reader.mapping("bounds")
     seeds = reader.raw.get("seeds")
     parsed = [parse_address(str(seed)) for seed in seeds] if isinstance(seeds, list) else []
@@ -67,6 +91,7 @@
         control=reader.address("listen", "control", required=False),
         seeds=tuple(seed.unwrap() for seed in parsed if is_successful(seed)),
         store=reader.address("provider", "address"),
+        peers=Address(reader.text("ip"), reader.first_peer_port()),
         keys_fail_closed=bounds.get("failClosed") is True,
         revocation_s=reader.seconds("bounds", "revokeMs"),
         grace_s=reader.number("bounds", "graceS"),
@@ -110,7 +135,7 @@
         return self.number(section, name) / MILLISECONDS_PER_SECOND
 
     def address(self, section: str, name: str, *, required: bool = True) -> Address:
-        value = self.mapping(section).get(name)
+        value = (self.mapping(section) if section else self.raw).get(name)
         if value is None and not required:
             return _UNSET_ADDRESS
         parsed = parse_address(str(value))
@@ -118,3 +143,11 @@
             self.problems.append(FieldProblem((section, name), parsed.failure()))
             return _UNSET_ADDRESS
         return parsed.unwrap()
+
+    def first_peer_port(self) -> int:
+        """Read the port for messages between the system's own processes, alike on all VMs."""
+        ports = self.raw.get("portRange")
+        if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
+            self.problems.append(FieldProblem(("portRange",), f"expected ports, found {ports!r}"))
+            return 0
+        return ports[0]
--- a/src/pearshed/_internal/platform/store_client.py
+++ b/src/pearshed/_internal/platform/store_client.py
@@ -1,13 +1,11 @@
 """Client of the platform's store: reads and watches over one kept connection."""
 
-import asyncio
 import base64
 import binascii
-import urllib.parse
 from collections.abc import Mapping
 from typing import Any
 
-import orjson
+from returns.pipeline import is_successful
 from returns.result import Failure, Success
 
 from pearshed._internal.gateway.store import (
@@ -17,20 +15,11 @@
     StoreItem,
     StoreResult,
 )
-from pearshed._internal.http import messages
-from pearshed._internal.http.endpoint_connection import (
-    EndKind,
-    EndpointConnection,
-    ResponseEnd,
-    connect,
-)
-from pearshed._internal.http.messages import ResponseHead
 from pearshed._internal.platform import names
+from pearshed._internal.platform.json_call import JsonCaller
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
 
-#: The store is one hop away and answers in milliseconds; it is given up on after this.
-CONNECT_TIMEOUT_S = 0.8
 #: Time beyond the wait asked for: answers may take 100 times their usual 4 ms.
 ANSWER_TIMEOUT_S = 0.9
 _GONE = 410
@@ -45,14 +34,12 @@
     """
 
     def __init__(self, address: Address) -> None:
-        self._address = address
-        self._connection: EndpointConnection | None = None
-        self._calls = 0
+        self._caller = JsonCaller(address)
 
     @property
     def calls(self) -> int:
         """Calls made, a watch counting as one."""
-        return self._calls
+        return self._caller.calls
 
     async def read_configuration(self) -> StoreResult:
         """Read the operator's configuration."""
@@ -111,55 +98,22 @@
 
     def close(self) -> None:
         """Drop the connection."""
-        if self._connection is not None:
-            self._connection.abort()
-            self._connection = None
+        self._caller.close()
 
     async def _call(
         self, path: str, query: Mapping[str, str], wait_s: float = 0.0
     ) -> tuple[int, Mapping[str, Any], float] | StoreFailure:
         asked = clock.now()
-        self._calls += 1
-        try:
-            async with asyncio.timeout(wait_s + CONNECT_TIMEOUT_S + ANSWER_TIMEOUT_S):
-                status, body = await self._exchange(f"{path}?{urllib.parse.urlencode(query)}")
-        except (OSError, TimeoutError) as error:
-            self.close()
-            return StoreFailure(f"{path}: {error or 'no answer in time'}")
+        answer = await self._caller.call(path, query, wait_s + ANSWER_TIMEOUT_S)
+        if not is_successful(answer):
+            return StoreFailure(answer.failure())
+        status, raw = answer.unwrap()
         if status == _GONE:
             return StoreFailure(f"{path}: the history asked for is gone", history_lost=True)
         if status not in (_OK, _NOT_FOUND):
             return StoreFailure(f"{path} answered status {status}")
-        try:
-            raw = orjson.loads(body)
-        except orjson.JSONDecodeError as error:
-            return StoreFailure(f"{path}: {error}")
-        if not isinstance(raw, dict):
-            return StoreFailure(f"{path}: expected an object")
         return status, raw, asked
 
-    async def _exchange(self, target: str) -> tuple[int, bytes]:
-        if self._connection is None or not self._connection.usable:
-            self._connection = await connect(self._address, CONNECT_TIMEOUT_S)
-        connection = self._connection
-        request = messages.encode_head(
-            b"GET %s HTTP/1.1" % target.encode("ascii"), ((b"host", str(self._address).encode()),)
-        )
-        connection.send(request, lambda _: True)
-        status = 0
-        body: list[bytes] = []
-        while True:
-            event = await connection.next_event()
-            if isinstance(event, ResponseHead):
-                status = event.status
-            elif isinstance(event, ResponseEnd):
-                connection.finish()
-                if event.kind is not EndKind.WHOLE:
-                    raise OSError(event.reason)
-                return status, b"".join(body)
-            else:
-                body.append(event)
-
 
 def _answer(
     items: tuple[StoreItem | None, ...], raw: Mapping[str, Any], asked: float
