Rank requests by their customers before their routes, and spread short prompts evenly

Prompts with short shared parts were tied to single engines (609 of 2136 on one). Change: ranks are compared by customer, then by route; only shared parts of 1,024 tokens or more bind a request to an engine; lanes count output too.

--- a/src/pearshed/_internal/gateway/call.py
+++ b/src/pearshed/_internal/gateway/call.py
@@ -46,6 +46,11 @@
             return prompt[-2].part_id
         return ""
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the prompt's parts that other requests may share."""
+        return sum(part.tokens for part in self.fields.prompt[:-1])
+
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -137,15 +137,13 @@
             return Failure(Refusal(404, "no route matches host and path"))
         if not fields.request_id:
             return Failure(Refusal(400, "the request has no id"))
-        customer, rank = "", route.rank
+        holder = None
         if configuration.keys_required and not route.public:
             if not self._keys_trusted():
                 return Failure(Refusal(503, "the keys known are too old", self._retry_after_s()))
             holder = configuration.holders.get(fields.api_key)
             if holder is None:
                 return Failure(Refusal(401, "the API key is unknown"))
-            customer = holder.name
-            rank = holder.rank if holder.rank is not None else rank
         limit_ms = float(route.timeout_ms)
         if fields.deadline_ms is not None:
             limit_ms = min(limit_ms, fields.deadline_ms)
@@ -155,8 +153,8 @@
                 fields,
                 route,
                 self._pick_service(route),
-                customer,
-                rank,
+                holder.name if holder is not None else "",
+                configuration.rank(route, holder),
                 request.received + limit_ms / clock.MILLISECONDS_PER_SECOND,
                 configuration.version,
             )
--- a/src/pearshed/_internal/gateway/lanes.py
+++ b/src/pearshed/_internal/gateway/lanes.py
@@ -17,7 +17,7 @@
 LANE_SIZE_FACTOR = 3.0
 #: Engines of a lane of shorter prompts, relative to its part of the tokens read: it needs spare
 #: time, since its requests can't wait.
-SHORT_LANE_HEADROOM = 1.3
+SHORT_LANE_HEADROOM = 1.5
 #: Time over which the traffic of a route is averaged, seconds.
 AVERAGING_S = 10.0
 #: Requests that must have been seen before their sizes are trusted.
@@ -33,12 +33,12 @@
     """What a route's requests ask of the engines.
 
     :ivar tokens: mean tokens of the whole prompt.
-    :ivar unshared: mean tokens of the part that no other request shares.
+    :ivar work: mean work of an engine, in tokens read.
     :ivar weight: requests, fading with time.
     """
 
     tokens: float
-    unshared: float
+    work: float
     weight: float
     updated: float
 
@@ -49,18 +49,22 @@
     def __init__(self) -> None:
         self._traffic: dict[str, _RouteTraffic] = {}
 
-    def note(self, route: Route, tokens: int, unshared: int) -> None:
-        """Note a request of a route."""
+    def note(self, route: Route, tokens: int, work: float) -> None:
+        """Note a request of a route.
+
+        :param tokens: of its whole prompt.
+        :param work: that it makes an engine do, in tokens read.
+        """
         moment = clock.now()
         held = self._traffic.get(route.name)
         if held is None:
-            self._traffic[route.name] = _RouteTraffic(tokens, unshared, 1.0, moment)
+            self._traffic[route.name] = _RouteTraffic(tokens, work, 1.0, moment)
             return
         held.weight = held.weight * _fading(moment - held.updated) + 1.0
         # Sizes vary far more slowly than rates, so they are averaged over all requests alike.
         share = max(1.0 / held.weight, 0.01)
         held.tokens += (tokens - held.tokens) * share
-        held.unshared += (unshared - held.unshared) * share
+        held.work += (work - held.work) * share
         held.updated = moment
 
     def select(
@@ -112,7 +116,7 @@
     def _demand(self, name: str) -> float:
         """Tokens that a route's requests make the engines read, per averaging time."""
         traffic = self._traffic[name]
-        return traffic.weight * _fading(clock.now() - traffic.updated) * traffic.unshared
+        return traffic.weight * _fading(clock.now() - traffic.updated) * traffic.work
 
 
 def _fading(age_s: float) -> float:
--- a/src/pearshed/_internal/gateway/placement.py
+++ b/src/pearshed/_internal/gateway/placement.py
@@ -20,6 +20,8 @@
 _TRIAL_SHARE = 0.05
 #: Shared parts whose last reader is remembered; about 100 bytes each.
 _MOST_PARTS = 20_000
+#: Tokens that an engine reads in the time that one token of output costs it, in a usual batch.
+_OUTPUT_WEIGHT = 5.0
 #: Shared parts shorter than this are read again sooner than they are copied.
 _LEAST_COPIED_TOKENS = 1024
 
@@ -126,14 +128,13 @@
         if not usable:
             return None
         lanes = self._lanes.setdefault(call.service, Lanes())
-        prompt = call.fields.prompt
-        unshared = prompt[-1].tokens if prompt else call.fields.prompt_tokens
-        lanes.note(call.route, call.fields.prompt_tokens, unshared)
+        lanes.note(call.route, call.fields.prompt_tokens, _work(call))
         usable = lanes.select(call.route, call.fields.prompt_tokens, usable)
         moment = clock.now()
         loads = {endpoint: endpoint.in_flight + endpoint.others_load(moment) for endpoint in usable}
         bound = min(loads.values()) + self.OVERLOAD
-        part = call.shared_part or call.request_id
+        # Without a long shared part to find again, any engine of the lane does.
+        part = call.shared_part if call.shared_tokens >= _LEAST_COPIED_TOKENS else call.request_id
         ranked = sorted(usable, key=lambda endpoint: _score(part, endpoint), reverse=True)
         chosen = next(endpoint for endpoint in ranked if loads[endpoint] <= bound)
         return Placing(chosen, self._source(call, chosen, ranked[0], candidates))
@@ -152,8 +153,7 @@
         self, call: Call, chosen: Endpoint, home: Endpoint, candidates: Sequence[Endpoint]
     ) -> Endpoint | None:
         """Find the engine from which the shared part can be copied."""
-        prompt = call.fields.prompt
-        if len(prompt) < 2 or sum(part.tokens for part in prompt[:-1]) < _LEAST_COPIED_TOKENS:
+        if call.shared_tokens < _LEAST_COPIED_TOKENS:
             return None
         reader = self._readers.get(call.shared_part, home)
         if reader is chosen or reader not in candidates or not reader.accepting:
@@ -161,6 +161,12 @@
         return reader
 
 
+def _work(call: Call) -> float:
+    """Estimate the work of an engine that keeps the shared part, in tokens read."""
+    unshared = call.fields.prompt_tokens - call.shared_tokens
+    return unshared + call.fields.expected_output * _OUTPUT_WEIGHT
+
+
 def _score(part: str, endpoint: Endpoint) -> bytes:
     """Weigh a part and an endpoint (rendezvous hashing)."""
     seed = f"{part}/{endpoint.entry.identity}".encode()
--- a/src/pearshed/_internal/models/routing.py
+++ b/src/pearshed/_internal/models/routing.py
@@ -72,7 +72,7 @@
 class KeyHolder:
     """A customer as its API key shows it.
 
-    :ivar rank: urgency of the customer's requests; nothing leaves it to the route.
+    :ivar rank: urgency of the customer's requests, compared before the routes' own.
     """
 
     name: str
@@ -116,6 +116,7 @@
     :ivar routes: by host, the longest prefix first.
     :ivar holders: customers by API key.
     :ivar keys_required: whether routes that are not public need a key.
+    :ivar ranks: number of the routes' ranks; customers' ranks go before these.
     """
 
     version: int
@@ -124,6 +125,12 @@
     holders: Mapping[str, KeyHolder] = field(repr=False)
     keys_required: bool
     limits: CallerLimits
+    ranks: int
+
+    def rank(self, route: Route, holder: KeyHolder | None) -> int:
+        """Rank a request: by its customer first, then by its route."""
+        customer_rank = holder.rank if holder is not None and holder.rank is not None else 0
+        return customer_rank * self.ranks + route.rank
 
     def match(self, host: str, path: str) -> Route | None:
         """Find the route of a host whose prefix is the longest that begins the path."""
--- a/src/pearshed/_internal/platform/documents.py
+++ b/src/pearshed/_internal/platform/documents.py
@@ -83,6 +83,7 @@
         holders=holders or {},
         keys_required=holders is not None,
         limits=_limits(raw),
+        ranks=1 + max((route.rank for found in routes.values() for route in found), default=0),
     )
 
 
