Share repeats by the number of gateways, keep lanes steady, reload settings

Lanes were resized with each wave of traffic, and each change moved shared parts to other engines. SIGHUP and silent changes of the settings file were ignored. Change: sides count the gateways that ask them and say so with each grant; a lane is resized only when its share is off by 0.75 engines or 15 %; settings are read again each 5 s and on SIGHUP.

--- a/src/pearshed/_internal/commands/gateway.py
+++ b/src/pearshed/_internal/commands/gateway.py
@@ -4,10 +4,14 @@
 import asyncio
 import pathlib
 
+from absl import logging
+
 from pearshed._internal import logs
 from pearshed._internal.cli import status_codes
 from pearshed._internal.commands.base import Command
+from pearshed._internal.errors import SettingsError
 from pearshed._internal.gateway.process import GatewayProcess
+from pearshed._internal.gateway.settings import GatewaySettings
 from pearshed._internal.platform.documents import PlatformDocuments
 from pearshed._internal.platform.headers import PlatformHeaders
 from pearshed._internal.platform.settings_file import load_gateway_settings, settings_path
@@ -34,12 +38,14 @@
 
     def run(self, options: argparse.Namespace) -> int:
         """Run the process until SIGTERM or SIGINT, then finish what is in flight."""
-        settings = load_gateway_settings(options.settings or settings_path())
+        path = options.settings or settings_path()
+        settings = load_gateway_settings(path)
         stream = BoundedLogStream(_STANDARD_OUTPUT)
         logs.configure_stream(settings.name, stream)
         asyncio.run(
             GatewayProcess(
                 settings,
+                lambda: _load_again(path),
                 PlatformStore(settings.store),
                 PlatformDocuments(),
                 PlatformHeaders(),
@@ -47,3 +53,12 @@
             ).run()
         )
         return status_codes.SUCCESS
+
+
+def _load_again(path: pathlib.Path) -> GatewaySettings | None:
+    """Load settings that changed; wrong ones are logged, and the old stay in force."""
+    try:
+        return load_gateway_settings(path)
+    except SettingsError as error:
+        logging.error("settings.refused", extra={"fields": {"reason": str(error)}})
+        return None
--- a/src/pearshed/_internal/engine_side/messages.py
+++ b/src/pearshed/_internal/engine_side/messages.py
@@ -48,9 +48,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Granted:
-    """The request may be sent now."""
+    """The request may be sent now.
+
+    :ivar gateways: gateways that this side has heard of late.
+    """
 
     reservation: str
+    gateways: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,10 +77,9 @@
 
 Message = Ask | PromptRead | Done | Granted | Waiting | Refused
 
-_KINDS: dict[str, type[PromptRead | Done | Granted | Waiting]] = {
+_KINDS: dict[str, type[PromptRead | Done | Waiting]] = {
     "p": PromptRead,
     "d": Done,
-    "g": Granted,
     "w": Waiting,
 }
 
@@ -97,6 +100,8 @@
         )
     if isinstance(message, Refused):
         return orjson.dumps(["r", message.reservation, message.wait_ms])
+    if isinstance(message, Granted):
+        return orjson.dumps(["g", message.reservation, message.gateways])
     kind = next(kind for kind, cls in _KINDS.items() if isinstance(message, cls))
     return orjson.dumps([kind, message.reservation])
 
@@ -118,6 +123,8 @@
             return Success(Ask(reservation, int(rank), int(budget_ms), parts, int(output_tokens)))
         if kind == "r":
             return Success(Refused(reservation, int(rest[0])))
+        if kind == "g":
+            return Success(Granted(reservation, int(rest[0])))
         if kind in _KINDS:
             return Success(_KINDS[kind](reservation))
     except (orjson.JSONDecodeError, TypeError, ValueError, IndexError) as error:
--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -30,6 +30,8 @@
 SILENT_S = 1.5
 #: A waiting reservation is renewed this often, so that its side knows it is still wanted.
 RENEW_S = 0.2
+#: A side's count of gateways is of use for this long, seconds.
+COUNT_LIFE_S = 20.0
 #: Time beyond its budget after which a reservation that hears nothing is given up.
 _OVERDUE_S = 0.3
 
@@ -90,6 +92,13 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._answers: dict[str, asyncio.Queue[Message]] = {}
         self._silent_until: dict[str, float] = {}
+        self._counts: dict[str, tuple[float, int]] = {}
+
+    @property
+    def gateways(self) -> int:
+        """Most gateways that any side has heard of late; 0 while no side has told."""
+        oldest = clock.now() - COUNT_LIFE_S
+        return max((count for at, count in self._counts.values() if at > oldest), default=0)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -103,6 +112,8 @@
             return
         message = decoded.unwrap()
         self._silent_until.pop(addr[0], None)
+        if isinstance(message, Granted):
+            self._counts[addr[0]] = (clock.now(), message.gateways)
         answers = self._answers.get(message.reservation)
         if answers is not None:
             answers.put_nowait(message)
--- a/src/pearshed/_internal/gateway/lanes.py
+++ b/src/pearshed/_internal/gateway/lanes.py
@@ -20,6 +20,9 @@
 SHORT_LANE_HEADROOM = 1.5
 #: Time over which the traffic of a route is averaged, seconds.
 AVERAGING_S = 10.0
+#: A lane is resized when its share of the engines is off by this many, or by this part.
+LEAST_CHANGE = 0.75
+LEAST_CHANGE_SHARE = 0.15
 #: Requests that must have been seen before their sizes are trusted.
 ENOUGH_REQUESTS = 20
 #: Until then a prompt shorter than two chunks of an engine's reading is taken as short, tokens.
@@ -48,6 +51,7 @@
 
     def __init__(self) -> None:
         self._traffic: dict[str, _RouteTraffic] = {}
+        self._held: dict[int, int] = {}
 
     def note(self, route: Route, tokens: int, work: float) -> None:
         """Note a request of a route.
@@ -108,11 +112,21 @@
             for at, lane in enumerate(lanes)
         ]
         whole = sum(demands) or 1.0
-        sizes = [max(1, round(endpoints * demand / whole)) for demand in demands[:-1]]
+        sizes = [
+            self._steady(at, endpoints * demand / whole) for at, demand in enumerate(demands[:-1])
+        ]
         while sum(sizes) >= endpoints:
             sizes[sizes.index(max(sizes))] -= 1
         return [*sizes, endpoints - sum(sizes)]
 
+    def _steady(self, lane: int, wanted: float) -> int:
+        """Keep a lane's size until another fits clearly better: each change moves shared parts."""
+        held = self._held.get(lane)
+        if held is None or abs(wanted - held) > max(LEAST_CHANGE, held * LEAST_CHANGE_SHARE):
+            held = max(1, round(wanted))
+            self._held[lane] = held
+        return held
+
     def _demand(self, name: str) -> float:
         """Tokens that a route's requests make the engines read, per averaging time."""
         traffic = self._traffic[name]
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -1,6 +1,7 @@
 """The gateway process: callers on one side, endpoints on the other, nothing between."""
 
 import asyncio
+import dataclasses
 import gc
 import random
 import signal
@@ -39,28 +40,33 @@
 BALANCER_TURNS_S = 2.6
 #: Time kept at the end of the grace for the last bytes to be sent.
 STOP_MARGIN_S = 0.3
+#: The settings file may change without a signal.
+SETTINGS_CHECK_S = 5.0
 _SWEEP_PERIOD_S = 0.25
 _LOG_PERIOD_S = 0.1
 _IDLE_CHECK_S = 0.02
 #: Gateways that share the fleet's allowances while their number is not known.
-ASSUMED_GATEWAYS = 8
+ASSUMED_GATEWAYS = 32
 
 
 class GatewayProcess:
     """Forwards callers' requests straight to endpoints.
 
+    :param load_settings: reads the settings file again; nothing when it is wrong.
     :param log_stream: where log lines wait to be written.
     """
 
     def __init__(
         self,
         settings: GatewaySettings,
+        load_settings: Callable[[], GatewaySettings | None],
         store: Store,
         decode: DecodeDocuments,
         codec: HeaderCodec,
         log_stream: BoundedLogStream,
     ) -> None:
         self._settings = settings
+        self._load_settings = load_settings
         self._store = store
         self._log_stream = log_stream
         self._random = random.Random()
@@ -95,6 +101,7 @@
             loop.add_signal_handler(number, self._stop_requested.set)
         self._timers.start()
         self._timers.every(_SWEEP_PERIOD_S, self._sweep)
+        self._timers.every(SETTINGS_CHECK_S, self._reload)
         self._timers.every(_LOG_PERIOD_S, self._log_stream.drain)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         peers = self._settings.peers
@@ -265,7 +272,18 @@
         return (503 if reasons else 200), "\n".join(reasons or ["ready"]).encode()
 
     def _reload(self) -> None:
-        logging.info("settings.unchanged", extra={"fields": {"cause": "SIGHUP"}})
+        """Take bounds from the settings file again; addresses hold until the next start."""
+        loaded = self._load_settings()
+        if loaded is None or loaded == self._settings:
+            return
+        changed = [
+            name.name
+            for name in dataclasses.fields(loaded)
+            if getattr(loaded, name.name) != getattr(self._settings, name.name)
+        ]
+        self._settings = loaded
+        self._budgets.clear()
+        logging.info("settings.reloaded", extra={"fields": {"changed": ",".join(changed)}})
 
     def _sweep(self) -> None:
         moment = clock.now()
@@ -290,8 +308,8 @@
             budget = RepeatBudget(
                 settings.repeat_ratio, settings.repeat_slack, settings.repeat_window_s
             )
-            budget.set_nodes(ASSUMED_GATEWAYS)
             self._budgets[service] = budget
+        budget.set_nodes(self._admission.gateways or ASSUMED_GATEWAYS)
         return budget
 
     def _spawn(self, work: Any) -> None:
