--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -141,6 +141,11 @@
             if not granted:
                 self._send(Done(reservation), host)
 
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
     def note_read(self, admitted: Admitted, endpoint: Endpoint) -> None:
         """Tell the side that the engine has read the prompt."""
         if admitted.reservation:
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -98,7 +98,7 @@
         """Run until a signal asks the process to stop, then finish what is in flight."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop_requested.set)
+            loop.add_signal_handler(number, self.request_stop)
         self._timers.start()
         self._timers.every(_SWEEP_PERIOD_S, self._sweep)
         self._timers.every(SETTINGS_CHECK_S, self._reload)
@@ -117,6 +117,15 @@
         await self._stop_requested.wait()
         await self._stop(callers)
 
+    @property
+    def endpoints(self) -> EndpointTable:
+        """The endpoints that are known."""
+        return self._endpoints
+
+    def request_stop(self) -> None:
+        """Ask the process to stop, as SIGTERM does."""
+        self._stop_requested.set()
+
     def not_ready_reasons(self) -> list[str]:
         """List why the gateway should get no callers."""
         reasons = []
@@ -172,9 +181,18 @@
                 break
             await asyncio.sleep(_IDLE_CHECK_S)
         logging.info("process.stopped", extra={"fields": {"cut": len(self._connections)}})
+        self.close()
+
+    def close(self) -> None:
+        """Stop all parts, whatever they are doing."""
         self._timers.stop()
+        for server in self._servers:
+            server.close()
         for task in self._tasks:
             task.cancel()
+        for connection in tuple(self._connections):
+            connection.abort()
+        self._admission.close()
         self._store.close()
         self._log_stream.drain()
 
--- /dev/null
+++ b/tests/gateway/test_caller_connection.py
@@ -0,0 +1,136 @@
+"""What a gateway takes from callers' connections, and what it refuses as ambiguous."""
+
+import asyncio
+import unittest
+from typing import Any
+
+from parameterized import parameterized
+
+from pearshed._internal.http.caller_connection import CallerConnection
+from pearshed._internal.http.messages import HttpRequest, RequestProblem
+from pearshed._internal.models.routing import CallerLimits
+
+LIMITS = CallerLimits(1024, 2048, 3.0, 15.0)
+HEAD = b"POST /a/ HTTP/1.1\r\nHost: h\r\n"
+
+
+class FakeTransport(asyncio.Transport):
+    """Keeps what is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+        self.closed = False
+
+    def write(self, data: Any) -> None:
+        self.written += bytes(data)
+
+    def set_write_buffer_limits(self, high: Any = None, low: Any = None) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def close(self) -> None:
+        self.closed = True
+
+    def abort(self) -> None:
+        self.closed = True
+
+    def pause_reading(self) -> None:
+        pass
+
+    def resume_reading(self) -> None:
+        pass
+
+
+class CallerConnectionTest(unittest.IsolatedAsyncioTestCase):
+    def connect(self) -> CallerConnection:
+        connection = CallerConnection(lambda: LIMITS, lambda _: None, lambda _: None)
+        self.transport = FakeTransport()
+        connection.connection_made(self.transport)
+        return connection
+
+    async def received(self, *pieces: bytes) -> HttpRequest | RequestProblem | None:
+        connection = self.connect()
+        for piece in pieces:
+            connection.data_received(piece)
+        async with asyncio.timeout(5):
+            return await connection.next_request()
+
+    @parameterized.expand(
+        [
+            (
+                "both_lengths",
+                HEAD + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+                400,
+            ),
+            ("two_lengths", HEAD + b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd", 400),
+            ("signed_length", HEAD + b"Content-Length: +4\r\n\r\nabcd", 400),
+            ("other_coding", HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n", 400),
+            ("hidden_coding", HEAD + b"Transfer-Encoding: xchunked\r\n\r\n", 400),
+            ("space_before_colon", HEAD + b"Content-Length : 4\r\n\r\nabcd", 400),
+            ("bad_chunk", HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabcd\r\n", 400),
+            ("no_host", b"GET / HTTP/1.1\r\n\r\n", 400),
+            ("two_hosts", b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
+            ("absolute", b"GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+            ("noise", b"\x16\x03\x01\x02\x00\x01\x00\x01", 400),
+            ("large_header", HEAD + b"X: " + b"a" * 2000, 431),
+            ("large_body", HEAD + b"Content-Length: 4096\r\n\r\n" + b"a" * 4096, 413),
+        ]
+    )
+    async def test_a_request_that_is_refused(self, _: str, content: bytes, status: int) -> None:
+        problem = await self.received(content)
+        assert isinstance(problem, RequestProblem)
+        self.assertEqual(status, problem.status)
+
+    @parameterized.expand([(size,) for size in (1, 2, 7, 64)])
+    async def test_a_request_in_pieces(self, size: int) -> None:
+        content = HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        request = await self.received(
+            *(content[at : at + size] for at in range(0, len(content), size))
+        )
+        assert isinstance(request, HttpRequest)
+        self.assertEqual(
+            (b"/a/", b"abcde", True), (request.target, request.body, request.keep_alive)
+        )
+
+    async def test_bytes_of_a_body_are_no_request(self) -> None:
+        inner = b"GET /inner/ HTTP/1.1\r\nHost: h\r\n\r\n"
+        connection = self.connect()
+        connection.data_received(HEAD + b"Content-Length: %d\r\n\r\n" % len(inner) + inner)
+        connection.data_received(b"GET /next/ HTTP/1.1\r\nHost: h\r\n\r\n")
+        targets = []
+        for _ in range(2):
+            request = await connection.next_request()
+            assert isinstance(request, HttpRequest)
+            targets.append(request.target)
+            connection.finish_request()
+        self.assertEqual([b"/a/", b"/next/"], targets)
+
+    async def test_a_waiting_body_is_invited(self) -> None:
+        connection = self.connect()
+        connection.data_received(HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        self.assertTrue(self.transport.written.startswith(b"HTTP/1.1 100 Continue"))
+
+    async def test_an_idle_connection_is_closed_and_a_slow_header_refused(self) -> None:
+        idle = self.connect()
+        idle.close_if_overdue(idle._since + 14)
+        self.assertFalse(self.transport.closed)
+        idle.close_if_overdue(idle._since + 16)
+        self.assertTrue(self.transport.closed)
+        slow = self.connect()
+        slow.data_received(b"GET /a/ HT")
+        slow.close_if_overdue(slow._reading_since + 4)
+        problem = await slow.next_request()
+        assert isinstance(problem, RequestProblem)
+        self.assertEqual(408, problem.status)
+
+    async def test_a_caller_that_leaves_is_told_once(self) -> None:
+        connection = self.connect()
+        told: list[str] = []
+        connection.on_gone(lambda: told.append("gone"))
+        connection.connection_lost(None)
+        connection.connection_lost(None)
+        self.assertEqual(["gone"], told)
+        self.assertIsNone(await connection.next_request())
--- /dev/null
+++ b/tests/gateway/test_forwarding.py
@@ -0,0 +1,371 @@
+"""Requests through a gateway: what is repeated, what is refused, what the caller gets."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from parameterized import parameterized
+
+from tests.lib.gateway_fixture import GatewayTestCase, until
+from tests.lib.users_platform import (
+    API_KEY,
+    HOST,
+    SIGNATURE,
+    Caller,
+    EngineConnection,
+    EngineRequest,
+    Script,
+    answer_well,
+    configuration,
+)
+
+
+async def fail_with_500(connection: EngineConnection, request: EngineRequest) -> None:
+    """Run the request and fail."""
+    connection.answer(request, 500, b"failed")
+
+
+async def turn_away(connection: EngineConnection, request: EngineRequest) -> None:
+    """Refuse to run the request."""
+    connection.answer(request, 503, b"", {"Pearshed-Not-Executed": "1"})
+
+
+async def reset(connection: EngineConnection, request: EngineRequest) -> None:
+    """Lose the answer of a request that has run."""
+    del request
+    connection.reset()
+
+
+async def truncate(connection: EngineConnection, request: EngineRequest) -> None:
+    """Break the answer's body off."""
+    connection.answer(request, body=b"half", headers={"Content-Length": "400"})
+    connection.close()
+
+
+async def answer_unsigned(connection: EngineConnection, request: EngineRequest) -> None:
+    """Answer like something that isn't the engine."""
+    connection.answer(request, headers={"Pearshed-Response-Signature": ""})
+
+
+async def answer_encoded(connection: EngineConnection, request: EngineRequest) -> None:
+    """Answer with a body that something has encoded."""
+    connection.answer(request, headers={"Content-Encoding": "gzip"})
+
+
+async def answer_noise(connection: EngineConnection, request: EngineRequest) -> None:
+    """Send bytes that are no answer."""
+    del request
+    connection.send(b"\x00\x01 this is not HTTP\r\n\r\n")
+    connection.close()
+
+
+async def answer_foreign_first(connection: EngineConnection, request: EngineRequest) -> None:
+    """Send a late answer to an earlier request before the right one."""
+    connection.answer(request, body=b"another caller's", request_id="earlier")
+    connection.answer(request, body=b"mine")
+
+
+async def answer_twice(connection: EngineConnection, request: EngineRequest) -> None:
+    """Send a second answer behind the right one."""
+    connection.answer(request, body=b"mine")
+    connection.answer(request, body=b"mine again")
+
+
+async def answer_without_length(connection: EngineConnection, request: EngineRequest) -> None:
+    """Answer with a body that ends with the connection."""
+    connection.answer(request, body=b"to the end", headers={"Content-Length": ""})
+    connection.close()
+
+
+async def misdirect(connection: EngineConnection, request: EngineRequest) -> None:
+    """Answer as another engine at the address."""
+    connection.answer(request, 421, b"", {"Pearshed-Response-Signature": ""})
+
+
+class PlainForwardingTest(GatewayTestCase):
+    @parameterized.expand(
+        [
+            # what the first engine does, path, status, body, runs by first and second engine
+            ("sound", answer_well, "/lookup/a", 200, b"done", (1, 0)),
+            ("failure_repeated", fail_with_500, "/lookup/a", 200, b"done", (1, 1)),
+            ("failure_passed_on", fail_with_500, "/confirm/a", 500, b"failed", (1, 0)),
+            ("turned_away", turn_away, "/confirm/a", 200, b"done", (1, 1)),
+            ("answer_lost", reset, "/lookup/a", 200, b"done", (1, 1)),
+            ("answer_lost_once_only", reset, "/confirm/a", 502, None, (1, 0)),
+            ("truncated", truncate, "/lookup/a", 200, b"done", (1, 1)),
+            ("truncated_once_only", truncate, "/confirm/a", 502, None, (1, 0)),
+            ("unsigned", answer_unsigned, "/lookup/a", 200, b"done", (1, 1)),
+            ("unsigned_once_only", answer_unsigned, "/confirm/a", 502, None, (1, 0)),
+            ("encoded", answer_encoded, "/confirm/a", 502, None, (1, 0)),
+            ("noise", answer_noise, "/confirm/a", 502, None, (1, 0)),
+            ("foreign_answer", answer_foreign_first, "/confirm/a", 200, b"mine", (1, 0)),
+            ("second_answer", answer_twice, "/confirm/a", 200, b"mine", (1, 0)),
+            ("no_length", answer_without_length, "/confirm/a", 200, b"to the end", (1, 0)),
+            ("misdirected", misdirect, "/confirm/a", 200, b"done", (1, 1)),
+        ]
+    )
+    async def test_one_request(
+        self,
+        _: str,
+        script: Script,
+        path: str,
+        status: int,
+        body: bytes | None,
+        runs: tuple[int, int],
+    ) -> None:
+        first = await self.add_engine("ledger", script)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        second = await self.add_engine("ledger", answer_well, zone="tacoma")
+        await until(lambda: self.knows("ledger", 2))
+        answer = await self.call(path)
+        assert answer is not None
+        self.assertEqual(status, answer.status)
+        if body is not None:
+            self.assertEqual(body, answer.body)
+            self.assertEqual(SIGNATURE, answer.headers["pearshed-response-signature"])
+        else:
+            self.assertNotIn("pearshed-response-signature", answer.headers)
+        self.assertEqual(runs, (len(first.requests), len(second.requests)))
+
+    async def test_a_request_that_nobody_took_is_refused_as_not_run(self) -> None:
+        engine = await self.add_engine("ledger", turn_away)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        answer = await self.call("/confirm/a")
+        assert answer is not None
+        self.assertEqual(503, answer.status)
+        self.assertGreater(float(answer.headers["retry-after"]), 0.0)
+        self.assertEqual(1, len(engine.requests))
+
+    async def test_an_endpoint_sees_the_callers_request_and_no_forged_headers(self) -> None:
+        engine = await self.add_engine("ledger", answer_well)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        forged = {
+            "Pearshed-Tenant": "somebody-else",
+            "Pearshed-Hold": "stolen",
+            "Pearshed-Pin-Ms": "9999",
+            "Pearshed-Kv-Backup": "10.0.0.1:1",
+            "Kv-From": "10.0.0.1:1/x",
+            "Kv-Fetch": "10.0.0.1:1",
+            "Pearshed-Request-Priority": "0",
+            "Pearshed-Expect-Instance": "i-wrong",
+            "Connection": "x-own, keep-alive",
+            "X-Own": "hop",
+            "X-Kept": "end to end",
+        }
+        await self.call("/confirm/a%20b?q=1&q=2", body=b"swap", headers=forged)
+        seen = engine.requests[0]
+        self.assertEqual(("POST", "/confirm/a%20b?q=1&q=2"), (seen.method, seen.target))
+        self.assertEqual(b"swap", seen.body)
+        self.assertEqual("guild", seen.headers["pearshed-tenant"])
+        self.assertEqual("end to end", seen.headers["x-kept"])
+        self.assertEqual(engine.identity, seen.headers["pearshed-expect-instance"])
+        self.assertLessEqual(int(seen.headers["pearshed-deadline-ms"]), 3020)
+        for name in ("authorization", "x-own", "pearshed-hold", "pearshed-pin-ms", "kv-from"):
+            self.assertNotIn(name, seen.headers)
+        self.assertNotIn("kv-fetch", seen.headers)
+        self.assertNotIn("pearshed-kv-backup", seen.headers)
+
+    async def test_the_final_answer_comes_at_the_routes_timeout(self) -> None:
+        async def hang(connection: EngineConnection, request: EngineRequest) -> None:
+            del request
+            await connection.closed()
+
+        await self.add_engine("ledger", hang)
+        document = configuration(2)
+        for route in document["routes"]:
+            route["timeoutMs"] = 300
+        self.store.put("op/config", document)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        self.assertEqual(504, await self.status("/confirm/a"))
+
+    async def test_a_caller_that_leaves_ends_the_endpoints_work(self) -> None:
+        ended = asyncio.Event()
+
+        async def hang(connection: EngineConnection, request: EngineRequest) -> None:
+            del request
+            await connection.closed()
+            ended.set()
+
+        engine = await self.add_engine("ledger", hang)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        caller = await Caller.connect(self.settings.callers)
+        caller.send("/lookup/a")
+        await until(lambda: bool(engine.requests))
+        caller.close()
+        await asyncio.wait_for(ended.wait(), 10)
+
+    async def test_answers_on_one_connection_keep_their_order(self) -> None:
+        async def echo(connection: EngineConnection, request: EngineRequest) -> None:
+            await asyncio.sleep(0.02 if request.body == b"0" else 0)
+            connection.answer(request, body=request.body)
+
+        await self.add_engine("ledger", echo)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        caller = await Caller.connect(self.settings.callers)
+        for number in range(4):
+            caller.send("/lookup/a", request_id=str(number), body=str(number).encode())
+        bodies = []
+        for _ in range(4):
+            answer = await caller.answer()
+            assert answer is not None
+            bodies.append(answer.body)
+        self.assertEqual([b"0", b"1", b"2", b"3"], bodies)
+        caller.close()
+
+
+class RoutingTest(GatewayTestCase):
+    @parameterized.expand(
+        [
+            ("known", "/lookup/a", {}, 200),
+            ("no_route", "/nowhere/", {}, 404),
+            ("other_host", "/lookup/a", {"Host": "other.example"}, 404),
+            ("host_with_port", "/lookup/a", {"Host": f"{HOST.upper()}:80"}, 200),
+            ("unknown_key", "/lookup/a", {"Authorization": "Token wrong"}, 401),
+            ("no_key", "/lookup/a", {"Authorization": ""}, 401),
+            ("other_scheme", "/lookup/a", {"Authorization": f"Bearer {API_KEY}"}, 401),
+            ("public", "/open/a", {"Authorization": ""}, 200),
+        ]
+    )
+    async def test_status(self, _: str, path: str, headers: dict[str, str], status: int) -> None:
+        await self.add_engine("ledger", answer_well)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        self.assertEqual(status, await self.status(path, headers=headers))
+
+    async def test_keys_are_refused_once_it_is_not_known_whether_they_hold(self) -> None:
+        engine = await self.add_engine("ledger", answer_well)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        self.store.refuse_with = 503
+        self.clock_offset = 4.9
+        answer = await self.call("/lookup/a")
+        assert answer is not None
+        self.assertEqual((503, 0), (answer.status, len(engine.requests)))
+        self.assertEqual(200, await self.status("/open/a", headers={"Authorization": ""}))
+        self.assertTrue(self.gateway.not_ready_reasons())
+        self.store.refuse_with = 0
+        await until(lambda: not self.gateway.not_ready_reasons())
+        self.assertEqual(200, await self.status("/lookup/a"))
+
+    async def test_a_revoked_key_is_refused(self) -> None:
+        await self.add_engine("ledger", answer_well)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        self.store.put("op/config", configuration(5, tenants=[{"name": "guild", "apiKeys": []}]))
+        await until(lambda: self.gateway.dump()["configuration"] == 5)
+        self.assertEqual(401, await self.status("/lookup/a"))
+
+    async def test_without_a_configuration_everything_is_refused_as_not_run(self) -> None:
+        self.store.put("op/config", b"not a configuration")
+        await self.add_engine("ledger", answer_well)
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await self.start_gateway()
+        self.assertEqual(503, await self.status("/lookup/a"))
+
+
+class StreamTest(GatewayTestCase):
+    async def two_engines(self, script: Script) -> None:
+        await self.add_engine("fleet", script)
+        await self.start_gateway()
+        await until(lambda: self.knows("fleet", 1))
+        await self.add_engine("fleet", script, zone="tacoma")
+        await until(lambda: self.knows("fleet", 2))
+
+    async def test_a_stream_goes_on_at_another_engine(self) -> None:
+        async def break_then_resume(connection: EngineConnection, request: EngineRequest) -> None:
+            last = int(request.headers.get("last-event-id", 0))
+            connection.begin_stream(request)
+            for number in range(last + 1, 6):
+                if not last and number == 4:
+                    connection.send_event(number, cut=5)
+                    await asyncio.sleep(0.02)
+                    connection.reset()
+                    return
+                connection.send_event(number)
+            connection.end_stream()
+
+        await self.two_engines(break_then_resume)
+        answer = await self.call("/draft/a")
+        assert answer is not None
+        expected = b"".join(b"id: %d\ndata: piece-%d\n\n" % (n, n) for n in range(1, 6))
+        self.assertEqual((200, True, expected), (answer.status, answer.complete, answer.body))
+        resumed = [engine.requests[0].headers.get("last-event-id") for engine in self.engines]
+        self.assertEqual({None, "3"}, set(resumed))
+
+    @parameterized.expand([("resumable", "/draft/a"), ("once_only", "/explain/a")])
+    async def test_a_stream_that_ends_early_never_looks_complete(self, _: str, path: str) -> None:
+        async def break_off(connection: EngineConnection, request: EngineRequest) -> None:
+            connection.begin_stream(request)
+            connection.send_event(1 + int(request.headers.get("last-event-id", 0)))
+            await asyncio.sleep(0.02)
+            connection.close()
+
+        await self.two_engines(break_off)
+        answer = await self.call(path)
+        assert answer is not None
+        self.assertEqual((200, False), (answer.status, answer.complete))
+        runs = sum(len(engine.requests) for engine in self.engines)
+        self.assertEqual(2 if path == "/draft/a" else 1, runs)
+
+    async def test_events_are_passed_on_as_they_come(self) -> None:
+        go_on = asyncio.Event()
+
+        async def pause(connection: EngineConnection, request: EngineRequest) -> None:
+            connection.begin_stream(request)
+            connection.send_event(1)
+            await go_on.wait()
+            connection.send_event(2)
+            connection.end_stream()
+
+        await self.add_engine("fleet", pause)
+        await self.start_gateway()
+        await until(lambda: self.knows("fleet", 1))
+        caller = await Caller.connect(self.settings.callers)
+        caller.send("/explain/a")
+        await caller.head()
+        self.assertEqual(b"id: 1\ndata: piece-1\n\n", await caller.event())
+        go_on.set()
+        self.assertEqual(b"id: 2\ndata: piece-2\n\n", await caller.event())
+        self.assertEqual(b"", await caller.event())
+        caller.close()
+
+
+class StoppingTest(GatewayTestCase):
+    async def test_a_stop_cuts_nothing_and_refuses_what_it_might_cut(self) -> None:
+        release = asyncio.Event()
+
+        async def wait(connection: EngineConnection, request: EngineRequest) -> None:
+            if request.target == "/lookup/slow":
+                await release.wait()
+            connection.answer(request)
+
+        engine = await self.add_engine("ledger", wait)
+        await self.start_gateway(grace_s=2.0)
+        await until(lambda: self.knows("ledger", 1))
+        slow = await Caller.connect(self.settings.callers)
+        slow.send("/lookup/slow")
+        kept = await Caller.connect(self.settings.callers)
+        kept.send("/lookup/a", request_id="2")
+        self.assertEqual(200, await _status_of(kept.answer))
+        await until(lambda: len(engine.requests) == 2)
+        self.gateway.request_stop()
+        await until(lambda: bool(self.gateway.not_ready_reasons()))
+        # The balancer has not turned yet: kept and new connections are served.
+        kept.send("/lookup/a", request_id="3")
+        answer = await kept.answer()
+        assert answer is not None
+        self.assertEqual((200, "close"), (answer.status, answer.headers["connection"]))
+        self.assertEqual(200, await self.status("/lookup/a", request_id="4"))
+        release.set()
+        self.assertEqual(200, await _status_of(slow.answer))
+        await asyncio.wait_for(self.running, 20)
+
+
+async def _status_of(answer: Callable[[], Awaitable[object]]) -> object:
+    return getattr(await answer(), "status", None)
--- /dev/null
+++ b/tests/gateway/test_knowledge.py
@@ -0,0 +1,111 @@
+"""What a gateway believes of the store while the store fails in its ways."""
+
+import asyncio
+import random
+import unittest
+from typing import Any
+
+from parameterized import parameterized
+
+from pearshed._internal.gateway.knowledge import LAPSE_GRACE_S, Knowledge
+from pearshed._internal.platform.documents import PlatformDocuments
+from pearshed._internal.platform.store_client import PlatformStore
+from tests.lib.gateway_fixture import until
+from tests.lib.users_platform import StoreStandIn, configuration
+
+ENTRY = {"service": "fleet", "address": "10.0.0.1:80", "zone": "olympia", "state": "ready"}
+
+
+class KnowledgeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = StoreStandIn()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        self.store.put("op/config", configuration(4))
+        self.store.put("servers/i-1", ENTRY)
+        client = PlatformStore(self.store.address)
+        self.knowledge = Knowledge(client, PlatformDocuments(), random.Random(1))
+        self.versions: list[int] = []
+        self.knowledge.on_configuration(lambda found: self.versions.append(found.version))
+        task = asyncio.get_running_loop().create_task(self.knowledge.run())
+        self.addAsyncCleanup(_end, task, client)
+        await until(lambda: self.knowledge.revision > 0)
+
+    def identities(self) -> set[str]:
+        self.knowledge.sweep()
+        return set(self.knowledge.endpoints)
+
+    async def test_versions_only_rise(self) -> None:
+        for version in (9, 6, 9, 12):
+            self.store.put("op/config", configuration(version))
+        await until(lambda: self.versions[-1] == 12)
+        self.assertEqual([4, 9, 12], self.versions)
+
+    async def test_changes_behind_a_lost_history_are_read(self) -> None:
+        self.store.put("op/config", configuration(8))
+        self.store.put("servers/i-2", ENTRY)
+        self.store.delete("servers/i-1")
+        self.store.compact()
+        self.store.cut()
+        await until(lambda: self.versions[-1] == 8 and self.identities() == {"i-2"})
+
+    @parameterized.expand([("deleted", None), ("unreadable", b"\xff"), ("no_object", b"[]")])
+    async def test_a_broken_configuration_leaves_the_last_in_force(
+        self, _: str, document: Any
+    ) -> None:
+        if document is None:
+            self.store.delete("op/config")
+        else:
+            self.store.put("op/config", document)
+        self.store.put("servers/i-2", ENTRY)
+        await until(lambda: "i-2" in self.identities())
+        self.assertEqual([4], self.versions)
+
+    async def test_an_entry_removed_in_calm_is_gone_at_once(self) -> None:
+        self.store.delete("servers/i-1")
+        await until(lambda: not self.identities())
+
+    async def test_an_unreadable_entry_names_no_endpoint(self) -> None:
+        self.store.put("servers/i-1", {"service": "fleet"})
+        self.store.put("servers/i-2", ENTRY)
+        await until(lambda: self.identities() == {"i-2"})
+
+    async def outage(self, seconds: float) -> None:
+        self.store.refuse_with = 503
+        self.store.cut()
+        await asyncio.sleep(0.05)
+        self.knowledge._heard -= seconds
+
+    async def test_an_entry_that_lapsed_in_an_outage_may_come_back(self) -> None:
+        await self.outage(5.0)
+        self.store.delete("servers/i-1")
+        self.store.put("servers/i-2", ENTRY)
+        self.store.refuse_with = 0
+        await until(lambda: "i-2" in self.identities())
+        self.assertIn("i-1", self.identities())
+        self.store.put("servers/i-1", ENTRY)
+        self.store.put("servers/i-3", ENTRY)
+        await until(lambda: "i-3" in self.identities())
+        self.assertFalse(self.knowledge._lapsed)
+
+    async def test_an_entry_still_missing_after_the_grace_is_gone(self) -> None:
+        await self.outage(5.0)
+        self.store.delete("servers/i-1")
+        self.store.put("servers/i-2", ENTRY)
+        self.store.refuse_with = 0
+        await until(lambda: "i-2" in self.identities())
+        self.knowledge._lapsed["i-1"] -= LAPSE_GRACE_S
+        self.assertEqual({"i-2"}, self.identities())
+
+    async def test_age_counts_from_the_question_of_the_last_answer(self) -> None:
+        self.store.hold = True
+        self.store.cut()
+        first = self.knowledge.age_s
+        await asyncio.sleep(0.05)
+        self.assertGreater(self.knowledge.age_s, first)
+
+
+async def _end(task: "asyncio.Task[None]", client: PlatformStore) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    client.close()
--- /dev/null
+++ b/tests/gateway/test_platform_adapter.py
@@ -0,0 +1,284 @@
+"""The adapter of the users' platform: documents, headers, settings, and the store's client."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+from typing import Any
+
+from parameterized import parameterized
+from returns.pipeline import is_successful
+
+from pearshed._internal.errors import SettingsError
+from pearshed._internal.gateway.header_codec import EndpointOrder
+from pearshed._internal.http.messages import Headers, ResponseHead
+from pearshed._internal.models.routing import EndpointEntry, EndpointState, PromptPart
+from pearshed._internal.platform.documents import decode_configuration, decode_endpoint
+from pearshed._internal.platform.headers import PlatformHeaders
+from pearshed._internal.platform.settings_file import load_gateway_settings
+from pearshed._internal.platform.store_client import PlatformStore
+from pearshed._internal.utils.addresses import Address
+from tests.lib.users_platform import StoreStandIn, configuration, route
+
+ENTRY = {
+    "service": "fleet",
+    "address": "10.0.0.1:80",
+    "zone": "olympia",
+    "slots": 64,
+    "state": "ready",
+    "seq": 3,
+    "born": 17,
+}
+
+
+class DocumentsTest(unittest.TestCase):
+    def test_a_route_is_found_by_host_and_longest_prefix(self) -> None:
+        document = configuration(
+            3,
+            routes=[
+                route("short", "idempotent", "ledger", pathPrefix="/a/"),
+                route("long", "idempotent", "ledger", pathPrefix="/a/b/"),
+                route("far", "idempotent", "ledger", hostname="other.example", pathPrefix="/"),
+            ],
+        )
+        decoded = decode_configuration(json.dumps(document).encode()).unwrap()
+        names = [
+            getattr(decoded.match(host, path), "name", None)
+            for host, path in (
+                ("rota.example", "/a/x"),
+                ("rota.example", "/a/b/x"),
+                ("rota.example", "/a/b"),
+                ("rota.example", "/b/"),
+                ("other.example", "/b/"),
+            )
+        ]
+        self.assertEqual(["short", "long", "short", None, "far"], names)
+
+    def test_customers_rank_before_routes(self) -> None:
+        document = configuration(
+            3,
+            routes=[
+                route("urgent", "idempotent", "ledger", priority=0),
+                route("patient", "idempotent", "ledger", priority=2),
+            ],
+            tenants=[
+                {"name": "first", "apiKeys": ["a"], "priority": 0},
+                {"name": "second", "apiKeys": ["b"], "priority": 1},
+            ],
+        )
+        decoded = decode_configuration(json.dumps(document).encode()).unwrap()
+        order = sorted(
+            (
+                (decoded.rank(found, decoded.holders[key]), key, found.name)
+                for key in "ab"
+                for found in decoded.routes["rota.example"]
+            ),
+        )
+        self.assertEqual(
+            [("a", "urgent"), ("a", "patient"), ("b", "urgent"), ("b", "patient")],
+            [(key, name) for _, key, name in order],
+        )
+
+    @parameterized.expand(
+        [
+            ("noise", b"\xff\xfe"),
+            ("list", b"[]"),
+            ("no_version", b'{"routes": [], "services": []}'),
+            ("version_as_text", b'{"version": "7", "routes": [], "services": []}'),
+            ("routes_as_text", b'{"version": 7, "routes": "none", "services": []}'),
+            (
+                "unknown_kind",
+                json.dumps(configuration(2, routes=[route("x", "odd", "y")])).encode(),
+            ),
+        ]
+    )
+    def test_a_configuration_that_cant_be_read_is_refused(self, _: str, document: bytes) -> None:
+        self.assertFalse(is_successful(decode_configuration(document)))
+
+    @parameterized.expand(
+        [
+            ("whole", {}, True),
+            ("draining", {"state": "draining"}, True),
+            ("unknown_state", {"state": "sleepy"}, False),
+            ("no_service", {"service": None}, False),
+            ("address_by_name", {"address": "engine.example:80"}, False),
+            ("slots_as_text", {"slots": "64"}, False),
+            ("true_as_number", {"born": True}, False),
+        ]
+    )
+    def test_an_entry_of_another_writer_names_no_endpoint(
+        self, _: str, change: dict[str, Any], valid: bool
+    ) -> None:
+        decoded = decode_endpoint("i-1", json.dumps({**ENTRY, **change}).encode())
+        self.assertEqual(valid, is_successful(decoded))
+
+
+class HeadersTest(unittest.TestCase):
+    codec = PlatformHeaders()
+
+    def test_a_callers_prompt_is_read(self) -> None:
+        headers: Headers = (
+            (b"pearshed-request-id", b"42"),
+            (b"pearshed-deadline-ms", b"1500"),
+            (b"pearshed-token-usage", b"1460,80"),
+            (b"pearshed-prefix-hash", b"5c1e:800,91bd:410,e440:250"),
+            (b"pearshed-length-hint", b"54"),
+            (b"authorization", b"Token abc"),
+            (b"last-event-id", b"7"),
+        )
+        fields = self.codec.read_caller(headers)
+        self.assertEqual(("42", 1500.0, "abc", "7"), _named(fields))
+        self.assertEqual(PromptPart("91bd", 410), fields.prompt[1])
+        self.assertEqual((1460, 54), (fields.prompt_tokens, fields.expected_output))
+
+    @parameterized.expand(
+        [
+            ("prompt", (b"pearshed-prefix-hash", b"5c1e800,,:")),
+            ("tokens", (b"pearshed-token-usage", b"many")),
+            ("deadline", (b"pearshed-deadline-ms", b"soon")),
+            ("hint", (b"pearshed-length-hint", b"-1")),
+            ("key", (b"authorization", b"Token")),
+        ]
+    )
+    def test_a_malformed_header_counts_as_absent(self, _: str, header: tuple[bytes, bytes]) -> None:
+        fields = self.codec.read_caller((header,))
+        self.assertEqual(((), 0, None, 0, ""), _absent(fields))
+
+    def test_an_order_names_the_endpoint_and_what_is_left(self) -> None:
+        entry = EndpointEntry(
+            "i-1", "fleet", Address("10.0.0.1", 80), "olympia", 64, EndpointState.READY, 0.0, 0
+        )
+        order = EndpointOrder(entry, 900, "guild", 12, "7", Address("10.0.0.2", 80))
+        self.assertEqual(
+            {
+                b"pearshed-deadline-ms": b"900",
+                b"pearshed-expect-instance": b"i-1",
+                b"pearshed-tenant": b"guild",
+                b"pearshed-request-priority": b"9",
+                b"kv-fetch": b"10.0.0.2:80",
+                b"last-event-id": b"7",
+            },
+            dict(self.codec.write_order(order)),
+        )
+
+    @parameterized.expand(
+        [
+            ("ran", 200, ((b"pearshed-response-signature", b"x"),), False),
+            ("not_executed", 503, ((b"pearshed-not-executed", b"1"),), True),
+            ("misdirected", 421, (), True),
+            ("unspoken", 503, (), False),
+        ]
+    )
+    def test_only_the_endpoints_word_means_not_executed(
+        self, _: str, status: int, headers: Headers, not_executed: bool
+    ) -> None:
+        fields = self.codec.read_endpoint(ResponseHead(status, b"", headers))
+        self.assertEqual(not_executed, fields.not_executed)
+
+
+class SettingsFileTest(unittest.TestCase):
+    def load(self, document: Any) -> Any:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "boot.json"
+            path.write_text(json.dumps(document))
+            return load_gateway_settings(path)
+
+    def document(self) -> dict[str, Any]:
+        return {
+            "node": "edge-1",
+            "ip": "10.1.0.40",
+            "zone": "olympia",
+            "listen": {"front": "10.1.0.40:80", "ready": "10.1.0.40:81"},
+            "portRange": [7340, 7355],
+            "seeds": ["10.1.0.40:82", "not an address"],
+            "bounds": {
+                "failClosed": True,
+                "revokeMs": 5000,
+                "graceS": 8,
+                "retryBudgetRatio": 0.2,
+                "budgetSlack": 58,
+                "budgetWindowS": 10,
+            },
+            "provider": {"address": "10.200.1.7:83"},
+            "somethingNew": {"a": 1},
+        }
+
+    def test_settings_are_read_and_new_fields_ignored(self) -> None:
+        settings = self.load(self.document())
+        self.assertEqual(("edge-1", "olympia", 5.0), _settings_of(settings))
+        self.assertEqual(Address("10.1.0.40", 7340), settings.peers)
+        self.assertEqual((Address("10.1.0.40", 82),), settings.seeds)
+
+    @parameterized.expand(
+        [
+            ("no_listen", "listen", {}, "listen.front"),
+            ("bound_as_text", "bounds", {"revokeMs": "soon"}, "bounds.revokeMs"),
+            ("no_ports", "portRange", [], "portRange"),
+            ("no_name", "node", "", "node"),
+        ]
+    )
+    def test_an_error_names_the_field(self, _: str, name: str, value: Any, field: str) -> None:
+        with self.assertRaises(SettingsError) as raised:
+            self.load({**self.document(), name: value})
+        self.assertIn(field, str(raised.exception))
+
+
+class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = StoreStandIn()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        self.client = PlatformStore(self.store.address)
+        self.addCleanup(self.client.close)
+
+    async def test_pages_are_read_to_the_end(self) -> None:
+        for number in range(5):
+            self.store.put(f"servers/i-{number}", ENTRY)
+        answer = (await self.client.read_endpoints()).unwrap()
+        self.assertEqual([f"servers/i-{n}" for n in range(5)], [i.key for i in answer.items])
+
+    async def test_a_watch_brings_changes_and_deletions(self) -> None:
+        self.store.put("servers/i-1", ENTRY)
+        before = (await self.client.read_endpoints()).unwrap().revision
+        self.store.put("servers/i-2", ENTRY)
+        self.store.delete("servers/i-1")
+        answer = (await self.client.watch(before, 1.0)).unwrap()
+        self.assertEqual(
+            [("servers/i-2", True), ("servers/i-1", False)],
+            [(item.key, item.value is not None) for item in answer.items],
+        )
+
+    @parameterized.expand([("busy", 503), ("too_many", 429)])
+    async def test_a_refusal_is_a_failure(self, _: str, status: int) -> None:
+        self.store.refuse_with = status
+        answer = await self.client.read_configuration()
+        self.assertFalse(answer.failure().history_lost)
+
+    async def test_a_lost_history_is_told_apart(self) -> None:
+        self.store.put("op/config", configuration(1))
+        self.store.compact()
+        self.assertTrue((await self.client.watch(1, 0.1)).failure().history_lost)
+
+    async def test_a_connection_that_was_reset_is_replaced(self) -> None:
+        await self.client.read_configuration()
+        self.store.cut()
+        results = [is_successful(await self.client.read_configuration()) for _ in range(2)]
+        self.assertTrue(results[-1])
+
+
+def _named(fields: Any) -> tuple[Any, ...]:
+    return (fields.request_id, fields.deadline_ms, fields.api_key, fields.last_event)
+
+
+def _absent(fields: Any) -> tuple[Any, ...]:
+    return (
+        fields.prompt,
+        fields.prompt_tokens,
+        fields.deadline_ms,
+        fields.output_hint,
+        fields.api_key,
+    )
+
+
+def _settings_of(settings: Any) -> tuple[Any, ...]:
+    return (settings.name, settings.data_centre, settings.revocation_s)
