Explain failures from logs, serve metrics, and bound waiting log lines by bytes

Cause: on-call engineers have only logs and metrics; a gateway logged attempts without its beliefs and served no metrics. A test showed that the log stream joined waiting lines into one, so that a reader that stands still made it grow without bound (0 lines dropped where half had to be). Change: one line for each decision with version and age of the configuration, sampled by request under load and never for failures; /metrics; pearshed explain; the stream is bounded by bytes. Routing is a part of its own.

--- a/src/pearshed/_internal/commands/__init__.py
+++ b/src/pearshed/_internal/commands/__init__.py
@@ -47,6 +47,11 @@
         "DumpCommand",
         "Show the state of a running process.",
     ),
+    "explain": CommandInfo(
+        "pearshed._internal.commands.explain",
+        "ExplainCommand",
+        "Collect what the logs say of one request.",
+    ),
     "version": CommandInfo(
         "pearshed._internal.commands.version", "VersionCommand", "Show the version."
     ),
--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -55,15 +55,23 @@
         self._queue = AdmissionQueue(self._cache, self._grant, self._refuse)
         self._transport: asyncio.DatagramTransport | None = None
         self._stop_requested = asyncio.Event()
-        self._stopping = False
         self._gateways: dict[str, float] = {}
         self._counts = {"granted": 0, "refused": 0, "malformed": 0}
 
+    @property
+    def serving(self) -> bool:
+        """Whether gateways are answered."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def request_stop(self) -> None:
+        """Ask the process to stop, as SIGTERM does."""
+        self._stop_requested.set()
+
     async def run(self) -> None:
         """Run until a signal asks the process to stop."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop_requested.set)
+            loop.add_signal_handler(number, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, _note_reload)
         self._timers.start()
         self._timers.every(_SWEEP_PERIOD_S, self._queue.advance)
@@ -78,6 +86,8 @@
         for task in tasks:
             task.cancel()
         self._timers.stop()
+        if self._transport is not None:
+            self._transport.close()
         self._monitor.close()
         self._log_stream.drain()
 
--- a/src/pearshed/_internal/errors.py
+++ b/src/pearshed/_internal/errors.py
@@ -60,5 +60,9 @@
     """A running process did not answer on its administration address."""
 
 
+class LogFileError(PearshedError):
+    """A log file can't be read."""
+
+
 class InvariantBrokenError(AssertionError):
     """The program's own state is contradictory; the process must stop."""
--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -16,6 +16,7 @@
 from pearshed._internal.gateway.event_stream import EventBuffer
 from pearshed._internal.gateway.header_codec import EndpointFields, EndpointOrder, HeaderCodec
 from pearshed._internal.gateway.placement import Placing
+from pearshed._internal.gateway.request_metrics import RequestMetrics
 from pearshed._internal.http import messages
 from pearshed._internal.http.endpoint_connection import EndKind, EndpointConnection, ResponseEnd
 from pearshed._internal.http.messages import ResponseHead
@@ -43,7 +44,9 @@
         writer: AnswerWriter,
         patience_s: float,
         on_read: Callable[[], None],
+        metrics: RequestMetrics,
     ) -> None:
+        self._metrics = metrics
         self._call = call
         self._endpoint = placing.endpoint
         self._fetch_from = placing.fetch_from
@@ -132,6 +135,7 @@
             self._endpoint.note_failure()
             return Failed(f"the endpoint answered {head.status}", head, body)
         self._endpoint.note_success()
+        self._metrics.note_first_part(self._call)
         self._writer.write_whole(head.status, head.reason, messages.end_to_end(head.headers), body)
         return Answered(head.status)
 
@@ -150,6 +154,7 @@
     ) -> AttemptOutcome:
         buffer = EventBuffer()
         prompt_read = False
+        heard = clock.now()
         while True:
             piece = await connection.next_event()
             if isinstance(piece, ResponseEnd):
@@ -157,6 +162,9 @@
             if not isinstance(piece, bytes):
                 continue
             self._endpoint.note_heard()
+            moment = clock.now()
+            self._metrics.note_gap(moment - heard)
+            heard = moment
             for event in buffer.feed(piece):
                 if not prompt_read:
                     prompt_read = True
@@ -164,6 +172,7 @@
                     self._on_read()
                 if not self._writer.begun:
                     self._writer.begin_stream(head)
+                    self._metrics.note_first_part(self._call)
                 if not self._is_repeated(event.event_id):
                     await self._writer.write_event(event)
 
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -1,12 +1,11 @@
 """Serves a caller's request: routes it, tries endpoints, and gives one final answer."""
 
+import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from absl import logging
 from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
 
 from pearshed._internal.gateway.admission import (
     Admission,
@@ -30,10 +29,12 @@
 from pearshed._internal.gateway.header_codec import CallerFields, HeaderCodec
 from pearshed._internal.gateway.placement import Placement, Placing
 from pearshed._internal.gateway.repeat_budget import RepeatBudget
+from pearshed._internal.gateway.request_lines import RequestLines
+from pearshed._internal.gateway.request_metrics import RequestMetrics
+from pearshed._internal.gateway.request_router import RequestRouter
 from pearshed._internal.http import messages
 from pearshed._internal.http.caller_connection import CallerConnection
 from pearshed._internal.http.messages import HttpRequest
-from pearshed._internal.models.routing import Route, RoutingConfiguration
 from pearshed._internal.timers import clock
 
 #: Endpoints that may turn one request away before it is refused.
@@ -45,6 +46,8 @@
 _WAITING_SHARE = 0.5
 #: Another attempt with less time than this can't succeed, seconds.
 _LEAST_REMAINING_S = 0.05
+#: Status of a request that has not run and won't, with when to come back.
+_NOT_RUN_STATUS = 503
 #: Connections that may fail to open for one request.
 _MOST_UNREACHABLE = 4
 #: Part of the route's time that the first endpoint gets to begin an answer, plain requests.
@@ -72,32 +75,30 @@
 
 
 class Forwarder:
-    """Forwards requests by the configuration in force.
-
-    :param knowledge: the configuration in force, or nothing before the first.
-    :param keys_trusted: whether the configuration is fresh enough to accept API keys.
-    """
+    """Forwards routed requests to endpoints."""
 
     def __init__(
         self,
         codec: HeaderCodec,
-        knowledge: Callable[[], RoutingConfiguration | None],
-        keys_trusted: Callable[[], bool],
+        router: RequestRouter,
         endpoints: EndpointTable,
         plain_placement: Placement,
         prompt_placement: Placement,
         admission: EngineAdmission,
         budget: Callable[[str], RepeatBudget],
+        lines: RequestLines,
+        metrics: RequestMetrics,
         source: random.Random,
     ) -> None:
-        self._admission = admission
         self._codec = codec
-        self._knowledge = knowledge
-        self._keys_trusted = keys_trusted
+        self._router = router
         self._endpoints = endpoints
         self._plain_placement = plain_placement
         self._prompt_placement = prompt_placement
+        self._admission = admission
         self._budget = budget
+        self._lines = lines
+        self._metrics = metrics
         self._random = source
 
     async def serve(
@@ -109,62 +110,33 @@
         """
         fields = self._codec.read_caller(request.headers)
         writer = AnswerWriter(connection, request, close)
-        routed = self._route(request, fields)
+        routed = self._router.route(request, fields)
         if not is_successful(routed):
             self._refuse(writer, fields, routed.failure())
             return writer
         call = routed.unwrap()
         self._budget(call.service).note_request()
-        await self._forward(call, writer)
+        try:
+            await self._forward(call, writer)
+        except asyncio.CancelledError:
+            self._metrics.note_wasted()
+            self._lines.write(
+                "request.cancelled",
+                call.request_id,
+                failed=True,
+                route=call.route.name,
+                cause="the caller left" if connection.gone else "the process stops",
+                events=writer.events,
+                elapsed_ms=_elapsed_ms(call),
+            )
+            raise
         return writer
 
     def refuse_stopping(self, request: HttpRequest, connection: CallerConnection) -> None:
         """Refuse a request that the process might not be able to finish before it stops."""
         fields = self._codec.read_caller(request.headers)
         writer = AnswerWriter(connection, request, close=True)
-        self._refuse(writer, fields, Refusal(503, "the gateway stops", self._retry_after_s()))
-
-    def _route(self, request: HttpRequest, fields: CallerFields) -> Result[Call, Refusal]:
-        configuration = self._knowledge()
-        if configuration is None:
-            return Failure(Refusal(503, "no configuration is known yet", self._retry_after_s()))
-        host = messages.header_value(request.headers, b"host") or b""
-        host_name = host.decode("latin-1").partition(":")[0].lower()
-        route = configuration.match(host_name, request.path)
-        if route is None:
-            if not self._keys_trusted():
-                return Failure(Refusal(503, "the routes known are too old", self._retry_after_s()))
-            return Failure(Refusal(404, "no route matches host and path"))
-        if not fields.request_id:
-            return Failure(Refusal(400, "the request has no id"))
-        holder = None
-        if configuration.keys_required and not route.public:
-            if not self._keys_trusted():
-                return Failure(Refusal(503, "the keys known are too old", self._retry_after_s()))
-            holder = configuration.holders.get(fields.api_key)
-            if holder is None:
-                return Failure(Refusal(401, "the API key is unknown"))
-        limit_ms = float(route.timeout_ms)
-        if fields.deadline_ms is not None:
-            limit_ms = min(limit_ms, fields.deadline_ms)
-        return Success(
-            Call(
-                request,
-                fields,
-                route,
-                self._pick_service(route),
-                holder.name if holder is not None else "",
-                configuration.rank(route, holder),
-                request.received + limit_ms / clock.MILLISECONDS_PER_SECOND,
-                configuration.version,
-            )
-        )
-
-    def _pick_service(self, route: Route) -> str:
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        weights = [share.weight for share in route.shares]
-        return self._random.choices(route.shares, weights)[0].service
+        self._refuse(writer, fields, Refusal(503, "the gateway stops"))
 
     async def _forward(self, call: Call, writer: AnswerWriter) -> None:
         """Try endpoints until one answers or the request must be given up."""
@@ -184,7 +156,7 @@
                     return
                 continue
             outcome = await self._attempt(call, placing, writer, progress, admission)
-            self._log_attempt(call, placing.endpoint, outcome, len(progress.tried))
+            self._note_attempt(call, placing, outcome, len(progress.tried))
             if isinstance(outcome, Answered):
                 return
             if not self._may_go_on(call, placing.endpoint, outcome, progress):
@@ -219,10 +191,27 @@
     async def _admit(self, call: Call, endpoint: Endpoint, progress: "_Progress") -> Admission:
         if not call.route.has_prompt:
             return Admitted("")
-        waited_s = clock.now() - call.request.received
+        asked = clock.now()
         target_s = call.route.target_ms / clock.MILLISECONDS_PER_SECOND
-        budget_s = max(0.0, min(target_s * _WAITING_SHARE, call.remaining_s) - waited_s)
-        return await self._admission.admit(call, endpoint, len(progress.tried), budget_s)
+        budget_s = min(target_s * _WAITING_SHARE, call.remaining_s) - (
+            asked - call.request.received
+        )
+        attempt = len(progress.tried)
+        admission = await self._admission.admit(call, endpoint, attempt, max(0.0, budget_s))
+        waited_s = clock.now() - asked
+        self._metrics.note_admission(waited_s)
+        self._lines.write(
+            "request.admission",
+            call.request_id,
+            failed=isinstance(admission, NotAdmitted),
+            endpoint=endpoint.entry.identity,
+            attempt=attempt,
+            outcome=_admission_word(admission),
+            rank=call.rank,
+            waited_ms=_milliseconds(waited_s),
+            expected_wait_ms=_milliseconds(getattr(admission, "wait_s", 0.0)),
+        )
+        return admission
 
     def _placement(self, call: Call) -> Placement:
         return self._prompt_placement if call.route.has_prompt else self._plain_placement
@@ -250,7 +239,7 @@
             self._placement(call).note_read(call, placing.endpoint)
             self._admission.note_read(admitted, placing.endpoint)
 
-        attempt = Attempt(call, placing, self._codec, writer, patience_s, note_read)
+        attempt = Attempt(call, placing, self._codec, writer, patience_s, note_read, self._metrics)
         try:
             return await attempt.run()
         finally:
@@ -260,9 +249,15 @@
         """Give the final answer to a request that no endpoint has answered."""
         last = progress.last
         if writer.begun:
-            logging.info(
+            self._lines.write(
                 "request.broken_off",
-                extra={"fields": {"request": call.request_id, "events": writer.events}},
+                call.request_id,
+                failed=True,
+                route=call.route.name,
+                reason=getattr(last, "reason", cause),
+                events=writer.events,
+                endpoints_run=progress.ran,
+                elapsed_ms=_elapsed_ms(call),
             )
             writer.break_off()
             return
@@ -276,7 +271,7 @@
         elif progress.ran:
             refusal = Refusal(502, reason)
         else:
-            refusal = Refusal(503, f"{cause}: {reason}", self._retry_after_s(progress.wait_s))
+            refusal = Refusal(503, cause, self._retry_after_s(progress.wait_s))
         self._refuse(writer, call.fields, refusal, call)
 
     def _refuse(
@@ -286,16 +281,22 @@
         refusal: Refusal,
         call: Call | None = None,
     ) -> None:
-        logged: dict[str, object] = {
-            "request": fields.request_id,
-            "status": refusal.status,
-            "reason": refusal.reason,
-            "retry_after_s": refusal.retry_after_s,
-        }
-        if call is not None:
-            logged |= {"route": call.route.name, "version": call.version}
-        logging.info("request.refused", extra={"fields": logged})
-        headers = self._codec.write_refusal(fields.request_id, refusal.retry_after_s)
+        retry_after_s = refusal.retry_after_s
+        if refusal.status == _NOT_RUN_STATUS and not retry_after_s:
+            retry_after_s = self._retry_after_s()
+        self._metrics.note_refusal(refusal.status, refusal.reason)
+        self._lines.write(
+            "request.refused",
+            fields.request_id,
+            failed=True,
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_after_s=retry_after_s,
+            route=call.route.name if call is not None else "",
+            routed_by_version=call.version if call is not None else 0,
+            elapsed_ms=_elapsed_ms(call) if call is not None else 0,
+        )
+        headers = self._codec.write_refusal(fields.request_id, retry_after_s)
         writer.write_whole(refusal.status, None, headers, refusal.reason.encode() + b"\n")
 
     def _retry_after_s(self, wait_s: float = 0.0) -> float:
@@ -303,18 +304,40 @@
         least_s, most_s = _RETRY_AFTER_S
         return round(wait_s + self._random.uniform(least_s, most_s), 2)
 
-    def _log_attempt(
-        self, call: Call, endpoint: Endpoint, outcome: AttemptOutcome, number: int
+    def _note_attempt(
+        self, call: Call, placing: Placing, outcome: AttemptOutcome, number: int
     ) -> None:
-        fields: Mapping[str, object] = {
-            "request": call.request_id,
-            "route": call.route.name,
-            "endpoint": endpoint.entry.identity,
-            "attempt": number,
-            "outcome": type(outcome).__name__,
-            "reason": getattr(outcome, "reason", ""),
-            "status": getattr(outcome, "status", 0),
-            "elapsed_ms": round((clock.now() - call.request.received) * 1000),
-            "version": call.version,
-        }
-        logging.info("request.attempt", extra={"fields": fields})
+        self._metrics.note_attempt(outcome)
+        if isinstance(outcome, Answered):
+            self._metrics.note_answer(call, outcome.status)
+        endpoint = placing.endpoint
+        self._lines.write(
+            "request.attempt",
+            call.request_id,
+            failed=not isinstance(outcome, Answered),
+            route=call.route.name,
+            endpoint=endpoint.entry.identity,
+            address=str(endpoint.entry.address),
+            attempt=number,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+            status=getattr(outcome, "status", 0),
+            in_flight=endpoint.in_flight,
+            failure_share=round(endpoint.failure_share, 2),
+            elapsed_ms=_elapsed_ms(call),
+            routed_by_version=call.version,
+        )
+
+
+def _elapsed_ms(call: Call) -> int:
+    return _milliseconds(clock.now() - call.request.received)
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * clock.MILLISECONDS_PER_SECOND)
+
+
+def _admission_word(admission: Admission) -> str:
+    if isinstance(admission, NotAdmitted):
+        return "refused"
+    return "granted" if admission.reservation else "side silent"
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -5,7 +5,7 @@
 import gc
 import random
 import signal
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import orjson
@@ -20,6 +20,9 @@
 from pearshed._internal.gateway.knowledge import DecodeDocuments, Knowledge
 from pearshed._internal.gateway.placement import LeastLoadPlacement, PromptPlacement
 from pearshed._internal.gateway.repeat_budget import RepeatBudget
+from pearshed._internal.gateway.request_lines import RequestLines
+from pearshed._internal.gateway.request_metrics import RequestMetrics
+from pearshed._internal.gateway.request_router import RequestRouter
 from pearshed._internal.gateway.settings import GatewaySettings
 from pearshed._internal.gateway.store import Store
 from pearshed._internal.http import messages
@@ -27,6 +30,7 @@
 from pearshed._internal.http.messages import HttpRequest, RequestProblem
 from pearshed._internal.models.routing import CallerLimits
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
+from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import TimerService
 from pearshed._internal.utils.addresses import Address
@@ -42,6 +46,8 @@
 STOP_MARGIN_S = 0.3
 #: The settings file may change without a signal.
 SETTINGS_CHECK_S = 5.0
+#: Ages are shown up to this; before the first answer they are infinite.
+_LARGEST_AGE_S = 1e9
 _SWEEP_PERIOD_S = 0.25
 _LOG_PERIOD_S = 0.1
 _IDLE_CHECK_S = 0.02
@@ -81,18 +87,23 @@
         self._stopping = False
         self._refusing = False
         self._stop_requested = asyncio.Event()
+        self._request_metrics = RequestMetrics()
         self._admission = SideAdmission(settings.peers.port)
         self._forwarder = Forwarder(
             codec,
-            lambda: self._knowledge.configuration,
-            self._keys_trusted,
+            RequestRouter(lambda: self._knowledge.configuration, self._keys_trusted, self._random),
             self._endpoints,
             LeastLoadPlacement(settings.data_centre, self._random),
             PromptPlacement(settings.data_centre, self._random),
             self._admission,
             self._budget,
+            RequestLines(self._beliefs),
+            self._request_metrics,
             self._random,
         )
+        self._metrics = MetricsPage()
+        self._metrics.add(self._request_metrics.collect)
+        self._metrics.add(self._collect)
 
     async def run(self) -> None:
         """Run until a signal asks the process to stop, then finish what is in flight."""
@@ -137,6 +148,10 @@
             reasons.append("the configuration is too old to trust its keys")
         return reasons
 
+    def metrics_page(self) -> str:
+        """Render the metrics."""
+        return self._metrics.render("text/plain")[0].decode()
+
     def dump(self) -> Mapping[str, Any]:
         """Describe the state of the process."""
         configuration = self._knowledge.configuration
@@ -243,7 +258,6 @@
         except asyncio.CancelledError:
             if not connection.gone:
                 raise
-            logging.info("request.cancelled", extra={"fields": {"cause": "the caller left"}})
             return False
         finally:
             connection.on_gone(None)
@@ -286,6 +300,8 @@
     def _operator_page(self, path: str) -> tuple[int, bytes]:
         if path.endswith("/dump"):
             return 200, orjson.dumps(self.dump(), option=orjson.OPT_INDENT_2)
+        if path.endswith("/metrics"):
+            return 200, self.metrics_page().encode()
         reasons = self.not_ready_reasons()
         return (503 if reasons else 200), "\n".join(reasons or ["ready"]).encode()
 
@@ -303,6 +319,48 @@
         self._budgets.clear()
         logging.info("settings.reloaded", extra={"fields": {"changed": ",".join(changed)}})
 
+    def _beliefs(self) -> Mapping[str, object]:
+        """Name what the process believes and how old that is, for log lines."""
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            return {"version": 0}
+        age_ms = round(self._knowledge.age_s * clock.MILLISECONDS_PER_SECOND)
+        return {"version": configuration.version, "confirmed_ago_ms": age_ms}
+
+    def _collect(self) -> Iterable[Metric]:
+        configuration = self._knowledge.configuration
+        yield gauge(
+            "pearshed_gateway_configuration_version",
+            "Version of the configuration in force",
+            configuration.version if configuration is not None else 0,
+        )
+        yield gauge(
+            "pearshed_gateway_confirmed_ago_seconds",
+            "Time since the store confirmed the configuration",
+            min(self._knowledge.age_s, _LARGEST_AGE_S),
+        )
+        yield gauge("pearshed_gateway_connections", "Callers connected", len(self._connections))
+        yield gauge("pearshed_gateway_gateways", "Gateways in all", self._admission.gateways)
+        yield counter(
+            "pearshed_gateway_repeats_denied_total",
+            "Second sends refused for want of budget",
+            sum(budget.denied for budget in self._budgets.values()),
+        )
+        yield counter(
+            "pearshed_gateway_log_lines_dropped_total",
+            "Log lines dropped since the reader was slow",
+            self._log_stream.dropped,
+        )
+        endpoints = tuple(self._endpoints.endpoints)
+        yield Metric(
+            "pearshed_gateway_in_flight",
+            "Requests that an endpoint has from this gateway",
+            tuple(
+                Sample(endpoint.in_flight, {"endpoint": endpoint.entry.identity})
+                for endpoint in endpoints
+            ),
+        )
+
     def _sweep(self) -> None:
         moment = clock.now()
         for connection in tuple(self._connections):
--- /dev/null
+++ b/src/pearshed/_internal/gateway/request_metrics.py
@@ -0,0 +1,114 @@
+"""What a gateway counts about requests."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from pearshed._internal.gateway.call import AttemptOutcome, Call
+from pearshed._internal.telemetry.histogram import LatencyHistogram
+from pearshed._internal.telemetry.metrics import Metric, Sample
+from pearshed._internal.timers import clock
+
+
+class RequestMetrics:
+    """Counts answers, refusals, attempts and latencies by route."""
+
+    def __init__(self) -> None:
+        self._answers: Counter[tuple[str, int]] = Counter()
+        self._on_time: Counter[str] = Counter()
+        self._refusals: Counter[tuple[int, str]] = Counter()
+        self._attempts: Counter[str] = Counter()
+        self._first_part: dict[str, LatencyHistogram] = {}
+        self._admission: LatencyHistogram = LatencyHistogram()
+        self._gaps: LatencyHistogram = LatencyHistogram()
+        self._wasted = 0
+
+    def note_first_part(self, call: Call) -> None:
+        """Note the start of an answer."""
+        elapsed_s = clock.now() - call.request.received
+        self._first_part.setdefault(call.route.name, LatencyHistogram()).add(elapsed_s)
+        if elapsed_s * clock.MILLISECONDS_PER_SECOND <= call.route.target_ms:
+            self._on_time[call.route.name] += 1
+
+    def note_gap(self, seconds: float) -> None:
+        """Note the pause before an event of a stream."""
+        self._gaps.add(seconds)
+
+    def note_answer(self, call: Call, status: int) -> None:
+        """Note a whole answer of an endpoint."""
+        self._answers[(call.route.name, status)] += 1
+
+    def note_refusal(self, status: int, reason: str) -> None:
+        """Note an answer of the gateway's own."""
+        self._refusals[(status, reason)] += 1
+
+    def note_attempt(self, outcome: AttemptOutcome) -> None:
+        """Note the end of an attempt."""
+        self._attempts[type(outcome).__name__] += 1
+
+    def note_admission(self, seconds: float) -> None:
+        """Note the time that a request waited for admission."""
+        self._admission.add(seconds)
+
+    def note_wasted(self) -> None:
+        """Note a request that an endpoint worked on for a caller that left."""
+        self._wasted += 1
+
+    def collect(self) -> Iterable[Metric]:
+        """List the metrics with their present values."""
+        yield _counter(
+            "pearshed_gateway_answers_total",
+            "Whole answers of endpoints by route and status",
+            (
+                Sample(count, {"route": route, "status": str(status)})
+                for (route, status), count in self._answers.items()
+            ),
+        )
+        yield _counter(
+            "pearshed_gateway_on_time_total",
+            "Answers whose first part came within the route's target",
+            (Sample(count, {"route": route}) for route, count in self._on_time.items()),
+        )
+        yield _counter(
+            "pearshed_gateway_refusals_total",
+            "Answers of the gateway's own by status and reason",
+            (
+                Sample(count, {"status": str(status), "reason": reason})
+                for (status, reason), count in self._refusals.items()
+            ),
+        )
+        yield _counter(
+            "pearshed_gateway_attempts_total",
+            "Attempts by how they ended",
+            (Sample(count, {"outcome": outcome}) for outcome, count in self._attempts.items()),
+        )
+        yield _counter(
+            "pearshed_gateway_wasted_total",
+            "Requests that were worked on when their callers left",
+            (Sample(self._wasted),),
+        )
+        for route, histogram in self._first_part.items():
+            yield from _histogram(
+                "pearshed_gateway_first_part_seconds", "Time to the first part", histogram, route
+            )
+        yield from _histogram(
+            "pearshed_gateway_admission_seconds", "Wait for admission", self._admission
+        )
+        yield from _histogram("pearshed_gateway_gap_seconds", "Pauses between events", self._gaps)
+
+
+def _counter(name: str, help_text: str, samples: Iterable[Sample]) -> Metric:
+    return Metric(name, help_text, tuple(samples), counter=True)
+
+
+def _histogram(
+    name: str, help_text: str, histogram: LatencyHistogram, route: str = ""
+) -> Iterable[Metric]:
+    labels = {"route": route} if route else {}
+    buckets = histogram.cumulative().items()
+    yield _counter(
+        f"{name}_bucket",
+        f"{help_text}, cumulative",
+        (Sample(count, {**labels, "le": str(bound)}) for bound, count in buckets),
+    )
+    yield _counter(f"{name}_sum", help_text, (Sample(histogram.sum_s, labels),))
+    yield _counter(f"{name}_count", help_text, (Sample(histogram.total, labels),))
--- /dev/null
+++ b/src/pearshed/_internal/gateway/request_router.py
@@ -0,0 +1,78 @@
+"""Finds the route, the customer and the time of a request."""
+
+import random
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from pearshed._internal.gateway.call import Call, Refusal
+from pearshed._internal.gateway.header_codec import CallerFields
+from pearshed._internal.http import messages
+from pearshed._internal.http.messages import HttpRequest
+from pearshed._internal.models.routing import Route, RoutingConfiguration
+from pearshed._internal.timers import clock
+
+
+class RequestRouter:
+    """Routes requests by the configuration in force.
+
+    :param configuration: in force, or nothing before the first.
+    :param keys_trusted: whether the configuration is fresh enough to accept API keys.
+    """
+
+    def __init__(
+        self,
+        configuration: Callable[[], RoutingConfiguration | None],
+        keys_trusted: Callable[[], bool],
+        source: random.Random,
+    ) -> None:
+        self._configuration = configuration
+        self._keys_trusted = keys_trusted
+        self._random = source
+
+    def route(self, request: HttpRequest, fields: CallerFields) -> Result[Call, Refusal]:
+        """Route a request.
+
+        A process that knows too little refuses as not run; only one whose knowledge is fresh says
+        that a route or key doesn't exist.
+        """
+        configuration = self._configuration()
+        if configuration is None:
+            return Failure(Refusal(503, "no configuration is known yet"))
+        host = messages.header_value(request.headers, b"host") or b""
+        host_name = host.decode("latin-1").partition(":")[0].lower()
+        route = configuration.match(host_name, request.path)
+        if route is None:
+            if not self._keys_trusted():
+                return Failure(Refusal(503, "the routes known are too old"))
+            return Failure(Refusal(404, "no route matches host and path"))
+        if not fields.request_id:
+            return Failure(Refusal(400, "the request has no id"))
+        holder = None
+        if configuration.keys_required and not route.public:
+            if not self._keys_trusted():
+                return Failure(Refusal(503, "the keys known are too old"))
+            holder = configuration.holders.get(fields.api_key)
+            if holder is None:
+                return Failure(Refusal(401, "the API key is unknown"))
+        limit_ms = float(route.timeout_ms)
+        if fields.deadline_ms is not None:
+            limit_ms = min(limit_ms, fields.deadline_ms)
+        return Success(
+            Call(
+                request,
+                fields,
+                route,
+                self._pick_service(route),
+                holder.name if holder is not None else "",
+                configuration.rank(route, holder),
+                request.received + limit_ms / clock.MILLISECONDS_PER_SECOND,
+                configuration.version,
+            )
+        )
+
+    def _pick_service(self, route: Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [share.weight for share in route.shares]
+        return self._random.choices(route.shares, weights)[0].service
--- a/src/pearshed/_internal/telemetry/log_stream.py
+++ b/src/pearshed/_internal/telemetry/log_stream.py
@@ -5,9 +5,9 @@
 import io
 import os
 
-#: Lines waiting for a reader that is slow; about two seconds of the busiest node.
-MOST_WAITING_LINES = 4000
-_BATCH_LINES = 64
+#: Bytes of lines that wait for a slow reader; about five seconds of the busiest node.
+MOST_WAITING_BYTES = 512 * 1024
+_BATCH_BYTES = 32 * 1024
 
 
 class BoundedLogStream(io.TextIOBase):
@@ -19,6 +19,7 @@
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
         self._lines: collections.deque[bytes] = collections.deque()
+        self._waiting_bytes = 0
         self._dropped = 0
         with contextlib.suppress(OSError):
             os.set_blocking(descriptor, False)
@@ -30,10 +31,12 @@
 
     def write(self, text: str) -> int:
         """Keep a line for ``drain``."""
-        if len(self._lines) >= MOST_WAITING_LINES:
+        line = text.encode("utf-8", "backslashreplace")
+        if self._waiting_bytes + len(line) > MOST_WAITING_BYTES:
             self._dropped += 1
         else:
-            self._lines.append(text.encode("utf-8", "backslashreplace"))
+            self._lines.append(line)
+            self._waiting_bytes += len(line)
         return len(text)
 
     def flush(self) -> None:
@@ -42,7 +45,7 @@
     def drain(self) -> None:
         """Write the lines that wait, as far as the reader takes them."""
         while self._lines:
-            batch = b"".join(self._lines.popleft() for _ in range(self._batch_size()))
+            batch = self._take_batch()
             try:
                 written = os.write(self._descriptor, batch)
             except BlockingIOError:
@@ -53,7 +56,14 @@
                 return
             if written < len(batch):
                 self._lines.appendleft(batch[written:])
+                self._waiting_bytes += len(batch) - written
                 return
 
-    def _batch_size(self) -> int:
-        return min(_BATCH_LINES, len(self._lines))
+    def _take_batch(self) -> bytes:
+        batch = [self._lines.popleft()]
+        size = len(batch[0])
+        while self._lines and size + len(self._lines[0]) <= _BATCH_BYTES:
+            batch.append(self._lines.popleft())
+            size += len(batch[-1])
+        self._waiting_bytes -= size
+        return b"".join(batch)
--- /dev/null
+++ b/tests/gateway/test_admission.py
@@ -0,0 +1,146 @@
+"""Admission by the side of an engine, over real datagrams."""
+
+import asyncio
+from typing import Any
+
+from parameterized import parameterized
+from returns.result import Failure, Result, Success
+
+from pearshed._internal.engine_side.monitor import CacheNews, EngineMonitor, EngineReport
+from pearshed._internal.engine_side.process import EngineSideProcess
+from pearshed._internal.engine_side.settings import EngineSideSettings
+from pearshed._internal.gateway.process import GatewayProcess
+from pearshed._internal.utils.addresses import Address
+from tests.lib.gateway_fixture import GatewayTestCase, QuietLogStream, free_address, until
+from tests.lib.users_platform import (
+    Caller,
+    EngineConnection,
+    EngineRequest,
+    configuration,
+    route,
+)
+
+PROMPT = {"Pearshed-Token-Usage": "30000,100", "Pearshed-Prefix-Hash": "aa:20000,bb:10000"}
+
+
+class StillMonitor(EngineMonitor):
+    """Reports an engine whose memory is empty, and no news of its cache."""
+
+    async def report(self) -> Result[EngineReport, str]:
+        """Report nothing running."""
+        return Success(EngineReport(1, 1, 0, 1_000_000, ()))
+
+    async def cache_news(self, since: int, wait_s: float) -> Result[CacheNews, str]:
+        """Wait in vain."""
+        await asyncio.sleep(wait_s)
+        return Failure("no news")
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class AdmissionTest(GatewayTestCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        routes = [
+            route("draft", "streaming", "fleet", sticky=True, targetLatencyMs=600),
+            route("urgent", "streaming", "fleet", sticky=True, priority=0),
+        ]
+        self.store.put("op/config", configuration(2, routes=routes))
+        self.release = asyncio.Event()
+
+    async def stream(self, connection: EngineConnection, request: EngineRequest) -> None:
+        connection.begin_stream(request)
+        await self.release.wait()
+        connection.send_event(1)
+        connection.end_stream()
+
+    async def start_side(self, port: int) -> EngineSideProcess:
+        settings = EngineSideSettings(
+            "side-1", "olympia", Address("127.0.0.1", port), self.engines[0].address
+        )
+        side = EngineSideProcess(settings, StillMonitor(), QuietLogStream())  # type: ignore[arg-type]
+        task = asyncio.get_running_loop().create_task(side.run())
+        self.addAsyncCleanup(_end, task, side)
+        await until(lambda: side.serving)
+        return side
+
+    async def start_all(self) -> EngineSideProcess:
+        await self.add_engine("fleet", self.stream)
+        await self.start_gateway()
+        await until(lambda: self.knows("fleet", 1))
+        return await self.start_side(self.settings.peers.port)
+
+    async def start_gateway(self, **more: Any) -> GatewayProcess:
+        # Gateways and sides use one port on their own VMs; 127.0.0.2 stands for another VM.
+        peers = Address("127.0.0.2", free_address().port)
+        return await super().start_gateway(peers=peers, **more)
+
+    async def test_a_request_that_cant_begin_in_time_is_refused_and_never_runs(self) -> None:
+        side = await self.start_all()
+        first = await Caller.connect(self.settings.callers)
+        first.send("/draft/a", request_id="first", headers=PROMPT)
+        await until(lambda: len(self.engines[0].requests) == 1)
+        answer = await self.call("/draft/a", request_id="second", headers=PROMPT)
+        assert answer is not None
+        self.assertEqual(503, answer.status)
+        self.assertGreater(float(answer.headers["retry-after"]), 0.3)
+        self.release.set()
+        served = await first.answer()
+        assert served is not None
+        self.assertTrue(served.complete)
+        self.assertEqual(["first"], [seen.request_id for seen in self.engines[0].requests])
+        await until(lambda: side.dump()["admitted"] == 0)
+        first.close()
+
+    async def test_a_waiting_request_is_admitted_when_the_engine_is_free(self) -> None:
+        await self.start_all()
+        first = await Caller.connect(self.settings.callers)
+        busy = {"Pearshed-Token-Usage": "10000,10", "Pearshed-Prefix-Hash": "bb:10000"}
+        first.send("/urgent/a", request_id="first", headers=busy)
+        await until(lambda: len(self.engines[0].requests) == 1)
+        second = await Caller.connect(self.settings.callers)
+        small = {"Pearshed-Token-Usage": "100,10", "Pearshed-Prefix-Hash": "cc:100"}
+        second.send("/urgent/a", request_id="second", headers=small)
+        self.release.set()
+        for caller in (first, second):
+            answer = await caller.answer()
+            assert answer is not None
+            self.assertEqual((200, True), (answer.status, answer.complete))
+            caller.close()
+
+    async def test_a_caller_that_leaves_gives_its_place_up(self) -> None:
+        side = await self.start_all()
+        caller = await Caller.connect(self.settings.callers)
+        caller.send("/draft/a", headers=PROMPT)
+        await until(lambda: side.dump()["admitted"] == 1)
+        caller.close()
+        await until(lambda: side.dump()["admitted"] == 0)
+
+    @parameterized.expand([("never_started", False), ("killed", True)])
+    async def test_requests_go_on_without_a_side(self, _: str, start: bool) -> None:
+        self.release.set()
+        await self.add_engine("fleet", self.stream)
+        await self.start_gateway()
+        await until(lambda: self.knows("fleet", 1))
+        if start:
+            side = await self.start_side(self.settings.peers.port)
+            self.assertEqual(200, await self.status("/draft/a", headers=PROMPT))
+            side.request_stop()
+            await until(lambda: not side.serving)
+        for number in range(3):
+            status = await self.status("/draft/a", request_id=f"n{number}", headers=PROMPT)
+            self.assertEqual(200, status)
+
+    async def test_sides_count_the_gateways(self) -> None:
+        self.release.set()
+        await self.start_all()
+        self.assertEqual(200, await self.status("/draft/a", headers=PROMPT))
+        page = self.gateway.metrics_page()
+        self.assertIn("pearshed_gateway_gateways 1", page)
+        self.assertIn('pearshed_gateway_attempts_total{outcome="Answered"} 1', page)
+
+
+async def _end(task: "asyncio.Task[None]", side: EngineSideProcess) -> None:
+    side.request_stop()
+    await asyncio.wait_for(asyncio.gather(task, return_exceptions=True), 10)
--- /dev/null
+++ b/tests/gateway/test_explain.py
@@ -0,0 +1,111 @@
+"""Finding the cause of a failed request from log lines alone."""
+
+import contextlib
+import io
+import json
+import logging as standard_logging
+import os
+import pathlib
+import tempfile
+import unittest
+
+from absl import logging
+
+from pearshed._internal.cli import status_codes
+from pearshed._internal.cli.main import main
+from pearshed._internal.logs import JsonFormatter
+from pearshed._internal.telemetry.log_stream import MOST_WAITING_BYTES, BoundedLogStream
+from tests.gateway.test_forwarding import reset, turn_away
+from tests.lib.gateway_fixture import GatewayTestCase, until
+from tests.lib.users_platform import answer_well
+
+
+class ExplainTest(GatewayTestCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.log = io.StringIO()
+        handler = standard_logging.StreamHandler(self.log)
+        handler.setFormatter(JsonFormatter("edge-olympia-1"))
+        logger = logging.get_absl_logger()
+        level = logger.level
+        logger.addHandler(handler)
+        logger.setLevel("INFO")
+        self.addCleanup(logger.removeHandler, handler)
+        self.addCleanup(logger.setLevel, level)
+
+    def explain(self, request: str) -> str:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "edge.log"
+            rows = [f"12.5 edge-olympia-1 {row}" for row in self.log.getvalue().splitlines()]
+            path.write_text("\n".join([*rows, "{ not JSON", "no line of ours"]))
+            with contextlib.redirect_stdout(io.StringIO()) as told:
+                self.assertEqual(status_codes.SUCCESS, main(["explain", request, str(path)]))
+        return told.getvalue()
+
+    async def test_a_request_refused_since_the_configuration_was_too_old(self) -> None:
+        await self.add_engine("ledger", answer_well)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        self.store.refuse_with = 503
+        self.clock_offset = 6.0
+        await until(lambda: "store.lost" in self.log.getvalue())
+        self.assertEqual(503, await self.status("/confirm/a", request_id="r-stale"))
+        told = self.explain("r-stale")
+        self.assertIn("the keys known are too old", told)
+        self.assertIn("believed", told)
+        self.assertIn("store.lost reason=/v1/kv-watch answered status 503", told)
+
+    async def test_a_request_in_doubt_since_its_engine_was_lost(self) -> None:
+        engine = await self.add_engine("ledger", reset)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        self.assertEqual(502, await self.status("/confirm/a", request_id="r-doubt"))
+        told = self.explain("r-doubt")
+        self.assertIn(f"endpoint={engine.identity}", told)
+        self.assertIn("outcome=Failed reason=connection lost", told)
+        self.assertIn("endpoint.listed", told)
+
+    async def test_a_request_refused_under_load(self) -> None:
+        await self.add_engine("ledger", turn_away)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        self.assertEqual(503, await self.status("/confirm/a", request_id="r-load"))
+        told = self.explain("r-load")
+        self.assertIn("outcome=NotExecuted reason=the endpoint answered 503", told)
+        self.assertIn("request.refused status=503", told)
+
+    async def test_keys_are_never_logged(self) -> None:
+        await self.add_engine("ledger", reset)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        secret = "secret-of-somebody"
+        for headers in ({}, {"Authorization": f"Token {secret}"}):
+            await self.status("/confirm/a", headers=headers)
+        lines = [json.loads(row) for row in self.log.getvalue().splitlines()]
+        self.assertGreater(len(lines), 3)
+        self.assertNotIn(secret, self.log.getvalue())
+        self.assertNotIn("key-of-the-guild", self.log.getvalue())
+
+
+class LogStreamTest(unittest.TestCase):
+    def test_a_reader_that_stands_still_holds_nobody_up(self) -> None:
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        stream = BoundedLogStream(writer)
+        line = "x" * 199 + "\n"
+        written = 2 * MOST_WAITING_BYTES // len(line)
+        for number in range(written):
+            stream.write(line)
+            if number % 50 == 0:
+                stream.drain()
+        stream.drain()
+        self.assertGreater(stream.dropped, 0)
+        received = 0
+        os.set_blocking(reader, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                received += len(os.read(reader, 1 << 20))
+                stream.drain()
+        self.assertEqual(written - stream.dropped, received // len(line))
+        self.assertEqual(0, received % len(line))
