--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -120,6 +120,8 @@
             lambda: self._admission, local_addr=(peers.host, peers.port)
         )
         await self._listen(self._settings.readiness, self._serve_operator)
+        if self._settings.control.port:
+            await self._listen(self._settings.control, self._serve_operator)
         callers = await self._listen(self._settings.callers, self._serve_caller)
         self._spawn(self._knowledge.run())
         logging.info("process.started", extra={"fields": {"version": pearshed.__version__}})
@@ -298,12 +300,17 @@
             connection.finish_request()
 
     def _operator_page(self, path: str) -> tuple[int, bytes]:
-        if path.endswith("/dump"):
+        page = path.rpartition("/")[2]
+        if page == "dump":
             return 200, orjson.dumps(self.dump(), option=orjson.OPT_INDENT_2)
-        if path.endswith("/metrics"):
+        if page == "metrics":
             return 200, self.metrics_page().encode()
-        reasons = self.not_ready_reasons()
-        return (503 if reasons else 200), "\n".join(reasons or ["ready"]).encode()
+        if page == "healthz":
+            return 200, b"ok\n"
+        if page == "readyz":
+            reasons = self.not_ready_reasons()
+            return (503 if reasons else 200), "\n".join(reasons or ["ready"]).encode()
+        return 404, b"pages: readyz healthz metrics dump\n"
 
     def _reload(self) -> None:
         """Take bounds from the settings file again; addresses hold until the next start."""
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -369,3 +369,26 @@
 
 async def _status_of(answer: Callable[[], Awaitable[object]]) -> object:
     return getattr(await answer(), "status", None)
+
+
+class OperatorPagesTest(GatewayTestCase):
+    @parameterized.expand(
+        [
+            ("readiness", "readiness", "/v1/readyz", 200, b"ready"),
+            ("health", "control", "/healthz", 200, b"ok"),
+            ("metrics", "control", "/metrics", 200, b"pearshed_gateway_configuration_version 1"),
+            ("dump", "control", "/dump", 200, b'"process": "edge-olympia-1"'),
+            ("other", "control", "/v1/beats", 404, b"pages:"),
+        ]
+    )
+    async def test_page(
+        self, _: str, listener: str, path: str, status: int, content: bytes
+    ) -> None:
+        await self.start_gateway()
+        caller = await Caller.connect(getattr(self.settings, listener))
+        caller.send(path, method="GET")
+        answer = await caller.answer()
+        assert answer is not None
+        self.assertEqual(status, answer.status)
+        self.assertIn(content, answer.body)
+        caller.close()
