Divide engines by the traffic of all gateways, and place short prompts by load

Change: gateways report their traffic to two sides, which add it up and answer with the sum; rates are averaged over 4 s; grants tell the engine's load, and short prompts go to the least loaded engine of their lane; requests may take 0.8 of an engine's memory, not 0.9.

--- a/src/pearshed/_internal/engine_side/admission_queue.py
+++ b/src/pearshed/_internal/engine_side/admission_queue.py
@@ -21,7 +21,7 @@
 #: Speed of reading that is assumed until it is measured, tokens a second.
 ASSUMED_TOKENS_PER_S = 50_000.0
 #: Part of the engine's memory that requests may take; the rest keeps shared parts.
-MEMORY_SHARE = 0.9
+MEMORY_SHARE = 0.8
 #: A reservation that was not asked about for this long is dropped, seconds; gateways ask again
 #: several times in it.
 FORGOTTEN_S = 0.6
--- a/src/pearshed/_internal/engine_side/messages.py
+++ b/src/pearshed/_internal/engine_side/messages.py
@@ -4,14 +4,17 @@
 question with the present state of the reservation, so repeats are harmless.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Any
 
 import orjson
 from returns.result import Failure, Result, Success
 
+from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.models.routing import PromptPart
 
-#: Largest datagram that is read, bytes; prompts have a few parts.
+#: Largest datagram that is read, bytes; prompts have a few parts, services a few routes.
 MOST_BYTES = 4096
 
 
@@ -50,11 +53,11 @@
 class Granted:
     """The request may be sent now.
 
-    :ivar gateways: gateways that this side has heard of late.
+    :ivar admitted: requests that the engine has, this one included.
     """
 
     reservation: str
-    gateways: int
+    admitted: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +78,27 @@
     wait_ms: int
 
 
-Message = Ask | PromptRead | Done | Granted | Waiting | Refused
+@dataclass(frozen=True, slots=True)
+class TrafficReport:
+    """A gateway tells its traffic."""
+
+    reservation: str
+    routes: tuple[RouteTraffic, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FleetTraffic:
+    """A side tells the traffic of all gateways.
+
+    :ivar gateways: gateways that report to this side.
+    """
+
+    reservation: str
+    gateways: int
+    routes: tuple[RouteTraffic, ...]
+
+
+Message = Ask | PromptRead | Done | Granted | Waiting | Refused | TrafficReport | FleetTraffic
 
 _KINDS: dict[str, type[PromptRead | Done | Waiting]] = {
     "p": PromptRead,
@@ -101,7 +124,11 @@
     if isinstance(message, Refused):
         return orjson.dumps(["r", message.reservation, message.wait_ms])
     if isinstance(message, Granted):
-        return orjson.dumps(["g", message.reservation, message.gateways])
+        return orjson.dumps(["g", message.reservation, message.admitted])
+    if isinstance(message, TrafficReport):
+        return orjson.dumps(["t", message.reservation, _plain(message.routes)])
+    if isinstance(message, FleetTraffic):
+        return orjson.dumps(["f", message.reservation, message.gateways, _plain(message.routes)])
     kind = next(kind for kind, cls in _KINDS.items() if isinstance(message, cls))
     return orjson.dumps([kind, message.reservation])
 
@@ -125,8 +152,26 @@
             return Success(Refused(reservation, int(rest[0])))
         if kind == "g":
             return Success(Granted(reservation, int(rest[0])))
+        if kind == "t":
+            return Success(TrafficReport(reservation, _routes(rest[0])))
+        if kind == "f":
+            return Success(FleetTraffic(reservation, int(rest[0]), _routes(rest[1])))
         if kind in _KINDS:
             return Success(_KINDS[kind](reservation))
     except (orjson.JSONDecodeError, TypeError, ValueError, IndexError) as error:
         return Failure(f"malformed datagram: {error}")
     return Failure(f"unknown kind of datagram {kind!r}")
+
+
+def _plain(routes: tuple[RouteTraffic, ...]) -> list[list[object]]:
+    return [
+        [found.route, round(found.weight, 2), round(found.tokens), round(found.work)]
+        for found in routes
+    ]
+
+
+def _routes(raw: Sequence[Sequence[Any]]) -> tuple[RouteTraffic, ...]:
+    return tuple(
+        RouteTraffic(str(route), float(weight), float(tokens), float(work))
+        for route, weight, tokens, work in raw
+    )
--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -14,15 +14,18 @@
 from pearshed._internal.engine_side.messages import (
     Ask,
     Done,
+    FleetTraffic,
     Granted,
     Message,
     PromptRead,
     Refused,
+    TrafficReport,
     Waiting,
 )
 from pearshed._internal.engine_side.monitor import EngineMonitor
 from pearshed._internal.engine_side.prompt_cache import PromptCache
 from pearshed._internal.engine_side.settings import EngineSideSettings
+from pearshed._internal.engine_side.traffic_table import TrafficTable
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import TimerService
@@ -31,9 +34,6 @@
 REPORT_PERIOD_S = 0.1
 #: Wait for changes of the cache; the engine's longest.
 CACHE_WAIT_S = 1.0
-#: A gateway that was not heard for this long no longer counts; it is longer than the window of
-#: the repeats that the gateways share.
-GATEWAY_LIFE_S = 15.0
 _RETRY_S = 0.25
 _SWEEP_PERIOD_S = 0.02
 _LOG_PERIOD_S = 0.1
@@ -55,7 +55,7 @@
         self._queue = AdmissionQueue(self._cache, self._grant, self._refuse)
         self._transport: asyncio.DatagramTransport | None = None
         self._stop_requested = asyncio.Event()
-        self._gateways: dict[str, float] = {}
+        self._traffic = TrafficTable()
         self._counts = {"granted": 0, "refused": 0, "malformed": 0}
 
     @property
@@ -76,7 +76,6 @@
         self._timers.start()
         self._timers.every(_SWEEP_PERIOD_S, self._queue.advance)
         self._timers.every(_LOG_PERIOD_S, self._log_stream.drain)
-        self._timers.every(GATEWAY_LIFE_S / 10, self._forget_gateways)
         address = self._settings.listen
         await loop.create_datagram_endpoint(lambda: self, local_addr=(address.host, address.port))
         tasks = [loop.create_task(self._follow_reports()), loop.create_task(self._follow_cache())]
@@ -113,17 +112,20 @@
             logging.info("datagram.malformed", extra={"fields": {"reason": decoded.failure()}})
             return
         message = decoded.unwrap()
-        self._gateways[addr[0]] = clock.now()
         if isinstance(message, Ask):
             self._take_ask(message, addr)
         elif isinstance(message, PromptRead):
             self._queue.note_read(message.reservation)
         elif isinstance(message, Done):
             self._queue.note_done(message.reservation)
+        elif isinstance(message, TrafficReport):
+            self._traffic.note(addr[0], message.routes)
+            total = FleetTraffic("", self._traffic.gateways, self._traffic.total())
+            self._send(total, addr)
 
     def _take_ask(self, ask: Ask, peer: _Peer) -> None:
         if self._queue.is_granted(ask.reservation):
-            self._send(Granted(ask.reservation, len(self._gateways)), peer)
+            self._send(Granted(ask.reservation, self._queue.granted), peer)
             return
 
         def notify(message: object) -> None:
@@ -135,7 +137,7 @@
 
     def _grant(self, reservation: Reservation) -> None:
         self._counts["granted"] += 1
-        reservation.notify(Granted(reservation.ask.reservation, len(self._gateways)))
+        reservation.notify(Granted(reservation.ask.reservation, self._queue.granted))
 
     def _refuse(self, reservation: Reservation, wait_s: float) -> None:
         self._counts["refused"] += 1
@@ -155,10 +157,6 @@
             },
         )
 
-    def _forget_gateways(self) -> None:
-        oldest = clock.now() - GATEWAY_LIFE_S
-        self._gateways = {host: at for host, at in self._gateways.items() if at > oldest}
-
     def _send(self, message: Message, peer: _Peer) -> None:
         if self._transport is not None:
             self._transport.sendto(messages.encode(message), peer)
--- /dev/null
+++ b/src/pearshed/_internal/engine_side/traffic_table.py
@@ -0,0 +1,67 @@
+"""The traffic of all gateways, summed at a few sides, so that all gateways divide engines alike."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from pearshed._internal.timers import clock
+
+#: A gateway that has not reported for this long no longer counts; gateways report each second.
+REPORT_LIFE_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTraffic:
+    """What a route's requests ask of the engines.
+
+    :ivar weight: requests, fading with time.
+    :ivar tokens: mean tokens of the whole prompt.
+    :ivar work: mean work of an engine, in tokens read.
+    """
+
+    route: str
+    weight: float
+    tokens: float
+    work: float
+
+
+def add_up(reports: Sequence[Sequence[RouteTraffic]]) -> tuple[RouteTraffic, ...]:
+    """Add up the traffic of several gateways."""
+    weights: dict[str, float] = {}
+    tokens: dict[str, float] = {}
+    work: dict[str, float] = {}
+    for report in reports:
+        for found in report:
+            weights[found.route] = weights.get(found.route, 0.0) + found.weight
+            tokens[found.route] = tokens.get(found.route, 0.0) + found.weight * found.tokens
+            work[found.route] = work.get(found.route, 0.0) + found.weight * found.work
+    return tuple(
+        RouteTraffic(route, weight, tokens[route] / weight, work[route] / weight)
+        for route, weight in weights.items()
+        if weight > 0
+    )
+
+
+class TrafficTable:
+    """The latest report of each gateway."""
+
+    def __init__(self) -> None:
+        self._reports: dict[str, tuple[float, tuple[RouteTraffic, ...]]] = {}
+
+    @property
+    def gateways(self) -> int:
+        """Gateways that report."""
+        self._forget()
+        return len(self._reports)
+
+    def note(self, gateway: str, routes: tuple[RouteTraffic, ...]) -> None:
+        """Take a gateway's report."""
+        self._reports[gateway] = (clock.now(), routes)
+
+    def total(self) -> tuple[RouteTraffic, ...]:
+        """Add up the reports."""
+        self._forget()
+        return add_up([routes for _, routes in self._reports.values()])
+
+    def _forget(self) -> None:
+        oldest = clock.now() - REPORT_LIFE_S
+        self._reports = {name: kept for name, kept in self._reports.items() if kept[0] > oldest}
--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import cast
 
@@ -12,14 +13,19 @@
 from pearshed._internal.engine_side.messages import (
     Ask,
     Done,
+    FleetTraffic,
     Granted,
     Message,
     PromptRead,
     Refused,
+    TrafficReport,
     Waiting,
 )
+from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.gateway.call import Call
 from pearshed._internal.gateway.endpoints import Endpoint
+from pearshed._internal.gateway.header_codec import EndpointLoadReport
+from pearshed._internal.gateway.lanes import stable_order
 from pearshed._internal.timers import clock
 
 #: A side answers in a few milliseconds; a lost datagram is sent again after this.
@@ -30,8 +36,10 @@
 SILENT_S = 1.5
 #: A waiting reservation is renewed this often, so that its side knows it is still wanted.
 RENEW_S = 0.2
-#: A side's count of gateways is of use for this long, seconds.
+#: The count of gateways is of use for this long after a side told it, seconds.
 COUNT_LIFE_S = 20.0
+#: Sides that add up the traffic of all gateways: one more than may be lost at once.
+TRAFFIC_SIDES = 2
 #: Time beyond its budget after which a reservation that hears nothing is given up.
 _OVERDUE_S = 0.3
 
@@ -85,20 +93,24 @@
     """Asks the sides by datagrams. Where a side is silent, requests are sent unasked.
 
     :param port: of the sides, alike on all VMs.
+    :param on_fleet_traffic: called with a side's host and the traffic that it has added up.
     """
 
-    def __init__(self, port: int) -> None:
+    def __init__(
+        self, port: int, on_fleet_traffic: Callable[[str, Sequence[RouteTraffic]], None]
+    ) -> None:
         self._port = port
+        self._on_fleet_traffic = on_fleet_traffic
         self._transport: asyncio.DatagramTransport | None = None
         self._answers: dict[str, asyncio.Queue[Message]] = {}
         self._silent_until: dict[str, float] = {}
-        self._counts: dict[str, tuple[float, int]] = {}
+        self._counted = float("-inf")
+        self._gateways = 0
 
     @property
     def gateways(self) -> int:
-        """Most gateways that any side has heard of late; 0 while no side has told."""
-        oldest = clock.now() - COUNT_LIFE_S
-        return max((count for at, count in self._counts.values() if at > oldest), default=0)
+        """Gateways that report their traffic; 0 while no side has told."""
+        return self._gateways if clock.now() - self._counted < COUNT_LIFE_S else 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -112,8 +124,11 @@
             return
         message = decoded.unwrap()
         self._silent_until.pop(addr[0], None)
-        if isinstance(message, Granted):
-            self._counts[addr[0]] = (clock.now(), message.gateways)
+        if isinstance(message, FleetTraffic):
+            self._counted = clock.now()
+            self._gateways = message.gateways
+            self._on_fleet_traffic(addr[0], message.routes)
+            return
         answers = self._answers.get(message.reservation)
         if answers is not None:
             answers.put_nowait(message)
@@ -133,7 +148,7 @@
         self._answers[reservation] = answers
         granted = False
         try:
-            outcome = await self._converse(call, host, reservation, answers, budget_s)
+            outcome = await self._converse(call, endpoint, reservation, answers, budget_s)
             granted = isinstance(outcome, Admitted)
             return outcome
         finally:
@@ -141,6 +156,18 @@
             if not granted:
                 self._send(Done(reservation), host)
 
+    def report_traffic(
+        self, endpoints: Sequence[Endpoint], routes: tuple[RouteTraffic, ...]
+    ) -> None:
+        """Tell this gateway's traffic to the sides that add it up, the same for all gateways."""
+        moment = clock.now()
+        hosts = dict.fromkeys(
+            endpoint.entry.address.host for endpoint in sorted(endpoints, key=stable_order)
+        )
+        heard = [host for host in hosts if moment >= self._silent_until.get(host, 0.0)]
+        for host in heard[:TRAFFIC_SIDES]:
+            self._send(TrafficReport("", routes), host)
+
     def close(self) -> None:
         """Close the socket."""
         if self._transport is not None:
@@ -159,11 +186,12 @@
     async def _converse(
         self,
         call: Call,
-        host: str,
+        endpoint: Endpoint,
         reservation: str,
         answers: "asyncio.Queue[Message]",
         budget_s: float,
     ) -> Admission:
+        host = endpoint.entry.address.host
         ends = clock.now() + budget_s
         unanswered = 0
         pause_s = ASK_AGAIN_S
@@ -181,26 +209,25 @@
                     self._note_silent(host)
                     return Admitted("")
                 continue
-            if isinstance(answer, Granted):
-                return Admitted(reservation)
-            if isinstance(answer, Refused):
-                return NotAdmitted(answer.wait_ms / clock.MILLISECONDS_PER_SECOND)
+            decided = _decision(answer, endpoint)
+            if decided is not None:
+                return decided
             if isinstance(answer, Waiting):
-                decided = await self._wait(answers)
+                decided = await self._wait(answers, endpoint)
                 if decided is not None:
                     return decided
                 pause_s = RENEW_S
 
-    async def _wait(self, answers: "asyncio.Queue[Message]") -> Admission | None:
+    async def _wait(
+        self, answers: "asyncio.Queue[Message]", endpoint: Endpoint
+    ) -> Admission | None:
         """Wait for a decision on a reservation until it must be renewed."""
         try:
             async with asyncio.timeout(RENEW_S):
                 while True:
-                    answer = await answers.get()
-                    if isinstance(answer, Granted):
-                        return Admitted(answer.reservation)
-                    if isinstance(answer, Refused):
-                        return NotAdmitted(answer.wait_ms / clock.MILLISECONDS_PER_SECOND)
+                    decided = _decision(await answers.get(), endpoint)
+                    if decided is not None:
+                        return decided
         except TimeoutError:
             return None
 
@@ -220,3 +247,13 @@
     def _send(self, message: Message, host: str) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.sendto(messages.encode(message), (host, self._port))
+
+
+def _decision(answer: Message, endpoint: Endpoint) -> Admission | None:
+    """Read a decision from an answer, and the engine's load with it."""
+    if isinstance(answer, Granted):
+        endpoint.note_load(EndpointLoadReport(answer.admitted, 0, 0))
+        return Admitted(answer.reservation)
+    if isinstance(answer, Refused):
+        return NotAdmitted(answer.wait_ms / clock.MILLISECONDS_PER_SECOND)
+    return None
--- a/src/pearshed/_internal/gateway/endpoints.py
+++ b/src/pearshed/_internal/gateway/endpoints.py
@@ -170,9 +170,13 @@
         """Note bytes of the endpoint, with the load that they report."""
         self._heard = clock.now()
         if report is not None:
-            self._report = report
-            self._reported = self._heard
-            self._own_at_report = len(self._running)
+            self.note_load(report)
+
+    def note_load(self, report: EndpointLoadReport) -> None:
+        """Note the load that the endpoint or its side tells."""
+        self._report = report
+        self._reported = clock.now()
+        self._own_at_report = len(self._running)
 
     def note_success(self) -> None:
         """Note an answer of good quality."""
--- a/src/pearshed/_internal/gateway/lanes.py
+++ b/src/pearshed/_internal/gateway/lanes.py
@@ -2,13 +2,15 @@
 
 An engine reads prompts in chunks between the tokens of the requests that it runs. A long prompt
 therefore slows every stream beside it, and streams with short prompts and short pauses suffer most.
-All processes divide the engines alike, from the traffic that each sees itself.
+All gateways divide the engines alike, from the traffic of all of them, which sides add up; a
+gateway that hears from no side goes by what it sees itself.
 """
 
+import dataclasses
 import hashlib
 from collections.abc import Sequence
-from dataclasses import dataclass
 
+from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.gateway.endpoints import Endpoint
 from pearshed._internal.models.routing import Route
 from pearshed._internal.timers import clock
@@ -19,7 +21,11 @@
 #: time, since its requests can't wait.
 SHORT_LANE_HEADROOM = 1.5
 #: Time over which the traffic of a route is averaged, seconds.
-AVERAGING_S = 10.0
+AVERAGING_S = 4.0
+#: The fleet's traffic is of use for this long after a side told it, seconds.
+FLEET_LIFE_S = 4.0
+#: Weight of the latest request in the mean sizes of a busy route.
+LEAST_SIZE_SHARE = 0.01
 #: A lane is resized when its share of the engines is off by this many, or by this part.
 LEAST_CHANGE = 0.75
 LEAST_CHANGE_SHARE = 0.15
@@ -31,26 +37,14 @@
 ASSUMED_SHORT_SHARE = 0.2
 
 
-@dataclass(slots=True)
-class _RouteTraffic:
-    """What a route's requests ask of the engines.
-
-    :ivar tokens: mean tokens of the whole prompt.
-    :ivar work: mean work of an engine, in tokens read.
-    :ivar weight: requests, fading with time.
-    """
-
-    tokens: float
-    work: float
-    weight: float
-    updated: float
-
-
 class Lanes:
     """Divides the engines of one service."""
 
     def __init__(self) -> None:
-        self._traffic: dict[str, _RouteTraffic] = {}
+        self._own: dict[str, RouteTraffic] = {}
+        self._updated: dict[str, float] = {}
+        self._fleet: Sequence[RouteTraffic] = ()
+        self._fleet_told = float("-inf")
         self._held: dict[int, int] = {}
 
     def note(self, route: Route, tokens: int, work: float) -> None:
@@ -60,16 +54,30 @@
         :param work: that it makes an engine do, in tokens read.
         """
         moment = clock.now()
-        held = self._traffic.get(route.name)
-        if held is None:
-            self._traffic[route.name] = _RouteTraffic(tokens, work, 1.0, moment)
-            return
-        held.weight = held.weight * _fading(moment - held.updated) + 1.0
-        # Sizes vary far more slowly than rates, so they are averaged over all requests alike.
-        share = max(1.0 / held.weight, 0.01)
-        held.tokens += (tokens - held.tokens) * share
-        held.work += (work - held.work) * share
-        held.updated = moment
+        held = self._own.get(route.name, RouteTraffic(route.name, 0.0, 0.0, 0.0))
+        weight = held.weight * _fading(moment - self._updated.get(route.name, moment)) + 1.0
+        # Sizes vary far more slowly than rates, so they are averaged over many more requests.
+        share = max(1.0 / weight, LEAST_SIZE_SHARE)
+        self._own[route.name] = RouteTraffic(
+            route.name,
+            weight,
+            held.tokens + (tokens - held.tokens) * share,
+            held.work + (work - held.work) * share,
+        )
+        self._updated[route.name] = moment
+
+    def own_traffic(self) -> tuple[RouteTraffic, ...]:
+        """List the traffic that this process has seen of late."""
+        moment = clock.now()
+        return tuple(
+            dataclasses.replace(found, weight=found.weight * _fading(moment - self._updated[name]))
+            for name, found in self._own.items()
+        )
+
+    def note_fleet(self, routes: Sequence[RouteTraffic]) -> None:
+        """Take the traffic of all gateways."""
+        self._fleet = routes
+        self._fleet_told = clock.now()
 
     def select(
         self, route: Route, tokens: int, endpoints: Sequence[Endpoint]
@@ -80,34 +88,29 @@
         """
         if len(endpoints) < 2:
             return endpoints
-        ordered = sorted(endpoints, key=_order)
-        if sum(traffic.weight for traffic in self._traffic.values()) < ENOUGH_REQUESTS:
+        ordered = sorted(endpoints, key=stable_order)
+        traffic = self._traffic()
+        if sum(found.weight for found in traffic) < ENOUGH_REQUESTS:
             short = max(1, round(len(ordered) * ASSUMED_SHORT_SHARE))
             return ordered[:short] if tokens < ASSUMED_SHORT_TOKENS else ordered[short:]
-        lanes = self._group()
+        lanes = _group(traffic)
         if len(lanes) < 2 or len(endpoints) < len(lanes):
             return endpoints
-        at = next((at for at, lane in enumerate(lanes) if route.name in lane), 0)
+        at = next((at for at, lane in enumerate(lanes) if _holds(lane, route)), 0)
         sizes = self._sizes(lanes, len(endpoints))
         start = sum(sizes[:at])
         return ordered[start : start + sizes[at]]
 
-    def _group(self) -> list[list[str]]:
-        """Group the routes by the size of their prompts, the shortest first."""
-        lanes: list[list[str]] = []
-        smallest = 0.0
-        for name, traffic in sorted(self._traffic.items(), key=lambda item: item[1].tokens):
-            if lanes and traffic.tokens < smallest * LANE_SIZE_FACTOR:
-                lanes[-1].append(name)
-            else:
-                lanes.append([name])
-                smallest = traffic.tokens
-        return lanes
-
-    def _sizes(self, lanes: Sequence[Sequence[str]], endpoints: int) -> list[int]:
-        """Divide a number of engines in proportion to the tokens that the lanes read."""
+    def _traffic(self) -> Sequence[RouteTraffic]:
+        """Choose the fleet's traffic while it is fresh, else what this process sees itself."""
+        if clock.now() - self._fleet_told < FLEET_LIFE_S and self._fleet:
+            return self._fleet
+        return self.own_traffic()
+
+    def _sizes(self, lanes: Sequence[Sequence[RouteTraffic]], endpoints: int) -> list[int]:
+        """Divide a number of engines in proportion to the work of the lanes."""
         demands = [
-            sum(self._demand(name) for name in lane)
+            sum(found.weight * found.work for found in lane)
             * (SHORT_LANE_HEADROOM if at < len(lanes) - 1 else 1.0)
             for at, lane in enumerate(lanes)
         ]
@@ -127,10 +130,20 @@
             self._held[lane] = held
         return held
 
-    def _demand(self, name: str) -> float:
-        """Tokens that a route's requests make the engines read, per averaging time."""
-        traffic = self._traffic[name]
-        return traffic.weight * _fading(clock.now() - traffic.updated) * traffic.work
+
+def _group(traffic: Sequence[RouteTraffic]) -> list[list[RouteTraffic]]:
+    """Group routes by the size of their prompts, the shortest first."""
+    lanes: list[list[RouteTraffic]] = []
+    for found in sorted(traffic, key=lambda one: one.tokens):
+        if lanes and found.tokens < lanes[-1][0].tokens * LANE_SIZE_FACTOR:
+            lanes[-1].append(found)
+        else:
+            lanes.append([found])
+    return lanes
+
+
+def _holds(lane: Sequence[RouteTraffic], route: Route) -> bool:
+    return any(found.route == route.name for found in lane)
 
 
 def _fading(age_s: float) -> float:
@@ -138,6 +151,6 @@
     return float(2.0 ** (-age_s / AVERAGING_S))
 
 
-def _order(endpoint: Endpoint) -> bytes:
+def stable_order(endpoint: Endpoint) -> bytes:
     """Order engines alike in all processes, whatever joins or leaves."""
     return hashlib.blake2b(endpoint.entry.identity.encode(), digest_size=8).digest()
--- a/src/pearshed/_internal/gateway/placement.py
+++ b/src/pearshed/_internal/gateway/placement.py
@@ -4,7 +4,7 @@
 import collections
 import hashlib
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from pearshed._internal.gateway.call import Call
@@ -133,12 +133,19 @@
         moment = clock.now()
         loads = {endpoint: endpoint.in_flight + endpoint.others_load(moment) for endpoint in usable}
         bound = min(loads.values()) + self.OVERLOAD
-        # Without a long shared part to find again, any engine of the lane does.
-        part = call.shared_part if call.shared_tokens >= _LEAST_COPIED_TOKENS else call.request_id
+        if call.shared_tokens < _LEAST_COPIED_TOKENS:
+            # Without a long shared part to find again, the least loaded engine of the lane does.
+            return Placing(min(usable, key=lambda one: loads[one] + self._random.random()))
+        part = call.shared_part
         ranked = sorted(usable, key=lambda endpoint: _score(part, endpoint), reverse=True)
         chosen = next(endpoint for endpoint in ranked if loads[endpoint] <= bound)
         return Placing(chosen, self._source(call, chosen, ranked[0], candidates))
 
+    @property
+    def lanes(self) -> Mapping[str, Lanes]:
+        """Lanes by service."""
+        return self._lanes
+
     def note_read(self, call: Call, endpoint: Endpoint) -> None:
         """Remember which engine has read a shared part last."""
         part = call.shared_part
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -5,13 +5,14 @@
 import gc
 import random
 import signal
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 import orjson
 from absl import logging
 
 import pearshed
+from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.errors import AddressInUseError
 from pearshed._internal.gateway.admission import SideAdmission
 from pearshed._internal.gateway.endpoints import EndpointTable
@@ -44,6 +45,8 @@
 BALANCER_TURNS_S = 2.6
 #: Time kept at the end of the grace for the last bytes to be sent.
 STOP_MARGIN_S = 0.3
+#: Gateways tell each other their traffic, by way of sides, this often.
+TRAFFIC_PERIOD_S = 1.0
 #: The settings file may change without a signal.
 SETTINGS_CHECK_S = 5.0
 #: Ages are shown up to this; before the first answer they are infinite.
@@ -88,13 +91,14 @@
         self._refusing = False
         self._stop_requested = asyncio.Event()
         self._request_metrics = RequestMetrics()
-        self._admission = SideAdmission(settings.peers.port)
+        self._admission = SideAdmission(settings.peers.port, self._note_fleet_traffic)
+        self._prompt_placement = PromptPlacement(settings.data_centre, self._random)
         self._forwarder = Forwarder(
             codec,
             RequestRouter(lambda: self._knowledge.configuration, self._keys_trusted, self._random),
             self._endpoints,
             LeastLoadPlacement(settings.data_centre, self._random),
-            PromptPlacement(settings.data_centre, self._random),
+            self._prompt_placement,
             self._admission,
             self._budget,
             RequestLines(self._beliefs),
@@ -112,6 +116,7 @@
             loop.add_signal_handler(number, self.request_stop)
         self._timers.start()
         self._timers.every(_SWEEP_PERIOD_S, self._sweep)
+        self._timers.every(TRAFFIC_PERIOD_S, self._report_traffic)
         self._timers.every(SETTINGS_CHECK_S, self._reload)
         self._timers.every(_LOG_PERIOD_S, self._log_stream.drain)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -326,6 +331,16 @@
         self._budgets.clear()
         logging.info("settings.reloaded", extra={"fields": {"changed": ",".join(changed)}})
 
+    def _report_traffic(self) -> None:
+        for service, lanes in self._prompt_placement.lanes.items():
+            self._admission.report_traffic(self._endpoints.of_service(service), lanes.own_traffic())
+
+    def _note_fleet_traffic(self, host: str, routes: Sequence[RouteTraffic]) -> None:
+        for service, lanes in self._prompt_placement.lanes.items():
+            endpoints = self._endpoints.of_service(service)
+            if any(endpoint.entry.address.host == host for endpoint in endpoints):
+                lanes.note_fleet(routes)
+
     def _beliefs(self) -> Mapping[str, object]:
         """Name what the process believes and how old that is, for log lines."""
         configuration = self._knowledge.configuration
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -17,14 +17,21 @@
 from pearshed._internal.engine_side.messages import (
     Ask,
     Done,
+    FleetTraffic,
     Granted,
     Message,
     PromptRead,
     Refused,
+    TrafficReport,
     Waiting,
 )
 from pearshed._internal.engine_side.monitor import CacheChange, CacheNews, EngineReport, RunReport
 from pearshed._internal.engine_side.prompt_cache import PromptCache
+from pearshed._internal.engine_side.traffic_table import (
+    REPORT_LIFE_S,
+    RouteTraffic,
+    TrafficTable,
+)
 from pearshed._internal.models.routing import PromptPart
 from tests.lib.fakes import FakeClock
 
@@ -207,6 +214,20 @@
         self.assertEqual(160, cache.unread_tokens(self.PROMPT))
 
 
+class TrafficTableTest(unittest.TestCase):
+    def test_the_latest_reports_of_all_gateways_add_up(self) -> None:
+        clock = FakeClock(self)
+        table = TrafficTable()
+        table.note("a", (RouteTraffic("draft", 9.0, 1.0, 1.0),))
+        table.note("a", (RouteTraffic("draft", 1.0, 10_000.0, 3_000.0),))
+        table.note("b", (RouteTraffic("draft", 3.0, 20_000.0, 7_000.0),))
+        self.assertEqual((RouteTraffic("draft", 4.0, 17_500.0, 6_000.0),), table.total())
+        self.assertEqual(2, table.gateways)
+        clock.advance(REPORT_LIFE_S + 0.1)
+        table.note("b", ())
+        self.assertEqual(((), 1), (table.total(), table.gateways))
+
+
 class MessagesTest(unittest.TestCase):
     @parameterized.expand(
         [
@@ -216,6 +237,8 @@
             (Granted("a/1", 4),),
             (Waiting("a/1"),),
             (Refused("a/1", 250),),
+            (TrafficReport("", (RouteTraffic("draft", 2.5, 17_000.0, 4_000.0),)),),
+            (FleetTraffic("", 4, (RouteTraffic("draft", 2.5, 17_000.0, 4_000.0),)),),
         ]
     )
     def test_messages_come_back_as_they_were(self, message: Message) -> None:
@@ -231,6 +254,7 @@
             ("name", b'["d", 5]'),
             ("fields", b'["a", "a/1", "x", 5, [], 5]'),
             ("large", b'["d", "' + b"a" * 5000 + b'"]'),
+            ("traffic", b'["t", "", [["draft", 1]]]'),
         ]
     )
     def test_a_malformed_datagram_is_a_failure(self, _: str, datagram: bytes) -> None:
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -7,10 +7,11 @@
 
 from parameterized import parameterized
 
+from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.gateway.call import Call
 from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
 from pearshed._internal.gateway.header_codec import CallerFields, EndpointLoadReport
-from pearshed._internal.gateway.lanes import ENOUGH_REQUESTS, Lanes
+from pearshed._internal.gateway.lanes import ENOUGH_REQUESTS, FLEET_LIFE_S, Lanes
 from pearshed._internal.gateway.placement import (
     SILENCE_S,
     LeastLoadPlacement,
@@ -209,6 +210,32 @@
             self.play(22, 20)
         self.assertEqual(before, self.selected())
 
+    def test_the_fleets_traffic_goes_before_a_gateways_own(self) -> None:
+        for _ in range(30):
+            self.play(20, 20)
+        fleet = (
+            RouteTraffic("short", 900.0, 1_400.0, 1_400.0),
+            RouteTraffic("long", 50.0, 17_000.0, 4_000.0),
+        )
+        self.lanes.note_fleet(fleet)
+        self.assertEqual(9, len(self.selected()[0]))
+        self.clock.advance(FLEET_LIFE_S + 0.1)
+        self.assertEqual(3, len(self.selected()[0]))
+
+    def test_gateways_with_unlike_traffic_divide_the_engines_alike(self) -> None:
+        fleet = (
+            RouteTraffic("short", 100.0, 1_400.0, 1_400.0),
+            RouteTraffic("long", 90.0, 17_000.0, 4_000.0),
+        )
+        found = []
+        for short, long in ((9, 1), (1, 9)):
+            self.lanes = Lanes()
+            for _ in range(30):
+                self.play(short, long)
+            self.lanes.note_fleet(fleet)
+            found.append(self.selected())
+        self.assertEqual(found[0], found[1])
+
     def test_prompts_of_like_size_share_a_lane(self) -> None:
         for _ in range(ENOUGH_REQUESTS):
             self.lanes.note(route("a"), 9_000, 3_000.0)
