Size short lanes by need, let urgent prompts overflow, and don't put large requests back

Cause: lanes in proportion to what was asked shrank the short lane when long prompts surged (each refused request counted up to four times), so 41 short prompts a second met one engine; large prompts lagged in the queue by their own size, and the largest tenth of a kind was served least. Change: a short lane gets what keeps its engines at a third of their reading speed, at most 0.45 of the engines; after two refusals short prompts may go to engines of longer ones; only unread shared parts make a request lag. Operators' pages and stand-ins are modules of their own; an attempt no longer imports its link.

--- a/src/pearshed/_internal/engine_side/admission_queue.py
+++ b/src/pearshed/_internal/engine_side/admission_queue.py
@@ -27,9 +27,10 @@
 FORGOTTEN_S = 0.6
 #: A granted request that the engine doesn't report after this was lost on its way, seconds.
 GRANT_LIFE_S = 0.6
-#: Lag in the queue for each token that must be read, seconds: prompts that are mostly cached go
-#: before equally urgent ones that came a little earlier.
-LAG_PER_TOKEN_S = 0.00005
+#: Lag in the queue for each token of shared parts that must be read, seconds: requests whose
+#: shared parts are kept go before equally urgent ones that came a little earlier. What belongs to a
+#: request alone is not counted, so that large requests are not put back.
+LAG_PER_TOKEN_S = 0.00003
 #: Weight of the latest reading in the measured speed.
 _SPEED_WEIGHT = 0.1
 
@@ -134,7 +135,7 @@
             ask,
             unread,
             moment + ask.budget_ms / clock.MILLISECONDS_PER_SECOND,
-            moment + unread * LAG_PER_TOKEN_S,
+            moment + max(0, unread - ask.prompt[-1].tokens if ask.prompt else 0) * LAG_PER_TOKEN_S,
             moment,
             notify,
         )
--- a/src/pearshed/_internal/entry/attempt.py
+++ b/src/pearshed/_internal/entry/attempt.py
@@ -3,7 +3,7 @@
 import asyncio
 import enum
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Generic, TypeVar
 
 from pearshed._internal.entry.sink import AnswerSink
 from pearshed._internal.models.outcomes import AnswerHead, AnswerPart
@@ -12,9 +12,8 @@
 from pearshed._internal.peers import peer_pb2 as pb
 from pearshed._internal.timers import clock
 
-if TYPE_CHECKING:
-    from pearshed._internal.entry.link import SideLink
-
+#: The link to a side; an attempt only tells one from another.
+LinkT = TypeVar("LinkT")
 
 SERVER_ERROR = 500
 
@@ -36,7 +35,7 @@
 AttemptEvent = pb.Frame | LinkLost
 
 
-class Attempt:
+class Attempt(Generic[LinkT]):
     """Receives the frames of one attempt and passes the answer on, in order.
 
     Frames from a side that the attempt is not bound to, and parts that overlap or skip
@@ -50,9 +49,9 @@
         self.number = number
         self.request = request
         self._sink = sink
-        self._events: asyncio.Queue[tuple[SideLink, AttemptEvent]] = asyncio.Queue()
-        self._bound: SideLink | None = None
-        self._open: list[SideLink] = []
+        self._events: asyncio.Queue[tuple[LinkT, AttemptEvent]] = asyncio.Queue()
+        self._bound: LinkT | None = None
+        self._open: list[LinkT] = []
         self._head: AnswerHead | None = None
         self._parts: list[bytes] = []
         self._offset = 0
@@ -61,7 +60,7 @@
         self._body_sent_at = 0.0
 
     @property
-    def bound(self) -> "SideLink | None":
+    def bound(self) -> LinkT | None:
         """The link to the side that runs the request."""
         return self._bound
 
@@ -96,24 +95,24 @@
         return clock.now() - self._body_sent_at
 
     @property
-    def open_links(self) -> "list[SideLink]":
+    def open_links(self) -> list[LinkT]:
         """Links that may still bring something for the attempt."""
         return list(self._open)
 
-    def opened(self, link: "SideLink") -> None:
+    def opened(self, link: LinkT) -> None:
         """Note a link that carries the attempt."""
         self._open.append(link)
 
-    def closed(self, link: "SideLink") -> None:
+    def closed(self, link: LinkT) -> None:
         """Note that a link does not carry the attempt any more."""
         if link in self._open:
             self._open.remove(link)
 
-    async def next_event(self) -> "tuple[SideLink, AttemptEvent]":
+    async def next_event(self) -> tuple[LinkT, AttemptEvent]:
         """Wait for the next grant, refusal, end or loss."""
         return await self._events.get()
 
-    def bind(self, link: "SideLink") -> None:
+    def bind(self, link: LinkT) -> None:
         """Accept frames from one side only, from now on."""
         self._bound = link
 
@@ -121,7 +120,7 @@
         """Note that the request may run from now on."""
         self._body_sent_at = clock.now()
 
-    def receive(self, link: "SideLink", frame: pb.Frame) -> None:
+    def receive(self, link: LinkT, frame: pb.Frame) -> None:
         """Handle a frame that a link received for this attempt."""
         if self._bound is not None and link is not self._bound:
             self._dropped += 1
@@ -134,7 +133,7 @@
         else:
             self._events.put_nowait((link, frame))
 
-    def lose(self, link: "SideLink", loss: LinkLoss) -> None:
+    def lose(self, link: LinkT, loss: LinkLoss) -> None:
         """Note that a link can't bring anything any more."""
         if self._bound is None or self._bound is link:
             self._events.put_nowait((link, LinkLost(loss)))
@@ -149,7 +148,7 @@
             self._sink.put(AnswerPart(b"".join(self._parts)))
             self._parts.clear()
 
-    def _receive_head(self, link: "SideLink", frame: pb.Frame) -> None:
+    def _receive_head(self, link: LinkT, frame: pb.Frame) -> None:
         if self._head is not None:
             self._dropped += 1
             return
--- a/src/pearshed/_internal/entry/dispatcher.py
+++ b/src/pearshed/_internal/entry/dispatcher.py
@@ -7,10 +7,10 @@
 
 from absl import logging
 
-from pearshed._internal.entry.attempt import SERVER_ERROR, Attempt, LinkLoss, LinkLost
+from pearshed._internal.entry.attempt import SERVER_ERROR, LinkLoss, LinkLost
 from pearshed._internal.entry.health import EndpointHealth
 from pearshed._internal.entry.homes import KeyHomes
-from pearshed._internal.entry.link import SideLink
+from pearshed._internal.entry.link import SideAttempt, SideLink
 from pearshed._internal.entry.placement import Candidates, PlacementPolicy
 from pearshed._internal.entry.retry_budget import RetryBudget
 from pearshed._internal.entry.sink import AnswerSink
@@ -64,7 +64,7 @@
     failure: RequestFailure
     endpoints: frozenset[str] = frozenset()
     elsewhere: bool = False
-    answered: Attempt | None = None
+    answered: SideAttempt | None = None
 
 
 class Dispatcher:
@@ -135,7 +135,7 @@
 
         :returns: nothing when the answer was passed on whole.
         """
-        attempt = Attempt(next(self._numbers), request, sink)
+        attempt = SideAttempt(next(self._numbers), request, sink)
         if request.idempotency_key:
             home = await self._homes.link_for(request)
             links = [home] if home is not None else []
@@ -157,7 +157,7 @@
         finally:
             self._dropped_frames += attempt.dropped
 
-    async def _reserve(self, attempt: Attempt, links: Sequence[SideLink]) -> _Granted | _Failed:
+    async def _reserve(self, attempt: SideAttempt, links: Sequence[SideLink]) -> _Granted | _Failed:
         """Place reservations and wait for the first grant.
 
         The preferred side is asked first. The others are asked only when it does not grant at
@@ -191,14 +191,14 @@
                 return _Granted(link, replayed=what.HasField("head"))
         return _refused(refusals, frozenset(link.endpoint.name for link in links))
 
-    def _bind(self, attempt: Attempt, link: SideLink) -> None:
+    def _bind(self, attempt: SideAttempt, link: SideLink) -> None:
         """Choose the side that granted and withdraw the other reservations."""
         attempt.bind(link)
         for other in attempt.open_links:
             if other is not link:
                 other.close_attempt(attempt, _withdraw_frame(attempt))
 
-    def _abandon(self, attempt: Attempt) -> None:
+    def _abandon(self, attempt: SideAttempt) -> None:
         """Tell the sides that nobody wants the attempt any more."""
         for link in attempt.open_links:
             if link is attempt.bound:
@@ -209,7 +209,7 @@
             else:
                 link.close_attempt(attempt, _withdraw_frame(attempt))
 
-    async def _run(self, attempt: Attempt, granted: _Granted) -> _Failed | None:
+    async def _run(self, attempt: SideAttempt, granted: _Granted) -> _Failed | None:
         """Send the body to the side that granted a slot and relay the answer."""
         link = granted.link
         name = link.endpoint.name
@@ -233,7 +233,7 @@
             if what.HasField("end"):
                 return self._ended(attempt, link, what.end)
 
-    def _ended(self, attempt: Attempt, link: SideLink, end: pb.End) -> _Failed | None:
+    def _ended(self, attempt: SideAttempt, link: SideLink, end: pb.End) -> _Failed | None:
         name = link.endpoint.name
         acknowledge = pb.Frame(attempt=attempt.number, acknowledge=pb.Acknowledge())
         link.close_attempt(attempt, acknowledge)
@@ -249,7 +249,7 @@
         )
         return _Failed(failure, frozenset((name,)), elsewhere=not attempt.delivered)
 
-    def _answered(self, attempt: Attempt, name: str) -> _Failed | None:
+    def _answered(self, attempt: SideAttempt, name: str) -> _Failed | None:
         """Pass a whole answer on, unless it is an error that another endpoint may not make."""
         if attempt.head is None or attempt.head.status < SERVER_ERROR:
             self._health.note_success(name)
@@ -263,7 +263,7 @@
         )
         return _Failed(failure, frozenset((name,)), elsewhere=True, answered=attempt)
 
-    def _lost(self, attempt: Attempt, name: str, loss: LinkLoss) -> _Failed:
+    def _lost(self, attempt: SideAttempt, name: str, loss: LinkLoss) -> _Failed:
         execution = Execution.MAY_HAVE_RUN if attempt.body_sent else Execution.NOT_RUN
         failure = RequestFailure(
             FailureCode.ENDPOINT_UNREACHABLE,
@@ -283,7 +283,7 @@
     sink.put(AnswerEnd())
 
 
-def _reservation(attempt: Attempt) -> pb.Frame:
+def _reservation(attempt: SideAttempt) -> pb.Frame:
     request = attempt.request
     remaining_s = max(0.0, request.deadline - clock.now())
     return pb.Frame(
@@ -300,7 +300,7 @@
     )
 
 
-def _withdraw_frame(attempt: Attempt) -> pb.Frame:
+def _withdraw_frame(attempt: SideAttempt) -> pb.Frame:
     return pb.Frame(attempt=attempt.number, withdraw=pb.Withdraw())
 
 
@@ -316,7 +316,7 @@
 
 
 async def _next_event(
-    attempt: Attempt, until: float
+    attempt: SideAttempt, until: float
 ) -> tuple[SideLink, pb.Frame | LinkLost] | None:
     """Wait for an event of the attempt; nothing when time is up."""
     remaining_s = until - clock.now()
--- a/src/pearshed/_internal/entry/link.py
+++ b/src/pearshed/_internal/entry/link.py
@@ -59,6 +59,9 @@
     draining: bool = False
 
 
+SideAttempt = Attempt["SideLink"]
+
+
 class SideLink:
     """Keeps one connection to a side, replaces it when it fails or falls silent.
 
@@ -81,7 +84,7 @@
         self._settings = settings
         self._timers = timers
         self._relay = relay
-        self._attempts: dict[int, Attempt] = {}
+        self._attempts: dict[int, SideAttempt] = {}
         self._writer: FrameWriter | None = None
         self._load = SideLoad()
         self._connected = False
@@ -159,20 +162,20 @@
             self._task.cancel()
         self._lose_all(self._attempts.values(), LinkLoss.BROKEN)
 
-    def open_attempt(self, attempt: Attempt, frame: pb.Frame) -> None:
+    def open_attempt(self, attempt: SideAttempt, frame: pb.Frame) -> None:
         """Send an attempt's reservation and pass its frames on from now on."""
         self._attempts[attempt.number] = attempt
         attempt.opened(self)
         self._send(frame)
 
-    def close_attempt(self, attempt: Attempt, frame: pb.Frame | None = None) -> None:
+    def close_attempt(self, attempt: SideAttempt, frame: pb.Frame | None = None) -> None:
         """Forget an attempt and send a last frame for it, if any."""
         attempt.closed(self)
         known = self._attempts.pop(attempt.number, None) is not None
         if known and frame is not None and self._writer is not None:
             self._writer.send_later(frame)
 
-    def send(self, attempt: Attempt, frame: pb.Frame) -> None:
+    def send(self, attempt: SideAttempt, frame: pb.Frame) -> None:
         """Send a frame of an open attempt."""
         if attempt.number in self._attempts:
             self._send(frame)
@@ -269,7 +272,7 @@
         else:
             self._relay.handle(frame, writer.send)
 
-    def _bound_attempts(self) -> list[Attempt]:
+    def _bound_attempts(self) -> list[SideAttempt]:
         return [attempt for attempt in self._attempts.values() if attempt.bound is self]
 
     def _disconnected(self, process_gone: bool) -> None:
@@ -284,7 +287,7 @@
         unbound = [attempt for attempt in self._attempts.values() if attempt.bound is not self]
         self._lose_all(unbound, LinkLoss.BROKEN)
 
-    def _lose_all(self, attempts: Iterable[Attempt], loss: LinkLoss) -> None:
+    def _lose_all(self, attempts: Iterable[SideAttempt], loss: LinkLoss) -> None:
         for attempt in list(attempts):
             self._attempts.pop(attempt.number, None)
             attempt.closed(self)
@@ -318,7 +321,7 @@
             self._connection.cancel()
 
 
-def _resume(attempt: Attempt) -> pb.Frame:
+def _resume(attempt: SideAttempt) -> pb.Frame:
     return pb.Frame(
         attempt=attempt.number,
         resume=pb.Resume(
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -41,6 +41,8 @@
 _MOST_REJECTIONS = 2
 #: Engines that are asked to admit one request before it is refused.
 _MOST_NOT_ADMITTED = 3
+#: Refusals of usual engines after which others are asked.
+_OVERFLOW_AFTER = 2
 #: Part of the route's target for which a request waits for admission; the rest of the target is
 #: for reading its prompt.
 _WAITING_SHARE = 0.5
@@ -116,6 +118,7 @@
             return writer
         call = routed.unwrap()
         self._budget(call.service).note_request()
+        self._placement(call).note_request(call)
         try:
             await self._forward(call, writer)
         except asyncio.CancelledError:
@@ -142,7 +145,11 @@
         """Try endpoints until one answers or the request must be given up."""
         progress = _Progress()
         while True:
-            placing = self._placement(call).choose(call, self._candidates(call, progress.tried))
+            placing = self._placement(call).choose(
+                call,
+                self._candidates(call, progress.tried),
+                overflow=progress.not_admitted >= _OVERFLOW_AFTER,
+            )
             if placing is None:
                 self._give_up(call, writer, progress, "no endpoint is available")
                 return
--- a/src/pearshed/_internal/gateway/lanes.py
+++ b/src/pearshed/_internal/gateway/lanes.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import hashlib
+import math
 from collections.abc import Sequence
 
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
@@ -17,11 +18,17 @@
 
 #: Routes whose mean prompts differ by less than this factor share a lane.
 LANE_SIZE_FACTOR = 3.0
-#: Engines of a lane of shorter prompts, relative to its part of the tokens read: it needs spare
-#: time, since its requests can't wait.
-SHORT_LANE_HEADROOM = 1.5
+#: Engines of a lane of shorter prompts, relative to its part of the work, while all are calm.
+SHORT_LANE_SHARE = 0.8
+#: Work that an engine of such a lane is given in a second, tokens read: a third of what an
+#: engine reads, so that streams beside a prompt that is read keep their pace.
+SHORT_LANE_TOKENS_PER_S = 16_000.0
+#: Part of the engines that a lane of shorter prompts gets at most.
+LARGEST_SHARE = 0.45
 #: Time over which the traffic of a route is averaged, seconds.
 AVERAGING_S = 4.0
+#: Weight of a steady stream of one request a second.
+_WEIGHT_OF_RATE_S = AVERAGING_S / math.log(2.0)
 #: The fleet's traffic is of use for this long after a side told it, seconds.
 FLEET_LIFE_S = 4.0
 #: Weight of the latest request in the mean sizes of a busy route.
@@ -80,11 +87,12 @@
         self._fleet_told = clock.now()
 
     def select(
-        self, route: Route, tokens: int, endpoints: Sequence[Endpoint]
+        self, route: Route, tokens: int, endpoints: Sequence[Endpoint], *, overflow: bool = False
     ) -> Sequence[Endpoint]:
         """List the engines of the route's lane.
 
         :param tokens: of the request's whole prompt.
+        :param overflow: the lane is full; engines of lanes of longer prompts do too.
         """
         if len(endpoints) < 2:
             return endpoints
@@ -99,7 +107,7 @@
         at = next((at for at, lane in enumerate(lanes) if _holds(lane, route)), 0)
         sizes = self._sizes(lanes, len(endpoints))
         start = sum(sizes[:at])
-        return ordered[start : start + sizes[at]]
+        return ordered[start:] if overflow else ordered[start : start + sizes[at]]
 
     def _traffic(self) -> Sequence[RouteTraffic]:
         """Choose the fleet's traffic while it is fresh, else what this process sees itself."""
@@ -108,16 +116,18 @@
         return self.own_traffic()
 
     def _sizes(self, lanes: Sequence[Sequence[RouteTraffic]], endpoints: int) -> list[int]:
-        """Divide a number of engines in proportion to the work of the lanes."""
-        demands = [
-            sum(found.weight * found.work for found in lane)
-            * (SHORT_LANE_HEADROOM if at < len(lanes) - 1 else 1.0)
-            for at, lane in enumerate(lanes)
-        ]
+        """Divide a number of engines among the lanes.
+
+        Lanes of shorter prompts get what keeps their engines well below their speed, however much
+        is asked of the last lane: an overload of long prompts must not slow short ones.
+        """
+        demands = [sum(found.weight * found.work for found in lane) for lane in lanes]
         whole = sum(demands) or 1.0
-        sizes = [
-            self._steady(at, endpoints * demand / whole) for at, demand in enumerate(demands[:-1])
-        ]
+        sizes = []
+        for at, demand in enumerate(demands[:-1]):
+            share = endpoints * demand / whole * SHORT_LANE_SHARE
+            needed = demand / _WEIGHT_OF_RATE_S / SHORT_LANE_TOKENS_PER_S
+            sizes.append(self._steady(at, min(max(share, needed), endpoints * LARGEST_SHARE)))
         while sum(sizes) >= endpoints:
             sizes[sizes.index(max(sizes))] -= 1
         return [*sizes, endpoints - sum(sizes)]
--- /dev/null
+++ b/src/pearshed/_internal/gateway/operator_pages.py
@@ -0,0 +1,133 @@
+"""What operators and the platform's balancer may ask a gateway over HTTP."""
+
+from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import Any
+
+import orjson
+
+import pearshed
+from pearshed._internal.gateway.admission import SideAdmission
+from pearshed._internal.gateway.endpoints import EndpointTable
+from pearshed._internal.gateway.knowledge import Knowledge
+from pearshed._internal.gateway.repeat_budget import RepeatBudget
+from pearshed._internal.telemetry.log_stream import BoundedLogStream
+from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
+
+#: Ages are shown up to this; before the first answer they are infinite.
+_LARGEST_AGE_S = 1e9
+
+
+class OperatorPages:
+    """Readiness, health, metrics and the state of a gateway.
+
+    :param connections: callers' connections that are open.
+    :param budgets: repeats by service.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        knowledge: Knowledge,
+        endpoints: EndpointTable,
+        admission: SideAdmission,
+        connections: Collection[object],
+        budgets: Mapping[str, RepeatBudget],
+        log_stream: BoundedLogStream,
+        not_ready_reasons: Callable[[], list[str]],
+    ) -> None:
+        self._name = name
+        self._knowledge = knowledge
+        self._endpoints = endpoints
+        self._admission = admission
+        self._connections = connections
+        self._budgets = budgets
+        self._log_stream = log_stream
+        self._not_ready_reasons = not_ready_reasons
+        self._metrics = MetricsPage()
+        self._metrics.add(self._collect)
+
+    @property
+    def metrics(self) -> MetricsPage:
+        """The page of metrics, to which parts add theirs."""
+        return self._metrics
+
+    def page(self, path: str) -> tuple[int, bytes]:
+        """Find a page.
+
+        :returns: its status and content.
+        """
+        page = path.rpartition("/")[2]
+        if page == "dump":
+            return 200, orjson.dumps(self.dump(), option=orjson.OPT_INDENT_2)
+        if page == "metrics":
+            return 200, self.metrics_page().encode()
+        if page == "healthz":
+            return 200, b"ok\n"
+        if page == "readyz":
+            reasons = self._not_ready_reasons()
+            return (503 if reasons else 200), "\n".join(reasons or ["ready"]).encode()
+        return 404, b"pages: readyz healthz metrics dump\n"
+
+    def metrics_page(self) -> str:
+        """Render the metrics."""
+        return self._metrics.render("text/plain")[0].decode()
+
+    def dump(self) -> Mapping[str, Any]:
+        """Describe the state of the process."""
+        configuration = self._knowledge.configuration
+        return {
+            "process": self._name,
+            "version": pearshed.__version__,
+            "not_ready": self._not_ready_reasons(),
+            "configuration": configuration.version if configuration is not None else None,
+            "confirmed_ago_s": round(self._knowledge.age_s, 3) if configuration else None,
+            "store_revision": self._knowledge.revision,
+            "connections": len(self._connections),
+            "log_lines_dropped": self._log_stream.dropped,
+            "endpoints": [
+                {
+                    "identity": endpoint.entry.identity,
+                    "service": endpoint.entry.service,
+                    "address": str(endpoint.entry.address),
+                    "state": endpoint.entry.state.value,
+                    "in_flight": endpoint.in_flight,
+                    "connections": endpoint.open_connections,
+                    "failure_share": round(endpoint.failure_share, 3),
+                }
+                for endpoint in self._endpoints.endpoints
+            ],
+        }
+
+    def _collect(self) -> Iterable[Metric]:
+        configuration = self._knowledge.configuration
+        yield gauge(
+            "pearshed_gateway_configuration_version",
+            "Version of the configuration in force",
+            configuration.version if configuration is not None else 0,
+        )
+        yield gauge(
+            "pearshed_gateway_confirmed_ago_seconds",
+            "Time since the store confirmed the configuration",
+            min(self._knowledge.age_s, _LARGEST_AGE_S),
+        )
+        yield gauge("pearshed_gateway_connections", "Callers connected", len(self._connections))
+        yield gauge("pearshed_gateway_gateways", "Gateways in all", self._admission.gateways)
+        yield counter(
+            "pearshed_gateway_repeats_denied_total",
+            "Second sends refused for want of budget",
+            sum(budget.denied for budget in self._budgets.values()),
+        )
+        yield counter(
+            "pearshed_gateway_log_lines_dropped_total",
+            "Log lines dropped since the reader was slow",
+            self._log_stream.dropped,
+        )
+        endpoints = tuple(self._endpoints.endpoints)
+        yield Metric(
+            "pearshed_gateway_in_flight",
+            "Requests that an endpoint has from this gateway",
+            tuple(
+                Sample(endpoint.in_flight, {"endpoint": endpoint.entry.identity})
+                for endpoint in endpoints
+            ),
+        )
--- a/src/pearshed/_internal/gateway/placement.py
+++ b/src/pearshed/_internal/gateway/placement.py
@@ -42,8 +42,17 @@
     """Chooses endpoints for requests."""
 
     @abc.abstractmethod
-    def choose(self, call: Call, candidates: Sequence[Endpoint]) -> Placing | None:
-        """Choose one endpoint, or nothing where there is none."""
+    def note_request(self, call: Call) -> None:
+        """Note a request before its first attempt."""
+
+    @abc.abstractmethod
+    def choose(
+        self, call: Call, candidates: Sequence[Endpoint], *, overflow: bool = False
+    ) -> Placing | None:
+        """Choose one endpoint, or nothing where there is none.
+
+        :param overflow: endpoints that serve such requests usually have refused it.
+        """
 
     @abc.abstractmethod
     def note_read(self, call: Call, endpoint: Endpoint) -> None:
@@ -79,8 +88,11 @@
         self._data_centre = data_centre
         self._random = source
 
-    def choose(self, call: Call, candidates: Sequence[Endpoint]) -> Placing | None:
+    def choose(
+        self, call: Call, candidates: Sequence[Endpoint], *, overflow: bool = False
+    ) -> Placing | None:
         """Choose the endpoint with the least load."""
+        del overflow
         moment = clock.now()
         usable = preferred(candidates, self._random)
         if not usable:
@@ -98,6 +110,9 @@
 
         return Placing(min(usable, key=load))
 
+    def note_request(self, call: Call) -> None:
+        """Do nothing: plain requests need no lanes."""
+
     def note_read(self, call: Call, endpoint: Endpoint) -> None:
         """Do nothing: plain requests have no prompt."""
 
@@ -122,14 +137,15 @@
         self._lanes: dict[str, Lanes] = {}
         self._readers: collections.OrderedDict[str, Endpoint] = collections.OrderedDict()
 
-    def choose(self, call: Call, candidates: Sequence[Endpoint]) -> Placing | None:
+    def choose(
+        self, call: Call, candidates: Sequence[Endpoint], *, overflow: bool = False
+    ) -> Placing | None:
         """Choose by the shared part, within bounds on load."""
         usable = preferred(candidates, self._random)
         if not usable:
             return None
         lanes = self._lanes.setdefault(call.service, Lanes())
-        lanes.note(call.route, call.fields.prompt_tokens, _work(call))
-        usable = lanes.select(call.route, call.fields.prompt_tokens, usable)
+        usable = lanes.select(call.route, call.fields.prompt_tokens, usable, overflow=overflow)
         moment = clock.now()
         loads = {endpoint: endpoint.in_flight + endpoint.others_load(moment) for endpoint in usable}
         bound = min(loads.values()) + self.OVERLOAD
@@ -141,6 +157,11 @@
         chosen = next(endpoint for endpoint in ranked if loads[endpoint] <= bound)
         return Placing(chosen, self._source(call, chosen, ranked[0], candidates))
 
+    def note_request(self, call: Call) -> None:
+        """Note the work that a request brings."""
+        lanes = self._lanes.setdefault(call.service, Lanes())
+        lanes.note(call.route, call.fields.prompt_tokens, _work(call))
+
     @property
     def lanes(self) -> Mapping[str, Lanes]:
         """Lanes by service."""
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -5,10 +5,9 @@
 import gc
 import random
 import signal
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-import orjson
 from absl import logging
 
 import pearshed
@@ -19,6 +18,7 @@
 from pearshed._internal.gateway.forwarder import Forwarder
 from pearshed._internal.gateway.header_codec import HeaderCodec
 from pearshed._internal.gateway.knowledge import DecodeDocuments, Knowledge
+from pearshed._internal.gateway.operator_pages import OperatorPages
 from pearshed._internal.gateway.placement import LeastLoadPlacement, PromptPlacement
 from pearshed._internal.gateway.repeat_budget import RepeatBudget
 from pearshed._internal.gateway.request_lines import RequestLines
@@ -31,7 +31,6 @@
 from pearshed._internal.http.messages import HttpRequest, RequestProblem
 from pearshed._internal.models.routing import CallerLimits
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
-from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import TimerService
 from pearshed._internal.utils.addresses import Address
@@ -49,8 +48,6 @@
 TRAFFIC_PERIOD_S = 1.0
 #: The settings file may change without a signal.
 SETTINGS_CHECK_S = 5.0
-#: Ages are shown up to this; before the first answer they are infinite.
-_LARGEST_AGE_S = 1e9
 _SWEEP_PERIOD_S = 0.25
 _LOG_PERIOD_S = 0.1
 _IDLE_CHECK_S = 0.02
@@ -105,9 +102,17 @@
             self._request_metrics,
             self._random,
         )
-        self._metrics = MetricsPage()
-        self._metrics.add(self._request_metrics.collect)
-        self._metrics.add(self._collect)
+        self._pages = OperatorPages(
+            settings.name,
+            self._knowledge,
+            self._endpoints,
+            self._admission,
+            self._connections,
+            self._budgets,
+            log_stream,
+            self.not_ready_reasons,
+        )
+        self._pages.metrics.add(self._request_metrics.collect)
 
     async def run(self) -> None:
         """Run until a signal asks the process to stop, then finish what is in flight."""
@@ -140,6 +145,11 @@
         """The endpoints that are known."""
         return self._endpoints
 
+    @property
+    def pages(self) -> OperatorPages:
+        """What operators and the balancer may ask."""
+        return self._pages
+
     def request_stop(self) -> None:
         """Ask the process to stop, as SIGTERM does."""
         self._stop_requested.set()
@@ -155,37 +165,6 @@
             reasons.append("the configuration is too old to trust its keys")
         return reasons
 
-    def metrics_page(self) -> str:
-        """Render the metrics."""
-        return self._metrics.render("text/plain")[0].decode()
-
-    def dump(self) -> Mapping[str, Any]:
-        """Describe the state of the process."""
-        configuration = self._knowledge.configuration
-        return {
-            "process": self._settings.name,
-            "version": pearshed.__version__,
-            "stopping": self._stopping,
-            "not_ready": self.not_ready_reasons(),
-            "configuration": configuration.version if configuration is not None else None,
-            "confirmed_ago_s": round(self._knowledge.age_s, 3) if configuration else None,
-            "store_revision": self._knowledge.revision,
-            "connections": len(self._connections),
-            "log_lines_dropped": self._log_stream.dropped,
-            "endpoints": [
-                {
-                    "identity": endpoint.entry.identity,
-                    "service": endpoint.entry.service,
-                    "address": str(endpoint.entry.address),
-                    "state": endpoint.entry.state.value,
-                    "in_flight": endpoint.in_flight,
-                    "connections": endpoint.open_connections,
-                    "failure_share": round(endpoint.failure_share, 3),
-                }
-                for endpoint in self._endpoints.endpoints
-            ],
-        }
-
     async def _stop(self, callers: asyncio.Server) -> None:
         """Serve until the balancer has turned away, then finish what is in flight."""
         self._stopping = True
@@ -296,7 +275,7 @@
             if isinstance(request, RequestProblem):
                 self._answer_problem(connection, request)
                 return
-            status, body = self._operator_page(request.path)
+            status, body = self._pages.page(request.path)
             headers = [(b"content-length", b"%d" % len(body))]
             connection.write(messages.encode_head(messages.status_line(status), headers) + body)
             if not request.keep_alive:
@@ -304,19 +283,6 @@
                 return
             connection.finish_request()
 
-    def _operator_page(self, path: str) -> tuple[int, bytes]:
-        page = path.rpartition("/")[2]
-        if page == "dump":
-            return 200, orjson.dumps(self.dump(), option=orjson.OPT_INDENT_2)
-        if page == "metrics":
-            return 200, self.metrics_page().encode()
-        if page == "healthz":
-            return 200, b"ok\n"
-        if page == "readyz":
-            reasons = self.not_ready_reasons()
-            return (503 if reasons else 200), "\n".join(reasons or ["ready"]).encode()
-        return 404, b"pages: readyz healthz metrics dump\n"
-
     def _reload(self) -> None:
         """Take bounds from the settings file again; addresses hold until the next start."""
         loaded = self._load_settings()
@@ -349,40 +315,6 @@
         age_ms = round(self._knowledge.age_s * clock.MILLISECONDS_PER_SECOND)
         return {"version": configuration.version, "confirmed_ago_ms": age_ms}
 
-    def _collect(self) -> Iterable[Metric]:
-        configuration = self._knowledge.configuration
-        yield gauge(
-            "pearshed_gateway_configuration_version",
-            "Version of the configuration in force",
-            configuration.version if configuration is not None else 0,
-        )
-        yield gauge(
-            "pearshed_gateway_confirmed_ago_seconds",
-            "Time since the store confirmed the configuration",
-            min(self._knowledge.age_s, _LARGEST_AGE_S),
-        )
-        yield gauge("pearshed_gateway_connections", "Callers connected", len(self._connections))
-        yield gauge("pearshed_gateway_gateways", "Gateways in all", self._admission.gateways)
-        yield counter(
-            "pearshed_gateway_repeats_denied_total",
-            "Second sends refused for want of budget",
-            sum(budget.denied for budget in self._budgets.values()),
-        )
-        yield counter(
-            "pearshed_gateway_log_lines_dropped_total",
-            "Log lines dropped since the reader was slow",
-            self._log_stream.dropped,
-        )
-        endpoints = tuple(self._endpoints.endpoints)
-        yield Metric(
-            "pearshed_gateway_in_flight",
-            "Requests that an endpoint has from this gateway",
-            tuple(
-                Sample(endpoint.in_flight, {"endpoint": endpoint.entry.identity})
-                for endpoint in endpoints
-            ),
-        )
-
     def _sweep(self) -> None:
         moment = clock.now()
         for connection in tuple(self._connections):
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -96,6 +96,13 @@
         self.read("cached", 0.1)
         self.assertEqual(["running", "urgent", "cached", "unread"], self.granted)
 
+    def test_large_requests_are_not_put_back(self) -> None:
+        self.ask(ask("running", BACKLOG_TOKENS), ask("large", 30_000, budget_ms=5000))
+        self.clock.advance(0.1)
+        self.ask(ask("small", 100, budget_ms=5000))
+        self.read("running", 0.1)
+        self.assertEqual(["running", "large"], self.granted)
+
     def test_a_request_that_cant_begin_in_time_is_refused_at_once(self) -> None:
         self.ask(ask("running", 40_000), ask("hopeless", 100, budget_ms=300))
         self.assertEqual((["running"], ["hopeless"]), (self.granted, self.refused))
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -11,7 +11,8 @@
 from pearshed._internal.platform.documents import PlatformDocuments
 from pearshed._internal.platform.store_client import PlatformStore
 from tests.lib.gateway_fixture import until
-from tests.lib.users_platform import StoreStandIn, configuration
+from tests.lib.users_platform import configuration
+from tests.lib.users_store import StoreStandIn
 
 ENTRY = {"service": "fleet", "address": "10.0.0.1:80", "zone": "olympia", "state": "ready"}
 
--- /dev/null
+++ b/tests/lib/users_caller.py
@@ -0,0 +1,103 @@
+"""A caller's connection to a gateway, as tests drive it."""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from pearshed._internal.utils.addresses import Address
+from tests.lib.users_platform import API_KEY, HOST
+
+
+@dataclass
+class CallerAnswer:
+    """An answer as a caller sees it.
+
+    :ivar complete: it ended as its framing says.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool
+
+
+class Caller:
+    """A caller's connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @classmethod
+    async def connect(cls, address: Address) -> "Caller":
+        """Open a connection."""
+        return cls(*await asyncio.open_connection(address.host, address.port))
+
+    def send_bytes(self, content: bytes) -> None:
+        """Send bytes as they are."""
+        self._writer.write(content)
+
+    def send(
+        self,
+        path: str,
+        request_id: str = "1",
+        method: str = "POST",
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        """Send a request with the caller's key."""
+        named = {
+            "Host": HOST,
+            "Authorization": f"Token {API_KEY}",
+            "Pearshed-Request-Id": request_id,
+            "Pearshed-Deadline-Ms": "3000",
+            "Content-Length": str(len(body)),
+            **(headers or {}),
+        }
+        lines = "".join(f"{name}: {value}\r\n" for name, value in named.items() if value)
+        self.send_bytes(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
+
+    async def answer(self) -> CallerAnswer | None:
+        """Read an answer; nothing when the connection ends without one."""
+        try:
+            head = await self._reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        lines = head.decode("latin-1").split("\r\n")
+        headers = {
+            name.strip().lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in lines[1:] if line)
+        }
+        status = int(lines[0].split(" ")[1])
+        try:
+            if headers.get("transfer-encoding") == "chunked":
+                return CallerAnswer(status, headers, *await self._chunks())
+            body = await self._reader.readexactly(int(headers["content-length"]))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return CallerAnswer(status, headers, b"", False)
+        return CallerAnswer(status, headers, body, True)
+
+    async def event(self) -> bytes:
+        """Read one chunk of a stream whose head was read."""
+        size = int(await self._reader.readuntil(b"\r\n"), 16)
+        return (await self._reader.readexactly(size + 2))[:-2]
+
+    async def head(self) -> bytes:
+        """Read the head of an answer."""
+        return await self._reader.readuntil(b"\r\n\r\n")
+
+    async def _chunks(self) -> tuple[bytes, bool]:
+        body = b""
+        try:
+            while True:
+                size = int(await self._reader.readuntil(b"\r\n"), 16)
+                chunk = await self._reader.readexactly(size + 2)
+                if not size:
+                    return body, True
+                body += chunk[:-2]
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return body, False
+
+    def close(self) -> None:
+        """Leave."""
+        self._writer.close()
--- /dev/null
+++ b/tests/lib/users_store.py
@@ -0,0 +1,155 @@
+"""A stand-in of the users' platform's store, on loopback."""
+
+import asyncio
+import base64
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from pearshed._internal.utils.addresses import Address
+
+
+@dataclass
+class _Item:
+    value: bytes
+    revision: int
+
+
+@dataclass
+class StoreStandIn:
+    """The platform's store: items, a history of changes, and faults that tests switch on.
+
+    :ivar refuse_with: status that every call gets while it isn't 0.
+    :ivar hold: calls hang while it is set.
+    """
+
+    refuse_with: int = 0
+    hold: bool = False
+    page_size: int = 2
+    calls: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._items: dict[str, _Item] = {}
+        self._history: list[tuple[int, str, bytes | None]] = []
+        self._oldest = 0
+        self._revision = 1
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.address = Address("127.0.0.1", 0)
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = Address("127.0.0.1", self._server.sockets[0].getsockname()[1])
+
+    async def stop(self) -> None:
+        """Stop listening and drop the connections."""
+        if self._server is not None:
+            self._server.close()
+        self.cut()
+
+    def cut(self) -> None:
+        """Reset all connections."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def put(self, key: str, document: Any) -> None:
+        """Write an item; bytes are written as they are."""
+        value = document if isinstance(document, bytes) else json.dumps(document).encode()
+        self._revision += 1
+        self._items[key] = _Item(value, self._revision)
+        self._note(key, value)
+
+    def delete(self, key: str) -> None:
+        """Delete an item."""
+        self._revision += 1
+        del self._items[key]
+        self._note(key, None)
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self._history.clear()
+        self._oldest = self._revision
+
+    def _note(self, key: str, value: bytes | None) -> None:
+        self._history.append((self._revision, key, value))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                target = head.split(b" ")[1].decode()
+                self.calls.append(target)
+                while self.hold:
+                    await asyncio.sleep(0.01)
+                status, document = await self._answer(target)
+                body = json.dumps(document).encode()
+                writer.write(
+                    b"HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body
+                )
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        except asyncio.CancelledError:
+            writer.transport.abort()
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, target: str) -> tuple[int, dict[str, Any]]:
+        if self.refuse_with:
+            return self.refuse_with, {"error": "turned away"}
+        parts = urlsplit(target)
+        query = {name: found[0] for name, found in parse_qs(parts.query).items()}
+        if parts.path == "/v1/kv-key":
+            item = self._items.get(query["key"])
+            if item is None:
+                return 404, {"storeRevision": self._revision}
+            return 200, {**_shown(query["key"], item), "storeRevision": self._revision}
+        if parts.path == "/v1/kv-range":
+            return 200, self._range(query)
+        return await self._watch(query)
+
+    def _range(self, query: Mapping[str, str]) -> dict[str, Any]:
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(query["pathPrefix"]) and key > query.get("sinceRev", "")
+        )
+        page = keys[: self.page_size]
+        return {
+            "items": [_shown(key, self._items[key]) for key in page],
+            "truncated": len(keys) > len(page),
+            "storeRevision": self._revision,
+        }
+
+    async def _watch(self, query: Mapping[str, str]) -> tuple[int, dict[str, Any]]:
+        since = int(query["sinceRev"])
+        if since < self._oldest:
+            return 410, {"error": "compacted"}
+        changed = self._changed
+        if self._revision <= since:
+            try:
+                await asyncio.wait_for(changed.wait(), int(query["waitMs"]) / 1000)
+            except TimeoutError:
+                pass
+        events = [
+            (
+                {"key": key, "revision": revision, "deleted": True}
+                if value is None
+                else _shown(key, _Item(value, revision))
+            )
+            for revision, key, value in self._history
+            if revision > since
+        ]
+        return 200, {"events": events, "storeRevision": self._revision}
+
+
+def _shown(key: str, item: _Item) -> dict[str, Any]:
+    value = base64.b64encode(item.value).decode()
+    return {"key": key, "value": value, "revision": item.revision, "created": 1, "lease": 0}
