Recheck an engine after admission, and keep the order of many ranks

Cause: a request may wait up to half its target for admission; an engine that began to leave meanwhile still got it. Engines tell ten levels of urgency apart, and ranks above were drawn together. Change: an engine that no longer accepts is not sent to after a grant; ranks are scaled to ten levels in order; rendezvous hashing is shared with membership. Test: the request reached the leaving engine before the change (seen failing), and is refused after.

--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -155,6 +155,10 @@
                 return
             progress.tried.append(placing.endpoint)
             admission = await self._admit(call, placing.endpoint, progress)
+            if isinstance(admission, Admitted) and not placing.endpoint.accepting:
+                # It began to leave while the request waited.
+                self._admission.note_done(admission, placing.endpoint)
+                continue
             if isinstance(admission, NotAdmitted):
                 progress.not_admitted += 1
                 progress.wait_s = min(progress.wait_s or admission.wait_s, admission.wait_s)
--- a/src/pearshed/_internal/gateway/lanes.py
+++ b/src/pearshed/_internal/gateway/lanes.py
@@ -7,12 +7,12 @@
 """
 
 import dataclasses
-import hashlib
 import math
 from collections.abc import Sequence
 
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.gateway.endpoints import Endpoint
+from pearshed._internal.membership import rendezvous
 from pearshed._internal.models.routing import Route
 from pearshed._internal.timers import clock
 
@@ -161,6 +161,6 @@
     return float(2.0 ** (-age_s / AVERAGING_S))
 
 
-def stable_order(endpoint: Endpoint) -> bytes:
+def stable_order(endpoint: Endpoint) -> int:
     """Order engines alike in all processes, whatever joins or leaves."""
-    return hashlib.blake2b(endpoint.entry.identity.encode(), digest_size=8).digest()
+    return rendezvous.score("lanes", endpoint.entry.identity)
--- a/src/pearshed/_internal/gateway/placement.py
+++ b/src/pearshed/_internal/gateway/placement.py
@@ -2,7 +2,6 @@
 
 import abc
 import collections
-import hashlib
 import random
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -10,6 +9,7 @@
 from pearshed._internal.gateway.call import Call
 from pearshed._internal.gateway.endpoints import Endpoint
 from pearshed._internal.gateway.lanes import Lanes
+from pearshed._internal.membership import rendezvous
 from pearshed._internal.timers import clock
 
 #: Requests in flight hear nothing for this long: the endpoint is likely dark.
@@ -153,7 +153,9 @@
             # Without a long shared part to find again, the least loaded engine of the lane does.
             return Placing(min(usable, key=lambda one: loads[one] + self._random.random()))
         part = call.shared_part
-        ranked = sorted(usable, key=lambda endpoint: _score(part, endpoint), reverse=True)
+        ranked = sorted(
+            usable, key=lambda one: rendezvous.score(part, one.entry.identity), reverse=True
+        )
         chosen = next(endpoint for endpoint in ranked if loads[endpoint] <= bound)
         return Placing(chosen, self._source(call, chosen, ranked[0], candidates))
 
@@ -193,9 +195,3 @@
     """Estimate the work of an engine that keeps the shared part, in tokens read."""
     unshared = call.fields.prompt_tokens - call.shared_tokens
     return unshared + call.fields.expected_output * _OUTPUT_WEIGHT
-
-
-def _score(part: str, endpoint: Endpoint) -> bytes:
-    """Weigh a part and an endpoint (rendezvous hashing)."""
-    seed = f"{part}/{endpoint.entry.identity}".encode()
-    return hashlib.blake2b(seed, digest_size=8).digest()
--- a/src/pearshed/_internal/models/routing.py
+++ b/src/pearshed/_internal/models/routing.py
@@ -6,6 +6,9 @@
 
 from pearshed._internal.utils.addresses import Address
 
+#: Levels of urgency that engines tell apart; more ranks than that are drawn together in order.
+RANK_LEVELS = 10
+
 
 class RouteKind(enum.StrEnum):
     """What may be repeated on a route."""
@@ -117,6 +120,7 @@
     :ivar holders: customers by API key.
     :ivar keys_required: whether routes that are not public need a key.
     :ivar ranks: number of the routes' ranks; customers' ranks go before these.
+    :ivar customer_ranks: number of the customers' ranks.
     """
 
     version: int
@@ -126,11 +130,14 @@
     keys_required: bool
     limits: CallerLimits
     ranks: int
+    customer_ranks: int
 
     def rank(self, route: Route, holder: KeyHolder | None) -> int:
         """Rank a request: by its customer first, then by its route."""
         customer_rank = holder.rank if holder is not None and holder.rank is not None else 0
-        return customer_rank * self.ranks + route.rank
+        rank = customer_rank * self.ranks + route.rank
+        levels = self.ranks * self.customer_ranks
+        return rank * RANK_LEVELS // levels if levels > RANK_LEVELS else rank
 
     def match(self, host: str, path: str) -> Route | None:
         """Find the route of a host whose prefix is the longest that begins the path."""
--- a/src/pearshed/_internal/platform/documents.py
+++ b/src/pearshed/_internal/platform/documents.py
@@ -84,6 +84,7 @@
         keys_required=holders is not None,
         limits=_limits(raw),
         ranks=1 + max((route.rank for found in routes.values() for route in found), default=0),
+        customer_ranks=1 + max((found.rank or 0 for found in (holders or {}).values()), default=0),
     )
 
 
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -117,6 +117,26 @@
         caller.close()
         await until(lambda: side.dump()["admitted"] == 0)
 
+    async def test_an_engine_that_leaves_while_a_request_waits_does_not_get_it(self) -> None:
+        await self.start_all()
+        first = await Caller.connect(self.settings.callers)
+        busy = {"Pearshed-Token-Usage": "10000,10", "Pearshed-Prefix-Hash": "bb:10000"}
+        first.send("/urgent/a", request_id="first", headers=busy)
+        await until(lambda: len(self.engines[0].requests) == 1)
+        second = await Caller.connect(self.settings.callers)
+        small = {"Pearshed-Token-Usage": "100,10", "Pearshed-Prefix-Hash": "cc:100"}
+        second.send("/urgent/a", request_id="second", headers=small)
+        entry = self.engines[0].entry(state="draining")
+        self.store.put(f"servers/{self.engines[0].identity}", entry)
+        await until(lambda: self.knows("fleet", 0))
+        self.release.set()
+        served, refused = await first.answer(), await second.answer()
+        assert served is not None and refused is not None
+        self.assertEqual((200, 503), (served.status, refused.status))
+        self.assertEqual(1, len(self.engines[0].requests))
+        first.close()
+        second.close()
+
     @parameterized.expand([("never_started", False), ("killed", True)])
     async def test_requests_go_on_without_a_side(self, _: str, start: bool) -> None:
         self.release.set()
--- a/tests/gateway/test_platform_adapter.py
+++ b/tests/gateway/test_platform_adapter.py
@@ -80,6 +80,22 @@
             [(key, name) for _, key, name in order],
         )
 
+    def test_more_ranks_than_engines_tell_apart_keep_their_order(self) -> None:
+        document = configuration(
+            3,
+            routes=[route(f"r{n}", "idempotent", "ledger", priority=n) for n in range(3)],
+            tenants=[{"name": f"t{n}", "apiKeys": [str(n)], "priority": n} for n in range(6)],
+        )
+        decoded = decode_configuration(json.dumps(document).encode()).unwrap()
+        routes = sorted(decoded.routes["rota.example"], key=lambda found: found.rank)
+        ranks = [
+            decoded.rank(found, decoded.holders[str(tenant)])
+            for tenant in range(6)
+            for found in routes
+        ]
+        self.assertEqual(sorted(ranks), ranks)
+        self.assertEqual((0, 9), (ranks[0], ranks[-1]))
+
     @parameterized.expand(
         [
             ("noise", b"\xff\xfe"),
