Wait for a slow answer when no other endpoint may give it

Ruled out: endpoints that hang (the same requests were still running). Change: the first endpoint's time is cut short only if another one is allowed and left; a slow answer counts as a failure and ejects nobody. Test: 502 before, 200 after, for one endpoint allowed and one endpoint left.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -104,7 +104,7 @@
     def _timed_out(self, remaining_s: float) -> AttemptOutcome:
         if remaining_s <= self._patience_s:
             return OutOfTime(sent=True)
-        self._endpoint.note_unreachable()
+        self._endpoint.note_failure()
         return Failed(f"no answer within {self._patience_s:.2f} s")
 
     async def _take_answer(
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -35,6 +35,7 @@
 from pearshed._internal.http import messages
 from pearshed._internal.http.caller_connection import CallerConnection
 from pearshed._internal.http.messages import HttpRequest
+from pearshed._internal.models.routing import RouteKind
 from pearshed._internal.timers import clock
 
 #: Endpoints that may turn one request away before it is refused.
@@ -199,6 +200,14 @@
             and budget.try_repeat()
         )
 
+    def _may_try_elsewhere(self, call: Call, progress: "_Progress") -> bool:
+        """Tell whether another endpoint may answer if the one that is tried now is slow."""
+        return (
+            call.route.kind is RouteKind.IDEMPOTENT
+            and progress.ran + 1 < call.route.max_endpoints
+            and bool(self._candidates(call, progress.tried))
+        )
+
     async def _admit(self, call: Call, endpoint: Endpoint, progress: "_Progress") -> Admission:
         if not call.route.has_prompt:
             return Admitted("")
@@ -243,7 +252,7 @@
         admitted: Admitted,
     ) -> AttemptOutcome:
         patience_s = call.remaining_s
-        if call.route.repeatable and not call.route.streaming and progress.ran == 0:
+        if self._may_try_elsewhere(call, progress):
             patience_s *= _PATIENCE_SHARE
 
         def note_read() -> None:
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -181,6 +181,24 @@
         await until(lambda: self.knows("ledger", 1))
         self.assertEqual(504, await self.status("/confirm/a"))
 
+    @parameterized.expand([("one_endpoint_allowed", 1, 2), ("one_endpoint_left", 2, 1)])
+    async def test_a_slow_answer_is_waited_for_when_no_other_is_to_be_had(
+        self, _: str, max_endpoints: int, engines: int
+    ) -> None:
+        async def answer_late(connection: EngineConnection, request: EngineRequest) -> None:
+            await asyncio.sleep(0.6)
+            connection.answer(request)
+
+        document = configuration(2)
+        for route in document["routes"]:
+            route.update(timeoutMs=1000, maxAttempts=max_endpoints)
+        self.store.put("op/config", document)
+        for _number in range(engines):
+            await self.add_engine("ledger", answer_late)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", engines))
+        self.assertEqual(200, await self.status("/lookup/a"))
+
     async def test_a_caller_that_leaves_ends_the_endpoints_work(self) -> None:
         ended = asyncio.Event()
 
