Let broken streams wait for their turn anew, and send nothing for callers that left

Cause, found by reading: a resumed stream had used up the time in which it may wait for admission and was cut whenever its next engine was busy; a request that must not be repeated and whose caller had left was sent to a second engine after the first turned it away. Tests: both seen failing before the change (stream cut; two sends), both pass after.

--- a/src/pearshed/_internal/cli/main.py
+++ b/src/pearshed/_internal/cli/main.py
@@ -18,7 +18,7 @@
     RecordsError: status_codes.BAD_RECORDS,
     UnreachableProcessError: status_codes.UNREACHABLE,
 }
-_EPILOG = "'pearshed COMMAND --help' explains a command. Start with docs/operations.md."
+_EPILOG = "'pearshed COMMAND --help' explains a command. Start with docs/OPERATIONS.md."
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/src/pearshed/_internal/entry/metrics.py
+++ b/src/pearshed/_internal/entry/metrics.py
@@ -13,7 +13,7 @@
 
 
 class EntryMetrics:
-    """Reports what an entry counts; docs/operations.md says what each metric means."""
+    """Reports what an entry counts; docs/OPERATIONS.md says what each metric means."""
 
     def __init__(
         self,
--- a/src/pearshed/_internal/gateway/answer_writer.py
+++ b/src/pearshed/_internal/gateway/answer_writer.py
@@ -26,6 +26,11 @@
         """Whether the caller has got the start of an answer."""
         return self._begun
 
+    @property
+    def caller_gone(self) -> bool:
+        """Whether the caller has left."""
+        return self._connection.gone
+
     @property
     def events(self) -> int:
         """Events passed on."""
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -145,7 +145,7 @@
     async def _forward(self, call: Call, writer: AnswerWriter) -> None:
         """Try endpoints until one answers or the request must be given up."""
         progress = _Progress()
-        while True:
+        while not writer.caller_gone:
             placing = self._placement(call).choose(
                 call,
                 self._candidates(call, progress.tried),
@@ -213,9 +213,9 @@
             return Admitted("")
         asked = clock.now()
         target_s = call.route.target_ms / clock.MILLISECONDS_PER_SECOND
-        budget_s = min(target_s * _WAITING_SHARE, call.remaining_s) - (
-            asked - call.request.received
-        )
+        # A request that was broken off waits anew: what it has cost so far is not to be lost.
+        since = asked if progress.ran else call.request.received
+        budget_s = min(since + target_s * _WAITING_SHARE, call.deadline) - asked
         attempt = len(progress.tried)
         admission = await self._admission.admit(call, endpoint, attempt, max(0.0, budget_s))
         waited_s = clock.now() - asked
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -137,6 +137,44 @@
         first.close()
         second.close()
 
+    async def test_a_broken_stream_waits_for_its_turn_to_go_on(self) -> None:
+        async def break_once(connection: EngineConnection, request: EngineRequest) -> None:
+            if request.request_id == "busy":
+                await self.stream(connection, request)
+                return
+            connection.begin_stream(request)
+            if "last-event-id" not in request.headers:
+                connection.send_event(1)
+                # By now the time in which a first attempt may wait is over.
+                await asyncio.sleep(0.4)
+                connection.reset()
+                return
+            connection.send_event(2)
+            connection.end_stream()
+
+        routes = [route("draft", "streaming", "fleet", sticky=True, resumable=True)]
+        routes[0]["targetLatencyMs"] = 600
+        self.store.put("op/config", configuration(3, routes=routes))
+        await self.start_all()
+        self.engines[0].script = break_once
+        await self.add_engine("fleet", break_once)
+        await until(lambda: self.knows("fleet", 2))
+        caller = await Caller.connect(self.settings.callers)
+        caller.send("/draft/a", request_id="broken", headers=PROMPT)
+        await caller.head()
+        self.assertIn(b"id: 1", await caller.event())
+        busy = await Caller.connect(self.settings.callers)
+        large = {"Pearshed-Token-Usage": "20000,10", "Pearshed-Prefix-Hash": "bb:20000"}
+        busy.send("/draft/a", request_id="busy", headers=large)
+        await until(
+            lambda: any(seen.request_id == "busy" for one in self.engines for seen in one.requests)
+        )
+        asyncio.get_running_loop().call_later(0.6, self.release.set)
+        self.assertIn(b"id: 2", await caller.event())
+        self.assertEqual(b"", await caller.event())
+        for one in (caller, busy):
+            one.close()
+
     @parameterized.expand([("never_started", False), ("killed", True)])
     async def test_requests_go_on_without_a_side(self, _: str, start: bool) -> None:
         self.release.set()
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -216,6 +216,31 @@
         caller.close()
         await asyncio.wait_for(ended.wait(), 10)
 
+    async def test_nothing_more_is_sent_for_a_caller_that_left(self) -> None:
+        left = asyncio.Event()
+
+        async def turn_away_late(connection: EngineConnection, request: EngineRequest) -> None:
+            await left.wait()
+            await turn_away(connection, request)
+
+        for _ in range(2):
+            await self.add_engine("ledger", turn_away_late)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 2))
+        caller = await Caller.connect(self.settings.callers)
+        caller.send("/confirm/a")
+        await until(lambda: any(engine.requests for engine in self.engines))
+        caller.close()
+        await until(lambda: not self.gateway.pages.dump()["connections"])
+        left.set()
+        await until(lambda: not any(one.in_flight for one in self.gateway.endpoints.endpoints))
+        # A later request has been through both engines by the time that a repeat would be there.
+        await self.status("/open/a", headers={"Authorization": ""})
+        self.assertEqual(
+            1,
+            sum(seen.target == "/confirm/a" for one in self.engines for seen in one.requests),
+        )
+
     async def test_answers_on_one_connection_keep_their_order(self) -> None:
         async def echo(connection: EngineConnection, request: EngineRequest) -> None:
             await asyncio.sleep(0.02 if request.body == b"0" else 0)
