Serve pages of the sides, from one page server

Cause: the house style asks for a dump and metrics of each process; sides had none, and gateways served theirs from the code for callers. Change: http/page_server.py serves both; a side's pages are on the TCP port beside its datagrams'.

--- a/src/pearshed/_internal/engine_side/admission_queue.py
+++ b/src/pearshed/_internal/engine_side/admission_queue.py
@@ -48,6 +48,7 @@
     unread: int
     until: float
     order: float
+    first_asked: float
     asked: float
     notify: Callable[[object], None] = field(repr=False)
 
@@ -137,6 +138,7 @@
             moment + ask.budget_ms / clock.MILLISECONDS_PER_SECOND,
             moment + max(0, unread - ask.prompt[-1].tokens if ask.prompt else 0) * LAG_PER_TOKEN_S,
             moment,
+            moment,
             notify,
         )
         self._waiting[ask.reservation] = reservation
--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -25,7 +25,9 @@
 from pearshed._internal.engine_side.monitor import EngineMonitor
 from pearshed._internal.engine_side.prompt_cache import PromptCache
 from pearshed._internal.engine_side.settings import EngineSideSettings
+from pearshed._internal.engine_side.side_pages import SidePages
 from pearshed._internal.engine_side.traffic_table import TrafficTable
+from pearshed._internal.http.page_server import PageServer
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import TimerService
@@ -56,7 +58,9 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._stop_requested = asyncio.Event()
         self._traffic = TrafficTable()
-        self._counts = {"granted": 0, "refused": 0, "malformed": 0}
+        self._malformed = 0
+        self._pages = SidePages(self._queue, log_stream, self.dump)
+        self._page_server = PageServer(self._pages.page, self._timers)
 
     @property
     def serving(self) -> bool:
@@ -78,6 +82,7 @@
         self._timers.every(_LOG_PERIOD_S, self._log_stream.drain)
         address = self._settings.listen
         await loop.create_datagram_endpoint(lambda: self, local_addr=(address.host, address.port))
+        await self._page_server.listen(address)
         tasks = [loop.create_task(self._follow_reports()), loop.create_task(self._follow_cache())]
         logging.info("process.started", extra={"fields": {"version": pearshed.__version__}})
         await self._stop_requested.wait()
@@ -87,17 +92,23 @@
         self._timers.stop()
         if self._transport is not None:
             self._transport.close()
+        self._page_server.close()
         self._monitor.close()
         self._log_stream.drain()
 
     def dump(self) -> Mapping[str, Any]:
         """Describe the state of the process."""
         return {
+            "process": self._settings.name,
+            "version": pearshed.__version__,
             "engine": str(self._settings.engine),
             "waiting": self._queue.waiting,
             "admitted": self._queue.granted,
             "tokens_per_s": round(self._queue.tokens_per_s),
-            **self._counts,
+            "tokens_unread": self._queue.unread_tokens,
+            "gateways": self._traffic.gateways,
+            "datagrams_malformed": self._malformed,
+            "log_lines_dropped": self._log_stream.dropped,
         }
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -108,7 +119,7 @@
         """Take a message of a gateway."""
         decoded = messages.decode(data)
         if not is_successful(decoded):
-            self._counts["malformed"] += 1
+            self._malformed += 1
             logging.info("datagram.malformed", extra={"fields": {"reason": decoded.failure()}})
             return
         message = decoded.unwrap()
@@ -136,11 +147,12 @@
             self._send(Waiting(ask.reservation), peer)
 
     def _grant(self, reservation: Reservation) -> None:
-        self._counts["granted"] += 1
+        waited_s = clock.now() - reservation.first_asked
+        self._pages.note_granted(reservation.ask.rank, waited_s)
         reservation.notify(Granted(reservation.ask.reservation, self._queue.granted))
 
     def _refuse(self, reservation: Reservation, wait_s: float) -> None:
-        self._counts["refused"] += 1
+        self._pages.note_refused(reservation.ask.rank)
         wait_ms = int(wait_s * clock.MILLISECONDS_PER_SECOND)
         reservation.notify(Refused(reservation.ask.reservation, wait_ms))
         logging.info(
--- /dev/null
+++ b/src/pearshed/_internal/engine_side/side_pages.py
@@ -0,0 +1,93 @@
+"""What operators may ask the side of an engine over HTTP."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import orjson
+
+from pearshed._internal.engine_side.admission_queue import AdmissionQueue
+from pearshed._internal.telemetry.histogram import LatencyHistogram
+from pearshed._internal.telemetry.log_stream import BoundedLogStream
+from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
+
+
+class SidePages:
+    """Health, metrics and the state of the side of an engine.
+
+    :param dump: describes the state of the process.
+    """
+
+    def __init__(
+        self,
+        queue: AdmissionQueue,
+        log_stream: BoundedLogStream,
+        dump: Callable[[], Mapping[str, Any]],
+    ) -> None:
+        self._queue = queue
+        self._log_stream = log_stream
+        self._dump = dump
+        self._decisions: Counter[tuple[str, int]] = Counter()
+        self._waits = LatencyHistogram()
+        self._metrics = MetricsPage()
+        self._metrics.add(self._collect)
+
+    def note_granted(self, rank: int, waited_s: float) -> None:
+        """Count a request that was admitted."""
+        self._decisions[("granted", rank)] += 1
+        self._waits.add(waited_s)
+
+    def note_refused(self, rank: int) -> None:
+        """Count a request that was refused."""
+        self._decisions[("refused", rank)] += 1
+
+    def page(self, path: str) -> tuple[int, bytes]:
+        """Find a page.
+
+        :returns: its status and content.
+        """
+        name = path.rpartition("/")[2]
+        if name == "dump":
+            return 200, orjson.dumps(self._dump(), option=orjson.OPT_INDENT_2)
+        if name == "metrics":
+            return 200, self._metrics.render("text/plain")[0]
+        if name in ("healthz", "readyz"):
+            return 200, b"ok\n"
+        return 404, b"pages: readyz healthz metrics dump\n"
+
+    def _collect(self) -> Iterable[Metric]:
+        yield Metric(
+            "pearshed_side_decisions_total",
+            "Reservations by decision and rank",
+            tuple(
+                Sample(count, {"decision": decision, "rank": str(rank)})
+                for (decision, rank), count in self._decisions.items()
+            ),
+            counter=True,
+        )
+        yield Metric(
+            "pearshed_side_wait_seconds_bucket",
+            "Admitted requests by their wait, cumulative",
+            tuple(
+                Sample(count, {"le": str(bound)})
+                for bound, count in self._waits.cumulative().items()
+            ),
+            counter=True,
+        )
+        yield gauge("pearshed_side_waiting", "Reservations that wait", self._queue.waiting)
+        yield gauge("pearshed_side_admitted", "Requests that the engine has", self._queue.granted)
+        yield gauge(
+            "pearshed_side_unread_tokens",
+            "Tokens that the engine has got and not read",
+            self._queue.unread_tokens,
+        )
+        yield gauge(
+            "pearshed_side_tokens_per_second",
+            "Measured speed of the engine's reading",
+            self._queue.tokens_per_s,
+        )
+        yield counter(
+            "pearshed_side_log_lines_dropped_total",
+            "Log lines dropped since the reader was slow",
+            self._log_stream.dropped,
+        )
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -12,7 +12,6 @@
 
 import pearshed
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
-from pearshed._internal.errors import AddressInUseError
 from pearshed._internal.gateway.admission import SideAdmission
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.forwarder import Forwarder
@@ -26,16 +25,14 @@
 from pearshed._internal.gateway.request_router import RequestRouter
 from pearshed._internal.gateway.settings import GatewaySettings
 from pearshed._internal.gateway.store import Store
-from pearshed._internal.http import messages
 from pearshed._internal.http.caller_connection import CallerConnection, ConnectionState
 from pearshed._internal.http.messages import HttpRequest, RequestProblem
+from pearshed._internal.http.page_server import PageServer, listen, write_problem
 from pearshed._internal.models.routing import CallerLimits
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import TimerService
-from pearshed._internal.utils.addresses import Address
 
-LISTEN_BACKLOG = 1024
 #: In force until a configuration is known.
 INITIAL_LIMITS = CallerLimits(16 * 1024, 4 * 1024 * 1024, 5.0, 30.0)
 #: Time before the bound at which keys are no longer trusted: checks and clocks are not exact.
@@ -113,6 +110,7 @@
             self.not_ready_reasons,
         )
         self._pages.metrics.add(self._request_metrics.collect)
+        self._page_server = PageServer(self._pages.page, self._timers)
 
     async def run(self) -> None:
         """Run until a signal asks the process to stop, then finish what is in flight."""
@@ -129,10 +127,11 @@
         await loop.create_datagram_endpoint(
             lambda: self._admission, local_addr=(peers.host, peers.port)
         )
-        await self._listen(self._settings.readiness, self._serve_operator)
+        await self._page_server.listen(self._settings.readiness)
         if self._settings.control.port:
-            await self._listen(self._settings.control, self._serve_operator)
-        callers = await self._listen(self._settings.callers, self._serve_caller)
+            await self._page_server.listen(self._settings.control)
+        callers = await listen(self._settings.callers, self._connect)
+        self._servers.append(callers)
         self._spawn(self._knowledge.run())
         logging.info("process.started", extra={"fields": {"version": pearshed.__version__}})
         gc.collect()
@@ -187,6 +186,7 @@
     def close(self) -> None:
         """Stop all parts, whatever they are doing."""
         self._timers.stop()
+        self._page_server.close()
         for server in self._servers:
             server.close()
         for task in self._tasks:
@@ -197,22 +197,12 @@
         self._store.close()
         self._log_stream.drain()
 
-    async def _listen(
-        self, address: Address, serve: Callable[[CallerConnection], Any]
-    ) -> asyncio.Server:
-        def connect() -> CallerConnection:
-            return CallerConnection(
-                self._limits, lambda connection: self._spawn(serve(connection)), self._forget
-            )
-
-        try:
-            server = await asyncio.get_running_loop().create_server(
-                connect, address.host, address.port, backlog=LISTEN_BACKLOG
-            )
-        except OSError as error:
-            raise AddressInUseError(f"can't listen on {address}", context=[str(error)]) from error
-        self._servers.append(server)
-        return server
+    def _connect(self) -> CallerConnection:
+        return CallerConnection(
+            self._limits,
+            lambda connection: self._spawn(self._serve_caller(connection)),
+            self._connections.discard,
+        )
 
     async def _serve_caller(self, connection: CallerConnection) -> None:
         self._connections.add(connection)
@@ -221,7 +211,11 @@
             if request is None:
                 return
             if isinstance(request, RequestProblem):
-                self._answer_problem(connection, request)
+                logging.info(
+                    "request.malformed",
+                    extra={"fields": {"status": request.status, "reason": request.message}},
+                )
+                write_problem(connection, request)
                 return
             if self._refusing:
                 self._forwarder.refuse_stopping(request, connection)
@@ -252,37 +246,6 @@
             return False
         return not connection.gone
 
-    def _answer_problem(self, connection: CallerConnection, problem: RequestProblem) -> None:
-        logging.info(
-            "request.malformed",
-            extra={"fields": {"status": problem.status, "reason": problem.message}},
-        )
-        body = problem.message.encode() + b"\n"
-        headers = (
-            (b"content-type", b"text/plain"),
-            (b"content-length", b"%d" % len(body)),
-            (b"connection", b"close"),
-        )
-        connection.write(messages.encode_head(messages.status_line(problem.status), headers) + body)
-        connection.close()
-
-    async def _serve_operator(self, connection: CallerConnection) -> None:
-        """Answer the balancer and the operator."""
-        while True:
-            request = await connection.next_request()
-            if request is None:
-                return
-            if isinstance(request, RequestProblem):
-                self._answer_problem(connection, request)
-                return
-            status, body = self._pages.page(request.path)
-            headers = [(b"content-length", b"%d" % len(body))]
-            connection.write(messages.encode_head(messages.status_line(status), headers) + body)
-            if not request.keep_alive:
-                connection.close()
-                return
-            connection.finish_request()
-
     def _reload(self) -> None:
         """Take bounds from the settings file again; addresses hold until the next start."""
         loaded = self._load_settings()
@@ -352,9 +315,6 @@
         if not task.cancelled() and task.exception() is not None:
             logging.error("a task broke", exc_info=task.exception())
 
-    def _forget(self, connection: CallerConnection) -> None:
-        self._connections.discard(connection)
-
 
 def _cancel(task: "asyncio.Task[Any]") -> None:
     task.cancel()
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -190,6 +190,33 @@
             status = await self.status("/draft/a", request_id=f"n{number}", headers=PROMPT)
             self.assertEqual(200, status)
 
+    @parameterized.expand(
+        [
+            (
+                "metrics",
+                "/metrics",
+                200,
+                b'pearshed_side_decisions_total{decision="granted",rank="',
+            ),
+            ("dump", "/dump", 200, b'"admitted"'),
+            ("health", "/healthz", 200, b"ok"),
+            ("other", "/else", 404, b"pages:"),
+        ]
+    )
+    async def test_a_side_serves_its_pages(
+        self, _: str, path: str, status: int, content: bytes
+    ) -> None:
+        self.release.set()
+        await self.start_all()
+        self.assertEqual(200, await self.status("/draft/a", headers=PROMPT))
+        caller = await Caller.connect(Address("127.0.0.1", self.settings.peers.port))
+        caller.send(path, method="GET")
+        answer = await caller.answer()
+        assert answer is not None
+        self.assertEqual(status, answer.status)
+        self.assertIn(content, answer.body)
+        caller.close()
+
     async def test_sides_count_the_gateways(self) -> None:
         self.release.set()
         await self.start_all()
