--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup check format lint types test trial binary bench capacity generate clean
+.PHONY: setup check format lint types test trial binary bench capacity generate platform soak clean
+
+SEED ?= 1
+SEEDS ?= 1
+SECONDS ?= 15
 
 setup: $(VENV)/.installed
 
@@ -16,12 +20,12 @@
 check: lint types test
 
 format: setup
-	$(BIN)/black --quiet src tests bench examples
-	$(BIN)/ruff check --quiet --fix src tests bench examples
+	$(BIN)/black --quiet src tests bench examples soak
+	$(BIN)/ruff check --quiet --fix src tests bench examples soak
 
 lint: setup
-	$(BIN)/black --quiet --check src tests bench examples
-	$(BIN)/ruff check --quiet src tests bench examples
+	$(BIN)/black --quiet --check src tests bench examples soak
+	$(BIN)/ruff check --quiet src tests bench examples soak
 
 types: setup
 	$(BIN)/mypy
@@ -32,6 +36,14 @@
 trial: setup
 	sh examples/trial.sh
 
+platform:
+	sh deploy/build.sh
+	PYTHONPATH=target/deps $(PYTHON) -m pearshed gateway --help > /dev/null
+	PYTHONPATH=target/deps $(PYTHON) -m pearshed engine-side --help > /dev/null
+
+soak: setup
+	$(BIN)/python -m soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+
 binary: setup
 	mkdir -p dist
 	$(BIN)/python -m tools.build_binary dist/pearshed
--- a/tests/gateway/test_explain.py
+++ b/tests/gateway/test_explain.py
@@ -15,7 +15,7 @@
 from pearshed._internal.cli.main import main
 from pearshed._internal.logs import JsonFormatter
 from pearshed._internal.telemetry.log_stream import MOST_WAITING_BYTES, BoundedLogStream
-from tests.gateway.test_forwarding import reset, turn_away
+from tests.lib.engine_scripts import reset, turn_away
 from tests.lib.gateway_fixture import GatewayTestCase, until
 from tests.lib.users_platform import answer_well
 
