End what a broken task would leave hanging, and keep repeats counted over reloads

Cause, found by reading: a broken task of a caller's connection left the caller waiting for its time-out; a broken task that follows the store left a gateway that refuses keys for good; each change of the settings file forgot the repeats of the last window. Change: the connection is reset; the process stops as a broken invariant and is restarted; budgets are made anew only when their own settings change. Tests: all three seen failing before.

--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -12,6 +12,7 @@
 
 import pearshed
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
+from pearshed._internal.errors import InvariantBrokenError
 from pearshed._internal.gateway.admission import SideAdmission
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.forwarder import Forwarder
@@ -45,6 +46,8 @@
 TRAFFIC_PERIOD_S = 1.0
 #: The settings file may change without a signal.
 SETTINGS_CHECK_S = 5.0
+#: Settings that the budgets of repeats are made of.
+_BUDGET_FIELDS = frozenset(("repeat_ratio", "repeat_slack", "repeat_window_s"))
 _SWEEP_PERIOD_S = 0.25
 _LOG_PERIOD_S = 0.1
 _IDLE_CHECK_S = 0.02
@@ -83,6 +86,7 @@
         self._servers: list[asyncio.Server] = []
         self._stopping = False
         self._refusing = False
+        self._broken: BaseException | None = None
         self._stop_requested = asyncio.Event()
         self._request_metrics = RequestMetrics()
         self._admission = SideAdmission(settings.peers.port, self._note_fleet_traffic)
@@ -132,12 +136,16 @@
             await self._page_server.listen(self._settings.control)
         callers = await listen(self._settings.callers, self._connect)
         self._servers.append(callers)
-        self._spawn(self._knowledge.run())
+        knowledge = loop.create_task(self._knowledge.run())
+        knowledge.add_done_callback(self._knowledge_ended)
+        self._tasks.add(knowledge)
         logging.info("process.started", extra={"fields": {"version": pearshed.__version__}})
         gc.collect()
         gc.freeze()
         await self._stop_requested.wait()
         await self._stop(callers)
+        if self._broken is not None:
+            raise InvariantBrokenError("the task that follows the store broke") from self._broken
 
     @property
     def endpoints(self) -> EndpointTable:
@@ -200,7 +208,7 @@
     def _connect(self) -> CallerConnection:
         return CallerConnection(
             self._limits,
-            lambda connection: self._spawn(self._serve_caller(connection)),
+            self._serve_in_task,
             self._connections.discard,
         )
 
@@ -257,7 +265,8 @@
             if getattr(loaded, name.name) != getattr(self._settings, name.name)
         ]
         self._settings = loaded
-        self._budgets.clear()
+        if not _BUDGET_FIELDS.isdisjoint(changed):
+            self._budgets.clear()
         logging.info("settings.reloaded", extra={"fields": {"changed": ",".join(changed)}})
 
     def _report_traffic(self) -> None:
@@ -305,15 +314,24 @@
         budget.set_nodes(self._admission.gateways or ASSUMED_GATEWAYS)
         return budget
 
-    def _spawn(self, work: Any) -> None:
-        task = asyncio.get_running_loop().create_task(work)
+    def _serve_in_task(self, connection: CallerConnection) -> None:
+        task = asyncio.get_running_loop().create_task(self._serve_caller(connection))
         self._tasks.add(task)
-        task.add_done_callback(self._task_done)
+        task.add_done_callback(lambda ended: self._connection_ended(ended, connection))
 
-    def _task_done(self, task: "asyncio.Task[None]") -> None:
+    def _connection_ended(self, task: "asyncio.Task[None]", connection: CallerConnection) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            logging.error("a task broke", exc_info=task.exception())
+            logging.error("the task of a caller's connection broke", exc_info=task.exception())
+            # A reset promises nothing, and the caller need not wait for its time-out.
+            connection.abort()
+
+    def _knowledge_ended(self, task: "asyncio.Task[None]") -> None:
+        """Stop the process when it can hear no more news; a new one starts with fresh state."""
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._broken = task.exception()
+            self.request_stop()
 
 
 def _cancel(task: "asyncio.Task[Any]") -> None:
--- a/tests/gateway/test_streams_and_stops.py
+++ b/tests/gateway/test_streams_and_stops.py
@@ -1,13 +1,22 @@
 """Streams through a gateway, planned stops, and the pages that operators ask for."""
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from parameterized import parameterized
 
+from pearshed._internal.errors import InvariantBrokenError
 from tests.lib.gateway_fixture import GatewayTestCase, until
 from tests.lib.users_caller import Caller
-from tests.lib.users_platform import EngineConnection, EngineRequest, Script
+from tests.lib.users_platform import (
+    EngineConnection,
+    EngineRequest,
+    Script,
+    answer_well,
+    configuration,
+)
 
 
 class StreamTest(GatewayTestCase):
@@ -133,3 +142,35 @@
         self.assertEqual(status, answer.status)
         self.assertIn(content, answer.body)
         caller.close()
+
+
+class BrokenTaskTest(GatewayTestCase):
+    async def test_a_request_whose_task_breaks_is_not_left_hanging(self) -> None:
+        await self.add_engine("ledger", answer_well)
+        gateway = await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        with mock.patch.object(gateway._forwarder, "serve", side_effect=RuntimeError("on purpose")):
+            self.assertIsNone(await self.call("/lookup/a"))
+        self.assertEqual(200, await self.status("/lookup/a"))
+
+    async def test_a_gateway_that_no_longer_follows_the_store_ends(self) -> None:
+        await self.add_engine("ledger", answer_well)
+        gateway = await self.start_gateway(grace_s=1.0)
+        with mock.patch.object(
+            gateway._knowledge, "_watch", side_effect=RuntimeError("on purpose")
+        ):
+            self.store.put("op/config", configuration(3))
+            with self.assertRaises(InvariantBrokenError):
+                await asyncio.wait_for(self.running, 20)
+
+
+class ReloadTest(GatewayTestCase):
+    async def test_repeats_stay_counted_when_other_settings_change(self) -> None:
+        gateway = await self.start_gateway()
+        budget = gateway._budget("ledger")
+        self.settings = dataclasses.replace(self.settings, seeds=(self.settings.callers,))
+        gateway._reload()
+        self.assertIs(budget, gateway._budget("ledger"))
+        self.settings = dataclasses.replace(self.settings, repeat_ratio=0.5)
+        gateway._reload()
+        self.assertIsNot(budget, gateway._budget("ledger"))
