Let gateways that the store turns away hear from others what it says

Seeds were read and not used.

Ruled out: all gateways telling each other all the time (two messages a second from each of 590 for a rare case); sides as a source (they don't read the store); renewing an age by hearsay.

Change: without news for 2.7 s a gateway asks up to three others, drawn from the seeds and from hosts that sides name, for what the store said and how long ago. Ages only grow on their way. After the store's return everything is read anew. The client of JSON calls moves out of platform/.

Conclusion: keys hold at such a gateway as long as another confirms them.

--- a/src/pearshed/_internal/engine_side/messages.py
+++ b/src/pearshed/_internal/engine_side/messages.py
@@ -91,11 +91,13 @@
     """A side tells the traffic of all gateways.
 
     :ivar gateways: gateways that report to this side.
+    :ivar hosts: of some of them, so that gateways can find each other.
     """
 
     reservation: str
     gateways: int
     routes: tuple[RouteTraffic, ...]
+    hosts: tuple[str, ...] = ()
 
 
 Message = Ask | PromptRead | Done | Granted | Waiting | Refused | TrafficReport | FleetTraffic
@@ -128,7 +130,10 @@
     if isinstance(message, TrafficReport):
         return orjson.dumps(["t", message.reservation, _plain(message.routes)])
     if isinstance(message, FleetTraffic):
-        return orjson.dumps(["f", message.reservation, message.gateways, _plain(message.routes)])
+        routes = _plain(message.routes)
+        return orjson.dumps(
+            ["f", message.reservation, message.gateways, routes, list(message.hosts)]
+        )
     kind = next(kind for kind, cls in _KINDS.items() if isinstance(message, cls))
     return orjson.dumps([kind, message.reservation])
 
@@ -155,7 +160,9 @@
         if kind == "t":
             return Success(TrafficReport(reservation, _routes(rest[0])))
         if kind == "f":
-            return Success(FleetTraffic(reservation, int(rest[0]), _routes(rest[1])))
+            # Sides of an older version name no hosts.
+            hosts = tuple(str(host) for host in rest[2]) if len(rest) > 2 else ()
+            return Success(FleetTraffic(reservation, int(rest[0]), _routes(rest[1]), hosts))
         if kind in _KINDS:
             return Success(_KINDS[kind](reservation))
     except (orjson.JSONDecodeError, TypeError, ValueError, IndexError) as error:
--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -1,6 +1,7 @@
 """The process beside an engine: it admits requests, which gateways then send to the engine."""
 
 import asyncio
+import random
 import signal
 from collections.abc import Mapping
 from typing import Any, cast
@@ -59,6 +60,7 @@
         self._stop_requested = asyncio.Event()
         self._traffic = TrafficTable()
         self._malformed = 0
+        self._random = random.Random()
         self._pages = SidePages(self._queue, log_stream, self.dump)
         self._page_server = PageServer(self._pages.page, self._timers)
 
@@ -131,7 +133,8 @@
             self._queue.note_done(message.reservation)
         elif isinstance(message, TrafficReport):
             self._traffic.note(addr[0], message.routes)
-            total = FleetTraffic("", self._traffic.gateways, self._traffic.total())
+            hosts = self._traffic.some_gateways(self._random)
+            total = FleetTraffic("", self._traffic.gateways, self._traffic.total(), hosts)
             self._send(total, addr)
 
     def _take_ask(self, ask: Ask, peer: _Peer) -> None:
--- a/src/pearshed/_internal/engine_side/side_pages.py
+++ b/src/pearshed/_internal/engine_side/side_pages.py
@@ -7,6 +7,7 @@
 import orjson
 
 from pearshed._internal.engine_side.admission_queue import AdmissionQueue
+from pearshed._internal.http.page_server import page_name
 from pearshed._internal.telemetry.histogram import LatencyHistogram
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
 from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
@@ -41,12 +42,13 @@
         """Count a request that was refused."""
         self._decisions[("refused", rank)] += 1
 
-    def page(self, path: str) -> tuple[int, bytes]:
+    def page(self, target: str) -> tuple[int, bytes]:
         """Find a page.
 
+        :param target: of the request for it.
         :returns: its status and content.
         """
-        name = path.rpartition("/")[2]
+        name = page_name(target)
         if name == "dump":
             return 200, orjson.dumps(self._dump(), option=orjson.OPT_INDENT_2)
         if name == "metrics":
--- a/src/pearshed/_internal/engine_side/traffic_table.py
+++ b/src/pearshed/_internal/engine_side/traffic_table.py
@@ -1,5 +1,6 @@
 """The traffic of all gateways, summed at a few sides, so that all gateways divide engines alike."""
 
+import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -7,6 +8,8 @@
 
 #: A gateway that has not reported for this long no longer counts; gateways report each second.
 REPORT_LIFE_S = 5.0
+#: Gateways that an answer names: a gateway hears of more with each, and a datagram stays small.
+MOST_NAMED = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +56,11 @@
         self._forget()
         return len(self._reports)
 
+    def some_gateways(self, source: random.Random) -> tuple[str, ...]:
+        """Draw hosts of some gateways."""
+        self._forget()
+        return tuple(source.sample(sorted(self._reports), min(len(self._reports), MOST_NAMED)))
+
     def note(self, gateway: str, routes: tuple[RouteTraffic, ...]) -> None:
         """Take a gateway's report."""
         self._reports[gateway] = (clock.now(), routes)
--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -93,12 +93,10 @@
     """Asks the sides by datagrams. Where a side is silent, requests are sent unasked.
 
     :param port: of the sides, alike on all VMs.
-    :param on_fleet_traffic: called with a side's host and the traffic that it has added up.
+    :param on_fleet_traffic: called with a side's host and what it tells of all gateways.
     """
 
-    def __init__(
-        self, port: int, on_fleet_traffic: Callable[[str, Sequence[RouteTraffic]], None]
-    ) -> None:
+    def __init__(self, port: int, on_fleet_traffic: Callable[[str, FleetTraffic], None]) -> None:
         self._port = port
         self._on_fleet_traffic = on_fleet_traffic
         self._transport: asyncio.DatagramTransport | None = None
@@ -127,7 +125,7 @@
         if isinstance(message, FleetTraffic):
             self._counted = clock.now()
             self._gateways = message.gateways
-            self._on_fleet_traffic(addr[0], message.routes)
+            self._on_fleet_traffic(addr[0], message)
             return
         answers = self._answers.get(message.reservation)
         if answers is not None:
--- a/src/pearshed/_internal/gateway/knowledge.py
+++ b/src/pearshed/_internal/gateway/knowledge.py
@@ -2,8 +2,10 @@
 
 import abc
 import asyncio
+import hashlib
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 
 from absl import logging
 from returns.pipeline import is_successful
@@ -28,6 +30,7 @@
 LAPSE_OUTAGE_S = 1.5
 #: Entries that lapsed in an outage are back this long after it, if their endpoint lives.
 LAPSE_GRACE_S = 2.0
+_DIGEST_BYTES = 8
 
 
 class DecodeDocuments(abc.ABC):
@@ -42,11 +45,30 @@
         """Decode an endpoint's entry."""
 
 
+@dataclass(frozen=True, slots=True)
+class News:
+    """What a process knows of the store, as it tells others.
+
+    :ivar revision: revision of the store up to which changes are known.
+    :ivar version: version of the configuration in force.
+    :ivar confirmed_ago_s: time since the store itself confirmed all this, seconds.
+    :ivar configuration: the item that holds the configuration; nothing where it is known.
+    :ivar endpoints: items of all endpoints; nothing where they are known.
+    """
+
+    revision: int
+    version: int
+    confirmed_ago_s: float
+    configuration: StoreItem | None
+    endpoints: tuple[StoreItem, ...] | None
+
+
 class Knowledge:
     """Follows the store: one full read, then watches.
 
     Versions of the configuration only rise. An entry that is deleted names an endpoint that
-    leaves; one that lapsed while the store was away gets a grace to come back.
+    leaves; one that lapsed while the store was away gets a grace to come back. While the store
+    can't be reached, news of other processes takes its place; once it is back, all is read anew.
     """
 
     def __init__(self, store: Store, decode: DecodeDocuments, source: random.Random) -> None:
@@ -54,7 +76,10 @@
         self._decode = decode
         self._random = source
         self._configuration: RoutingConfiguration | None = None
+        self._configuration_item: StoreItem | None = None
         self._endpoints: dict[str, EndpointEntry] = {}
+        self._items: dict[str, StoreItem] = {}
+        self._digest = ""
         self._revisions: dict[str, int] = {}
         self._lapsed: dict[str, float] = {}
         self._revision = 0
@@ -62,6 +87,7 @@
         self._heard = clock.now()
         self._grace_until = float("-inf")
         self._connected = False
+        self._second_hand = False
         self._configuration_callbacks: list[Callable[[RoutingConfiguration], None]] = []
         self._endpoint_callbacks: list[Callable[[Mapping[str, EndpointEntry]], None]] = []
 
@@ -85,6 +111,26 @@
         """Revision of the store up to which changes are known."""
         return self._revision
 
+    @property
+    def connected(self) -> bool:
+        """Whether the last call to the store was answered."""
+        return self._connected
+
+    @property
+    def second_hand(self) -> bool:
+        """Whether some of this was told by other processes and not yet by the store."""
+        return self._second_hand
+
+    @property
+    def endpoints_digest(self) -> str:
+        """Names the entries of endpoints; equal in processes that know the same ones."""
+        if not self._digest:
+            digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+            for identity, item in sorted(self._items.items()):
+                digest.update(f"{identity} {item.revision}\n".encode())
+            self._digest = digest.hexdigest()
+        return self._digest
+
     def on_configuration(self, callback: Callable[[RoutingConfiguration], None]) -> None:
         """Call ``callback`` with each new configuration."""
         self._configuration_callbacks.append(callback)
@@ -97,7 +143,8 @@
         """Follow the store until cancelled."""
         backoff = Backoff(RETRY_FIRST_S, RETRY_LONGEST_S, self._random)
         while True:
-            failure = await (self._watch() if self._revision else self._read_all())
+            known = self._revision and not self._second_hand
+            failure = await (self._watch() if known else self._read_all())
             if failure is None:
                 backoff.reset()
                 continue
@@ -112,11 +159,51 @@
         over = [identity for identity, until in self._lapsed.items() if until <= moment]
         for identity in over:
             del self._lapsed[identity]
-            self._endpoints.pop(identity, None)
+            self._drop_endpoint(identity)
             _log("endpoint.gone", identity=identity, cause="entry did not come back")
         if over:
             self._announce_endpoints()
 
+    def news(self, version: int, endpoints_digest: str) -> News | None:
+        """Tell another process what is known here.
+
+        :param version: of the configuration that the other has.
+        :param endpoints_digest: of the entries that the other has.
+        :returns: nothing before the first configuration.
+        """
+        configuration = self._configuration
+        if configuration is None:
+            return None
+        same = endpoints_digest == self.endpoints_digest
+        return News(
+            self._revision,
+            configuration.version,
+            self.age_s,
+            self._configuration_item if configuration.version > version else None,
+            None if same else tuple(self._items.values()),
+        )
+
+    def take_news(self, news: News, asked: float) -> bool:
+        """Take what another process knows, as far as it is newer.
+
+        :param asked: clock reading at which the other was asked: the store's word is no younger
+            than its age at that moment.
+        :returns: whether it was newer.
+        """
+        confirmed = asked - news.confirmed_ago_s
+        if confirmed <= self._confirmed:
+            return False
+        if news.configuration is not None:
+            self._take_configuration(news.configuration)
+        if self._configuration is None or self._configuration.version < news.version:
+            return False
+        if news.endpoints is not None and news.revision >= self._revision:
+            self._replace_endpoints(news.endpoints)
+        self._revision = max(self._revision, news.revision)
+        self._confirmed = confirmed
+        self._second_hand = True
+        return True
+
     async def _read_all(self) -> StoreFailure | None:
         read = await self._store.read_configuration()
         if not is_successful(read):
@@ -129,8 +216,9 @@
         self._note_answer()
         for item in configuration.items:
             self._take_configuration(item)
-        self._replace_endpoints(entries)
+        self._replace_endpoints(entries.items)
         self._revision = min(configuration.revision, entries.revision)
+        self._second_hand = False
         self._confirm(configuration)
         return None
 
@@ -183,6 +271,7 @@
         if held is not None and configuration.version <= held.version:
             return
         self._configuration = configuration
+        self._configuration_item = item
         _log(
             "configuration.in_force",
             version=configuration.version,
@@ -192,9 +281,9 @@
         for callback in self._configuration_callbacks:
             callback(configuration)
 
-    def _replace_endpoints(self, answer: StoreAnswer) -> None:
+    def _replace_endpoints(self, items: Iterable[StoreItem]) -> None:
         listed = set()
-        for item in answer.items:
+        for item in items:
             identity = self._store.endpoint_identity(item.key)
             if identity:
                 listed.add(identity)
@@ -217,6 +306,8 @@
         entry = decoded.unwrap()
         held = self._endpoints.get(identity)
         self._endpoints[identity] = entry
+        self._items[identity] = item
+        self._digest = ""
         self._lapsed.pop(identity, None)
         if held is None or held.state is not entry.state:
             _log(
@@ -237,10 +328,15 @@
             self._lapsed[identity] = self._grace_until
             _log("endpoint.lapsed", identity=identity, service=entry.service)
             return False
-        del self._endpoints[identity]
+        self._drop_endpoint(identity)
         _log("endpoint.gone", identity=identity, cause="entry removed")
         return True
 
+    def _drop_endpoint(self, identity: str) -> None:
+        self._endpoints.pop(identity, None)
+        self._items.pop(identity, None)
+        self._digest = ""
+
     def _announce_endpoints(self) -> None:
         for callback in self._endpoint_callbacks:
             callback(self._endpoints)
--- a/src/pearshed/_internal/gateway/operator_pages.py
+++ b/src/pearshed/_internal/gateway/operator_pages.py
@@ -10,6 +10,7 @@
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.knowledge import Knowledge
 from pearshed._internal.gateway.repeat_budget import RepeatBudget
+from pearshed._internal.http.page_server import page_name
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
 from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
 
@@ -51,12 +52,13 @@
         """The page of metrics, to which parts add theirs."""
         return self._metrics
 
-    def page(self, path: str) -> tuple[int, bytes]:
+    def page(self, target: str) -> tuple[int, bytes]:
         """Find a page.
 
+        :param target: of the request for it.
         :returns: its status and content.
         """
-        page = path.rpartition("/")[2]
+        page = page_name(target)
         if page == "dump":
             return 200, orjson.dumps(self.dump(), option=orjson.OPT_INDENT_2)
         if page == "metrics":
@@ -82,6 +84,7 @@
             "configuration": configuration.version if configuration is not None else None,
             "confirmed_ago_s": round(self._knowledge.age_s, 3) if configuration else None,
             "store_revision": self._knowledge.revision,
+            "known_from_peers": self._knowledge.second_hand,
             "connections": len(self._connections),
             "log_lines_dropped": self._log_stream.dropped,
             "endpoints": [
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -5,13 +5,13 @@
 import gc
 import random
 import signal
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from absl import logging
 
 import pearshed
-from pearshed._internal.engine_side.traffic_table import RouteTraffic
+from pearshed._internal.engine_side.messages import FleetTraffic
 from pearshed._internal.errors import InvariantBrokenError
 from pearshed._internal.gateway.admission import SideAdmission
 from pearshed._internal.gateway.endpoints import EndpointTable
@@ -19,6 +19,12 @@
 from pearshed._internal.gateway.header_codec import HeaderCodec
 from pearshed._internal.gateway.knowledge import DecodeDocuments, Knowledge
 from pearshed._internal.gateway.operator_pages import OperatorPages
+from pearshed._internal.gateway.peer_news import (
+    CHECK_PERIOD_S,
+    NEWS_PAGE,
+    PeerDirectory,
+    PeerNews,
+)
 from pearshed._internal.gateway.placement import LeastLoadPlacement, PromptPlacement
 from pearshed._internal.gateway.repeat_budget import RepeatBudget
 from pearshed._internal.gateway.request_lines import RequestLines
@@ -78,6 +84,8 @@
         self._random = random.Random()
         self._timers = TimerService()
         self._knowledge = Knowledge(store, decode, self._random)
+        self._directory = PeerDirectory(settings.control, settings.seeds, self._random)
+        self._peer_news = PeerNews(self._knowledge, self._directory, self._random)
         self._endpoints = EndpointTable()
         self._knowledge.on_endpoints(self._endpoints.update)
         self._budgets: dict[str, RepeatBudget] = {}
@@ -114,7 +122,8 @@
             self.not_ready_reasons,
         )
         self._pages.metrics.add(self._request_metrics.collect)
-        self._page_server = PageServer(self._pages.page, self._timers)
+        self._pages.metrics.add(self._peer_news.collect)
+        self._page_server = PageServer(self._find_page, self._timers)
 
     async def run(self) -> None:
         """Run until a signal asks the process to stop, then finish what is in flight."""
@@ -134,6 +143,7 @@
         await self._page_server.listen(self._settings.readiness)
         if self._settings.control.port:
             await self._page_server.listen(self._settings.control)
+            self._timers.every(CHECK_PERIOD_S, self._peer_news.check)
         callers = await listen(self._settings.callers, self._connect)
         self._servers.append(callers)
         knowledge = loop.create_task(self._knowledge.run())
@@ -152,6 +162,16 @@
         """The endpoints that are known."""
         return self._endpoints
 
+    @property
+    def knowledge(self) -> Knowledge:
+        """What is known of the store."""
+        return self._knowledge
+
+    @property
+    def peer_news(self) -> PeerNews:
+        """What is asked of other gateways."""
+        return self._peer_news
+
     @property
     def pages(self) -> OperatorPages:
         """What operators and the balancer may ask."""
@@ -201,10 +221,16 @@
             task.cancel()
         for connection in tuple(self._connections):
             connection.abort()
+        self._peer_news.close()
         self._admission.close()
         self._store.close()
         self._log_stream.drain()
 
+    def _find_page(self, target: str) -> tuple[int, bytes]:
+        if target.startswith(NEWS_PAGE):
+            return self._peer_news.answer(target)
+        return self._pages.page(target)
+
     def _connect(self) -> CallerConnection:
         return CallerConnection(
             self._limits,
@@ -273,11 +299,12 @@
         for service, lanes in self._prompt_placement.lanes.items():
             self._admission.report_traffic(self._endpoints.of_service(service), lanes.own_traffic())
 
-    def _note_fleet_traffic(self, host: str, routes: Sequence[RouteTraffic]) -> None:
+    def _note_fleet_traffic(self, host: str, traffic: FleetTraffic) -> None:
+        self._directory.note_hosts(traffic.hosts)
         for service, lanes in self._prompt_placement.lanes.items():
             endpoints = self._endpoints.of_service(service)
             if any(endpoint.entry.address.host == host for endpoint in endpoints):
-                lanes.note_fleet(routes)
+                lanes.note_fleet(traffic.routes)
 
     def _beliefs(self) -> Mapping[str, object]:
         """Name what the process believes and how old that is, for log lines."""
--- a/src/pearshed/_internal/platform/json_call.py
+++ b/src/pearshed/_internal/http/json_call.py
@@ -1,4 +1,4 @@
-"""Calls with JSON answers over one kept connection, as the platform's services take them."""
+"""Calls with JSON answers over one kept connection."""
 
 import asyncio
 import urllib.parse
@@ -26,10 +26,12 @@
     """Makes one call at a time.
 
     :param address: of the service, by IP number.
+    :param connect_timeout_s: longest time to open a connection, seconds.
     """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         self._address = address
+        self._connect_timeout_s = connect_timeout_s
         self._connection: EndpointConnection | None = None
         self._calls = 0
 
@@ -52,7 +54,7 @@
         self._calls += 1
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S + timeout_s):
+            async with asyncio.timeout(self._connect_timeout_s + timeout_s):
                 status, body = await self._exchange(target, headers)
         except (OSError, TimeoutError) as error:
             self.close()
@@ -76,7 +78,7 @@
 
     async def _exchange(self, target: str, headers: Sequence[Header]) -> tuple[int, bytes]:
         if self._connection is None or not self._connection.usable:
-            self._connection = await connect(self._address, CONNECT_TIMEOUT_S)
+            self._connection = await connect(self._address, self._connect_timeout_s)
         connection = self._connection
         request = messages.encode_head(
             b"GET %s HTTP/1.1" % target.encode("ascii"),
--- a/src/pearshed/_internal/http/messages.py
+++ b/src/pearshed/_internal/http/messages.py
@@ -24,6 +24,7 @@
 REASONS = {
     100: b"Continue",
     200: b"OK",
+    204: b"No Content",
     400: b"Bad Request",
     401: b"Unauthorized",
     404: b"Not Found",
--- a/src/pearshed/_internal/http/page_server.py
+++ b/src/pearshed/_internal/http/page_server.py
@@ -16,8 +16,10 @@
 #: Operators and balancers send small requests and ask every few seconds.
 PAGE_LIMITS = CallerLimits(8 * 1024, 8 * 1024, 5.0, 60.0)
 _SWEEP_PERIOD_S = 1.0
+#: Status of an answer that has no body and no length.
+_EMPTY = 204
 
-#: Finds a page by its path: status and content.
+#: Finds a page by the target of the request: status and content.
 FindPage = Callable[[str], tuple[int, bytes]]
 
 
@@ -67,8 +69,8 @@
             if isinstance(request, RequestProblem):
                 write_problem(connection, request)
                 return
-            status, content = self._find_page(request.path)
-            headers = ((b"content-length", b"%d" % len(content)),)
+            status, content = self._find_page(request.target.decode("latin-1"))
+            headers = ((b"content-length", b"%d" % len(content)),) if status != _EMPTY else ()
             connection.write(messages.encode_head(messages.status_line(status), headers) + content)
             if not request.keep_alive:
                 connection.close()
@@ -98,6 +100,11 @@
         ) from error
 
 
+def page_name(target: str) -> str:
+    """Find the name of the page that a request asks for: the last step of its path."""
+    return target.partition("?")[0].rpartition("/")[2]
+
+
 def write_problem(connection: CallerConnection, problem: RequestProblem) -> None:
     """Answer a request that can't be taken, and close its connection."""
     content = problem.message.encode() + b"\n"
--- a/src/pearshed/_internal/platform/engine_client.py
+++ b/src/pearshed/_internal/platform/engine_client.py
@@ -12,8 +12,8 @@
     EngineReport,
     RunReport,
 )
+from pearshed._internal.http.json_call import JsonCaller
 from pearshed._internal.platform import names
-from pearshed._internal.platform.json_call import JsonCaller
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
 
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -246,11 +246,16 @@
             (Refused("a/1", 250),),
             (TrafficReport("", (RouteTraffic("draft", 2.5, 17_000.0, 4_000.0),)),),
             (FleetTraffic("", 4, (RouteTraffic("draft", 2.5, 17_000.0, 4_000.0),)),),
+            (FleetTraffic("", 2, (), ("10.0.0.1", "10.0.0.2")),),
         ]
     )
     def test_messages_come_back_as_they_were(self, message: Message) -> None:
         self.assertEqual(message, messages.decode(messages.encode(message)).unwrap())
 
+    def test_a_side_of_an_older_version_names_no_gateways(self) -> None:
+        decoded = messages.decode(b'["f", "", 3, []]')
+        self.assertEqual(FleetTraffic("", 3, ()), decoded.unwrap())
+
     @parameterized.expand(
         [
             ("noise", b"\xff\x00"),
@@ -262,6 +267,7 @@
             ("fields", b'["a", "a/1", "x", 5, [], 5]'),
             ("large", b'["d", "' + b"a" * 5000 + b'"]'),
             ("traffic", b'["t", "", [["draft", 1]]]'),
+            ("hosts", b'["f", "", 1, [], 5]'),
         ]
     )
     def test_a_malformed_datagram_is_a_failure(self, _: str, datagram: bytes) -> None:
--- /dev/null
+++ b/tests/gateway/test_peer_news.py
@@ -0,0 +1,198 @@
+"""Gateways that the store turns away learn from others what it says, and how old that is."""
+
+import asyncio
+import json
+import random
+import unittest
+
+from parameterized import parameterized
+
+from pearshed._internal.gateway.knowledge import Knowledge
+from pearshed._internal.gateway.peer_news import MOST_PEERS, PeerDirectory, PeerNews
+from pearshed._internal.gateway.process import GatewayProcess
+from pearshed._internal.platform.documents import PlatformDocuments
+from pearshed._internal.platform.store_client import PlatformStore
+from pearshed._internal.utils.addresses import Address
+from tests.lib.gateway_fixture import GatewayTestCase, gateway_settings, until
+from tests.lib.users_caller import Caller
+from tests.lib.users_platform import API_KEY, answer_well, configuration
+from tests.lib.users_store import StoreStandIn
+
+#: Longer than the bound after which keys of an unconfirmed configuration are refused.
+LONG_S = 6.0
+
+
+class CutOffGatewayTest(GatewayTestCase):
+    """One gateway reads a store that is well, another a copy of it that turns it away."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.lost_store = StoreStandIn()
+        await self.lost_store.start()
+        self.addAsyncCleanup(self.lost_store.stop)
+        self.lost_store.put("op/config", configuration(1))
+
+    def turn_away(self) -> None:
+        self.lost_store.refuse_with = 503
+        self.lost_store.cut()
+
+    async def start_both(self) -> GatewayProcess:
+        engine = await self.add_engine("ledger", answer_well)
+        self.lost_store.put(f"servers/{engine.identity}", engine.entry())
+        await self.start_gateway()
+        return await self.start_cut_off()
+
+    async def start_cut_off(self, *, ready: bool = True) -> GatewayProcess:
+        settings = gateway_settings(
+            self.lost_store.address,
+            name="edge-tacoma-1",
+            seeds=(gateway_settings(self.store.address).control, self.settings.control),
+        )
+        self.cut_off_callers = settings.callers
+        gateway, _ = self.run_gateway(lambda: settings)
+        if ready:
+            await until(lambda: not gateway.not_ready_reasons())
+        return gateway
+
+    async def status_at_cut_off(self, key: str = API_KEY, path: str = "/lookup/a") -> int | None:
+        caller = await Caller.connect(self.cut_off_callers)
+        try:
+            caller.send(path, headers={"Authorization": f"Token {key}"})
+            found = await caller.answer()
+            return found.status if found is not None else None
+        finally:
+            caller.close()
+
+    async def age_without_store(self, gateway: GatewayProcess, seconds: float = LONG_S) -> None:
+        """Let time pass while the store turns one gateway away."""
+        self.turn_away()
+        await until(lambda: not gateway.knowledge.connected)
+        self.clock_offset += seconds
+        await until(lambda: self.gateway.knowledge.age_s < seconds / 2)
+
+    async def test_keys_hold_while_another_gateway_confirms_them(self) -> None:
+        cut_off = await self.start_both()
+        for _ in range(2):
+            await self.age_without_store(cut_off)
+            await until(lambda: not cut_off.not_ready_reasons())
+            self.assertEqual(200, await self.status_at_cut_off())
+
+    async def test_changes_are_heard_of_from_another_gateway(self) -> None:
+        cut_off = await self.start_both()
+        self.turn_away()
+        await until(lambda: not cut_off.knowledge.connected)
+        self.store.put("op/config", configuration(7, tenants=[{"name": "x", "apiKeys": ["new"]}]))
+        second = await self.add_engine("ledger", answer_well)
+        self.store.delete(f"servers/{self.engines[0].identity}")
+        await self.age_without_store(cut_off)
+        await until(lambda: not cut_off.not_ready_reasons())
+        self.assertEqual(401, await self.status_at_cut_off())
+        self.assertEqual(200, await self.status_at_cut_off("new"))
+        self.assertEqual(1, len(second.requests))
+        self.assertEqual({second.identity}, set(cut_off.knowledge.endpoints))
+
+    async def test_a_gateway_that_starts_without_the_store_learns_all_from_another(self) -> None:
+        await self.add_engine("ledger", answer_well)
+        await self.start_gateway()
+        self.lost_store.refuse_with = 429
+        cut_off = await self.start_cut_off(ready=False)
+        await until(lambda: not cut_off.not_ready_reasons())
+        self.assertEqual(200, await self.status_at_cut_off())
+
+    async def test_what_nobody_has_confirmed_is_not_renewed(self) -> None:
+        cut_off = await self.start_both()
+        self.store.refuse_with = 503
+        self.store.cut()
+        self.turn_away()
+        await until(lambda: not cut_off.knowledge.connected)
+        await until(lambda: not self.gateway.knowledge.connected)
+        self.clock_offset += LONG_S
+        asked = cut_off.peer_news.asked
+        await until(lambda: cut_off.peer_news.asked > asked + 2)
+        self.assertEqual(503, await self.status_at_cut_off())
+        self.assertTrue(cut_off.not_ready_reasons())
+
+    async def test_everything_is_read_anew_once_the_store_is_back(self) -> None:
+        cut_off = await self.start_both()
+        await self.age_without_store(cut_off)
+        await until(lambda: not cut_off.not_ready_reasons())
+        self.assertTrue(cut_off.knowledge.second_hand)
+        self.lost_store.put("op/config", configuration(9))
+        self.lost_store.refuse_with = 0
+        await until(lambda: not cut_off.knowledge.second_hand)
+        assert cut_off.knowledge.configuration is not None
+        self.assertEqual(9, cut_off.knowledge.configuration.version)
+
+
+class QuestionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        store = StoreStandIn()
+        await store.start()
+        self.addAsyncCleanup(store.stop)
+        store.put("op/config", configuration(5))
+        store.put("servers/i-1", {"service": "fleet"})
+        self.client = PlatformStore(store.address)
+        self.addCleanup(self.client.close)
+        source = random.Random(1)
+        self.knowledge = Knowledge(self.client, PlatformDocuments(), source)
+        directory = PeerDirectory(Address("10.0.0.1", 80), (), source)
+        self.news = PeerNews(self.knowledge, directory, source)
+
+    async def read_store(self) -> None:
+        task = asyncio.get_running_loop().create_task(self.knowledge.run())
+        await until(lambda: self.knowledge.configuration is not None)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    @parameterized.expand(
+        [
+            ("empty", ""),
+            ("no_age", "version=1&endpoints="),
+            ("age_no_number", "version=1&endpoints=&confirmed_ago_ms=soon"),
+            ("version_no_number", "version=x&endpoints=&confirmed_ago_ms=1"),
+        ]
+    )
+    async def test_malformed_questions_are_refused(self, _: str, query: str) -> None:
+        await self.read_store()
+        self.assertEqual(400, self.news.answer(f"/peer-news?{query}")[0])
+
+    @parameterized.expand(
+        [
+            ("older", "version=1&endpoints=&confirmed_ago_ms=9000000", 200, True),
+            ("same_version", "version=5&endpoints=&confirmed_ago_ms=9000000", 200, False),
+            ("as_fresh", "version=1&endpoints=&confirmed_ago_ms=0", 204, False),
+        ]
+    )
+    async def test_only_what_is_newer_is_told(
+        self, _: str, query: str, status: int, with_configuration: bool
+    ) -> None:
+        await self.read_store()
+        found, body = self.news.answer(f"/peer-news?{query}")
+        self.assertEqual(status, found)
+        told = json.loads(body)["configuration"] if body else None
+        self.assertEqual(with_configuration, told is not None)
+
+    async def test_nothing_is_told_before_the_first_configuration(self) -> None:
+        query = "version=0&endpoints=&confirmed_ago_ms=9000000"
+        self.assertEqual(204, self.news.answer(f"/peer-news?{query}")[0])
+
+
+class DirectoryTest(unittest.TestCase):
+    def test_others_are_drawn_and_never_this_gateway(self) -> None:
+        own, seed = Address("10.0.0.1", 80), Address("10.0.0.2", 80)
+        directory = PeerDirectory(own, (own, seed), random.Random(1))
+        directory.note_hosts(["10.0.0.1", "10.0.0.2", "10.0.0.3"])
+        expected = {seed, Address("10.0.0.3", 80)}
+        self.assertEqual(expected, set(directory.draw(5)))
+
+    def test_only_the_latest_are_remembered(self) -> None:
+        directory = PeerDirectory(Address("10.0.0.1", 80), (), random.Random(1))
+        for number in range(2, MOST_PEERS + 12):
+            directory.note_hosts([f"10.0.1.{number}"])
+        hosts = {peer.host for peer in directory.draw(1000)}
+        self.assertEqual(MOST_PEERS, len(hosts))
+        self.assertNotIn("10.0.1.2", hosts)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/lib/gateway_fixture.py
+++ b/tests/lib/gateway_fixture.py
@@ -88,19 +88,26 @@
     async def start_gateway(self, **more: Any) -> GatewayProcess:
         """Start the gateway and wait until it is ready and knows the engines."""
         self.settings = gateway_settings(self.store.address, **more)
-        store = PlatformStore(self.store.address)
-        self.gateway = GatewayProcess(
-            self.settings,
-            lambda: self.settings,
-            store,
+        self.gateway, self.running = self.run_gateway(lambda: self.settings)
+        await until(lambda: not self.gateway.not_ready_reasons())
+        return self.gateway
+
+    def run_gateway(
+        self, load_settings: Callable[[], GatewaySettings]
+    ) -> tuple[GatewayProcess, "asyncio.Task[None]"]:
+        """Run a gateway until the test ends."""
+        settings = load_settings()
+        gateway = GatewayProcess(
+            settings,
+            load_settings,
+            PlatformStore(settings.store),
             PlatformDocuments(),
             PlatformHeaders(),
             QuietLogStream(),  # type: ignore[arg-type]
         )
-        self.running = asyncio.get_running_loop().create_task(self.gateway.run())
-        self.addAsyncCleanup(self._end)
-        await until(lambda: not self.gateway.not_ready_reasons())
-        return self.gateway
+        running = asyncio.get_running_loop().create_task(gateway.run())
+        self.addAsyncCleanup(_end, gateway, running)
+        return gateway, running
 
     async def add_engine(self, service: str, script: Any, **more: Any) -> EngineStandIn:
         """Start an engine and list it in the store."""
@@ -129,7 +136,8 @@
         """Tell whether the gateway lists so many usable engines of a service."""
         return len(self.gateway.endpoints.of_service(service)) == count
 
-    async def _end(self) -> None:
-        self.running.cancel()
-        await asyncio.gather(self.running, return_exceptions=True)
-        self.gateway.close()
+
+async def _end(gateway: GatewayProcess, running: "asyncio.Task[None]") -> None:
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    gateway.close()
