Pace prompts beside streams with short pauses, and follow bursts of short prompts faster

Change: sides learn from each ended stream's longest pause how much of the time prompts may be read beside such streams; traffic is averaged over one second and told each half; a short lane's engine gets 45,000 tokens of work a second. Lanes log their size.

--- a/src/pearshed/_internal/engine_side/admission_queue.py
+++ b/src/pearshed/_internal/engine_side/admission_queue.py
@@ -14,6 +14,7 @@
 from pearshed._internal.engine_side.monitor import EngineReport
 from pearshed._internal.engine_side.prompt_cache import PromptCache
 from pearshed._internal.engine_side.reading_speed import ReadingProgress, ReadingSpeed
+from pearshed._internal.engine_side.stream_pace import StreamPace
 from pearshed._internal.timers import clock
 
 #: Time for which an engine is kept busy with prompts that it has likely not read yet, seconds: a
@@ -25,7 +26,10 @@
 #: The word that a prompt was read comes with its first event, which holds several tokens: up to
 #: this late while the engine reads other prompts, seconds. An engine that is slower than measured
 #: gets no more than it reads in this time.
-LATE_WORD_S = 0.5
+LATE_WORD_S = 0.3
+#: Streams whose pauses must be shorter than this suffer from prompts that come together, seconds:
+#: an engine that reads without a break makes an event about this often.
+TIGHT_GAP_S = 0.3
 #: Part of the engine's memory that requests may take; the rest keeps shared parts.
 MEMORY_SHARE = 0.8
 #: A reservation that was not asked about for this long is dropped, seconds; gateways ask again
@@ -98,6 +102,7 @@
         self._report: EngineReport | None = None
         self._speed = ReadingSpeed()
         self._progress = ReadingProgress(self._speed)
+        self._pace = StreamPace()
 
     @property
     def waiting(self) -> int:
@@ -114,6 +119,11 @@
         """Measured speed of reading prompts."""
         return self._speed.tokens_per_s
 
+    @property
+    def pace_share(self) -> float:
+        """Part of the time in which prompts may be read beside streams with short pauses."""
+        return self._pace.share
+
     @property
     def unread_tokens(self) -> int:
         """Tokens that the engine has got and likely not read."""
@@ -165,11 +175,19 @@
         self._cache.note_read(grant.ask.prompt)
         self.advance()
 
-    def note_done(self, reservation: str) -> None:
-        """Note that a request has ended, or is no longer wanted."""
+    def note_done(self, reservation: str, longest_gap_ms: int = 0) -> None:
+        """Note that a request has ended, or is no longer wanted.
+
+        :param longest_gap_ms: longest pause between its events, milliseconds.
+        """
         self._waiting.pop(reservation, None)
-        if self._grants.pop(reservation, None) is not None:
-            self.advance()
+        grant = self._grants.pop(reservation, None)
+        if grant is None:
+            return
+        gap_ms = grant.ask.gap_ms
+        if 0 < gap_ms <= TIGHT_GAP_S * clock.MILLISECONDS_PER_SECOND:
+            self._pace.note_stream(longest_gap_ms, gap_ms)
+        self.advance()
 
     def note_report(self, report: EngineReport) -> None:
         """Take the engine's own word on what it runs."""
@@ -219,6 +237,8 @@
             return False
         if self._unconfirmed_tokens() > speed * LATE_WORD_S:
             return False
+        if not self._keeps_pace(reservation, speed):
+            return False
         report = self._report
         if report is None or not report.total_tokens:
             return True
@@ -230,6 +250,27 @@
             return True
         return expected + wanted <= report.total_tokens * MEMORY_SHARE
 
+    def _keeps_pace(self, reservation: Reservation, speed: float) -> bool:
+        """Tell whether streams with short pauses keep them while the prompt is read.
+
+        Counts only where most requests are such streams: among long prompts a few of them can't be
+        helped, and waiting for them would cost the others more.
+        """
+        if not self._pace.bounded:
+            return True
+        tight = [gap for gap in self._gaps_s(reservation) if gap <= TIGHT_GAP_S]
+        if len(tight) * 2 <= len(self._grants):
+            return True
+        gap_s = min(tight)
+        oldest = clock.now() - gap_s
+        recent = sum(grant.unread for grant in self._grants.values() if grant.granted > oldest)
+        return not recent or recent + reservation.unread <= speed * gap_s * self._pace.share
+
+    def _gaps_s(self, reservation: Reservation) -> list[float]:
+        """List the longest pauses that are on time, of the request and those that run."""
+        asks = [reservation.ask, *(grant.ask for grant in self._grants.values())]
+        return [ask.gap_ms / clock.MILLISECONDS_PER_SECOND for ask in asks if ask.gap_ms]
+
     def _unconfirmed_tokens(self) -> int:
         """Count the tokens that the engine has got, without word that they were read."""
         return sum(grant.unread for grant in self._grants.values() if not grant.read)
--- a/src/pearshed/_internal/engine_side/messages.py
+++ b/src/pearshed/_internal/engine_side/messages.py
@@ -27,6 +27,7 @@
     :ivar budget_ms: time for which the reservation may wait, milliseconds; 0 for an answer now.
     :ivar output_tokens: tokens that the request is expected to generate.
     :ivar slots: requests that the engine runs at once, as it lists itself; 0 when not known.
+    :ivar gap_ms: longest pause between events that is on time, milliseconds; 0 for none.
     """
 
     reservation: str
@@ -35,6 +36,7 @@
     prompt: tuple[PromptPart, ...]
     output_tokens: int
     slots: int = 0
+    gap_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,9 +48,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Done:
-    """The request has ended, or is no longer wanted."""
+    """The request has ended, or is no longer wanted.
+
+    :ivar longest_gap_ms: longest pause between its events, milliseconds; 0 for none.
+    """
 
     reservation: str
+    longest_gap_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,11 +110,7 @@
 
 Message = Ask | PromptRead | Done | Granted | Waiting | Refused | TrafficReport | FleetTraffic
 
-_KINDS: dict[str, type[PromptRead | Done | Waiting]] = {
-    "p": PromptRead,
-    "d": Done,
-    "w": Waiting,
-}
+_KINDS: dict[str, type[PromptRead | Waiting]] = {"p": PromptRead, "w": Waiting}
 
 
 def encode(message: Message) -> bytes:
@@ -124,8 +126,11 @@
                 prompt,
                 message.output_tokens,
                 message.slots,
+                message.gap_ms,
             ]
         )
+    if isinstance(message, Done):
+        return orjson.dumps(["d", message.reservation, message.longest_gap_ms])
     if isinstance(message, Refused):
         return orjson.dumps(["r", message.reservation, message.wait_ms])
     if isinstance(message, Granted):
@@ -155,11 +160,12 @@
         if kind == "a":
             rank, budget_ms, prompt, output_tokens, *more = rest
             parts = tuple(PromptPart(str(part), int(tokens)) for part, tokens in prompt)
-            # Gateways of an older version name no slots.
-            slots = int(more[0]) if more else 0
-            return Success(
-                Ask(reservation, int(rank), int(budget_ms), parts, int(output_tokens), slots)
-            )
+            # Gateways of an older version name neither slots nor pauses.
+            slots, gap_ms = (int(more[0]), int(more[1])) if len(more) > 1 else (0, 0)
+            bounds = (int(rank), int(budget_ms))
+            return Success(Ask(reservation, *bounds, parts, int(output_tokens), slots, gap_ms))
+        if kind == "d":
+            return Success(Done(reservation, int(rest[0]) if rest else 0))
         if kind == "r":
             return Success(Refused(reservation, int(rest[0])))
         if kind == "g":
--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -108,6 +108,7 @@
             "admitted": self._queue.granted,
             "tokens_per_s": round(self._queue.tokens_per_s),
             "tokens_unread": self._queue.unread_tokens,
+            "pace_share": round(self._queue.pace_share, 3),
             "gateways": self._traffic.gateways,
             "datagrams_malformed": self._malformed,
             "log_lines_dropped": self._log_stream.dropped,
@@ -130,7 +131,7 @@
         elif isinstance(message, PromptRead):
             self._queue.note_read(message.reservation)
         elif isinstance(message, Done):
-            self._queue.note_done(message.reservation)
+            self._queue.note_done(message.reservation, message.longest_gap_ms)
         elif isinstance(message, TrafficReport):
             self._traffic.note(addr[0], message.routes)
             hosts = self._traffic.some_gateways(self._random)
--- a/src/pearshed/_internal/engine_side/side_pages.py
+++ b/src/pearshed/_internal/engine_side/side_pages.py
@@ -88,6 +88,11 @@
             "Measured speed of the engine's reading",
             self._queue.tokens_per_s,
         )
+        yield gauge(
+            "pearshed_side_pace_share",
+            "Part of the time in which prompts may be read beside streams with short pauses",
+            self._queue.pace_share,
+        )
         yield counter(
             "pearshed_side_log_lines_dropped_total",
             "Log lines dropped since the reader was slow",
--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -85,8 +85,11 @@
         """Tell that the engine has read the prompt."""
 
     @abc.abstractmethod
-    def note_done(self, admitted: Admitted, endpoint: Endpoint) -> None:
-        """Tell that the request has ended."""
+    def note_done(self, admitted: Admitted, endpoint: Endpoint, longest_gap_ms: int = 0) -> None:
+        """Tell that the request has ended.
+
+        :param longest_gap_ms: longest pause between its events, milliseconds.
+        """
 
 
 class SideAdmission(EngineAdmission, asyncio.DatagramProtocol):
@@ -176,10 +179,10 @@
         if admitted.reservation:
             self._send(PromptRead(admitted.reservation), endpoint.entry.address.host)
 
-    def note_done(self, admitted: Admitted, endpoint: Endpoint) -> None:
+    def note_done(self, admitted: Admitted, endpoint: Endpoint, longest_gap_ms: int = 0) -> None:
         """Tell the side that the request has ended."""
         if admitted.reservation:
-            self._send(Done(admitted.reservation), endpoint.entry.address.host)
+            self._send(Done(admitted.reservation, longest_gap_ms), endpoint.entry.address.host)
 
     async def _converse(
         self,
@@ -246,6 +249,7 @@
         call.fields.prompt,
         call.fields.expected_output,
         endpoint.entry.slots,
+        call.route.gap_target_ms,
     )
 
 
--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -56,6 +56,18 @@
         self._patience_s = patience_s
         self._whole = False
         self._run = 0
+        self._first_ms = 0
+        self._longest_gap_ms = 0
+
+    @property
+    def first_ms(self) -> int:
+        """Time from the caller's request to the first part of the answer; 0 before it."""
+        return self._first_ms
+
+    @property
+    def longest_gap_ms(self) -> int:
+        """Longest pause between parts of a stream, milliseconds."""
+        return self._longest_gap_ms
 
     async def run(self) -> AttemptOutcome:
         """Make the attempt.
@@ -163,7 +175,7 @@
                 continue
             self._endpoint.note_heard()
             moment = clock.now()
-            self._metrics.note_gap(moment - heard)
+            self._note_part(moment, heard)
             heard = moment
             for event in buffer.feed(piece):
                 if not prompt_read:
@@ -176,6 +188,16 @@
                 if not self._is_repeated(event.event_id):
                     await self._writer.write_event(event)
 
+    def _note_part(self, moment: float, heard: float) -> None:
+        """Note a part of a stream and the pause before it."""
+        self._metrics.note_gap(moment - heard)
+        if self._first_ms:
+            gap_ms = round((moment - heard) * clock.MILLISECONDS_PER_SECOND)
+            self._longest_gap_ms = max(self._longest_gap_ms, gap_ms)
+        else:
+            first_s = moment - self._call.request.received
+            self._first_ms = max(1, round(first_s * clock.MILLISECONDS_PER_SECOND))
+
     def _end_stream(
         self, head: ResponseHead, buffer: EventBuffer, end: ResponseEnd
     ) -> AttemptOutcome:
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -168,7 +168,6 @@
                     return
                 continue
             outcome = await self._attempt(call, placing, writer, progress, admission)
-            self._note_attempt(call, placing, outcome, len(progress.tried))
             if isinstance(outcome, Answered):
                 return
             if not self._may_go_on(call, placing.endpoint, outcome, progress):
@@ -261,9 +260,11 @@
 
         attempt = Attempt(call, placing, self._codec, writer, patience_s, note_read, self._metrics)
         try:
-            return await attempt.run()
+            outcome = await attempt.run()
         finally:
-            self._admission.note_done(admitted, placing.endpoint)
+            self._admission.note_done(admitted, placing.endpoint, attempt.longest_gap_ms)
+        self._note_attempt(call, placing, attempt, outcome, len(progress.tried))
+        return outcome
 
     def _give_up(self, call: Call, writer: AnswerWriter, progress: "_Progress", cause: str) -> None:
         """Give the final answer to a request that no endpoint has answered."""
@@ -325,7 +326,7 @@
         return round(wait_s + self._random.uniform(least_s, most_s), 2)
 
     def _note_attempt(
-        self, call: Call, placing: Placing, outcome: AttemptOutcome, number: int
+        self, call: Call, placing: Placing, made: Attempt, outcome: AttemptOutcome, number: int
     ) -> None:
         self._metrics.note_attempt(outcome)
         if isinstance(outcome, Answered):
@@ -343,6 +344,8 @@
             reason=getattr(outcome, "reason", ""),
             status=getattr(outcome, "status", 0),
             in_flight=endpoint.in_flight,
+            first_ms=made.first_ms,
+            longest_gap_ms=made.longest_gap_ms,
             failure_share=round(endpoint.failure_share, 2),
             elapsed_ms=_elapsed_ms(call),
             routed_by_version=call.version,
--- a/src/pearshed/_internal/gateway/lanes.py
+++ b/src/pearshed/_internal/gateway/lanes.py
@@ -10,6 +10,8 @@
 import math
 from collections.abc import Sequence
 
+from absl import logging
+
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.gateway.endpoints import Endpoint
 from pearshed._internal.membership import rendezvous
@@ -20,14 +22,13 @@
 LANE_SIZE_FACTOR = 3.0
 #: Engines of a lane of shorter prompts, relative to its part of the work, while all are calm.
 SHORT_LANE_SHARE = 0.8
-#: Work that an engine of such a lane is given in a second, tokens read: four fifths of what an
-#: engine does. Streams beside short prompts keep their pace, since each of these is read in a
-#: fraction of the pause that is allowed.
-SHORT_LANE_TOKENS_PER_S = 40_000.0
+#: Work that an engine of such a lane is given in a second, tokens read: nine tenths of what is
+#: assumed of an engine. Streams keep their pace, since its side paces the prompts.
+SHORT_LANE_TOKENS_PER_S = 45_000.0
 #: Part of the engines that a lane of shorter prompts gets at most.
 LARGEST_SHARE = 0.45
-#: Time over which the traffic of a route is averaged, seconds.
-AVERAGING_S = 4.0
+#: Half-life of the traffic of a route, seconds: bursts of short prompts grow within two.
+AVERAGING_S = 1.0
 #: Weight of a steady stream of one request a second.
 _WEIGHT_OF_RATE_S = AVERAGING_S / math.log(2.0)
 #: The fleet's traffic is of use for this long after a side told it, seconds.
@@ -137,8 +138,14 @@
         """Keep a lane's size until another fits clearly better: each change moves shared parts."""
         held = self._held.get(lane)
         if held is None or abs(wanted - held) > max(LEAST_CHANGE, held * LEAST_CHANGE_SHARE):
+            before = held or 0
             held = max(1, round(wanted))
             self._held[lane] = held
+            if held != before:
+                fields = {"lane": lane, "engines": held, "before": before}
+                logging.info(
+                    "lane.resized", extra={"fields": fields | {"needed": round(wanted, 2)}}
+                )
         return held
 
 
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -49,7 +49,7 @@
 #: Time kept at the end of the grace for the last bytes to be sent.
 STOP_MARGIN_S = 0.3
 #: Gateways tell each other their traffic, by way of sides, this often.
-TRAFFIC_PERIOD_S = 1.0
+TRAFFIC_PERIOD_S = 0.5
 #: The settings file may change without a signal.
 SETTINGS_CHECK_S = 5.0
 #: Settings that the budgets of repeats are made of.
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -33,6 +33,7 @@
     WINDOW_S,
     ReadingSpeed,
 )
+from pearshed._internal.engine_side.stream_pace import LEAST_SHARE, StreamPace
 from pearshed._internal.engine_side.traffic_table import (
     REPORT_LIFE_S,
     RouteTraffic,
@@ -279,6 +280,76 @@
         self.assertAlmostEqual(20_000, self.speed.tokens_per_s, delta=2_000)
 
 
+class PaceTest(QueueTestCase):
+    """Short streams with short pauses, whose prompts come together."""
+
+    GAP_MS = 250
+
+    def short(self, name: str, gap_ms: int = GAP_MS) -> Ask:
+        return dataclasses.replace(ask(name, 1_000, budget_ms=5000), gap_ms=gap_ms)
+
+    def end_streams(self, count: int, longest_gap_ms: int, gap_ms: int = GAP_MS) -> None:
+        for number in range(count):
+            self.ask(self.short(f"ended-{number}", gap_ms))
+            self.queue.note_read(f"ended-{number}/1")
+            self.queue.note_done(f"ended-{number}/1", longest_gap_ms)
+        self.clock.advance(1.0)
+        self.granted.clear()
+
+    def let_in(self, gap_ms: int = GAP_MS) -> int:
+        """Ask for many prompts at once, each read as soon as it is let in, for one pause.
+
+        :returns: the prompts that were let in.
+        """
+        self.ask(*(self.short(str(number), gap_ms) for number in range(40)))
+        for _ in range(25):
+            for name in tuple(self.granted):
+                self.queue.note_read(f"{name}/1")
+            self.clock.advance(gap_ms / 1000 / 25)
+            for name in [str(number) for number in range(40)]:
+                self.queue.ask(self.short(name, gap_ms), lambda _: None)
+        return len(self.granted)
+
+    @parameterized.expand(
+        [
+            ("good_pauses", 200, 250, True),
+            ("late_pauses", 400, 250, False),
+            ("long_pauses_allowed", 2_000, 1_000, True),
+            ("no_pause_known", 0, 250, True),
+        ]
+    )
+    def test_prompts_are_spread_where_pauses_got_too_long(
+        self, _: str, longest_gap_ms: int, gap_ms: int, at_once: bool
+    ) -> None:
+        self.end_streams(30, longest_gap_ms, gap_ms)
+        bound = LEAST_SHARE * ASSUMED_TOKENS_PER_S * gap_ms / 1000 / 1_000
+        found = self.let_in(gap_ms)
+        if at_once:
+            self.assertEqual(40, found)
+        else:
+            self.assertGreater(found, 1)
+            self.assertLessEqual(found, bound + 1)
+
+    def test_a_few_such_streams_hold_up_no_long_prompts(self) -> None:
+        self.end_streams(30, 400)
+        self.ask(self.short("short"))
+        self.queue.note_read("short/1")
+        for number in range(6):
+            self.clock.advance(0.05)
+            self.ask(ask(f"long-{number}", 2_000, budget_ms=5000))
+            self.queue.note_read(f"long-{number}/1")
+        self.assertEqual(7, len(self.granted))
+
+    def test_reading_is_let_go_again_once_pauses_are_good(self) -> None:
+        pace = StreamPace()
+        for _ in range(50):
+            pace.note_stream(400, 250)
+        self.assertEqual(LEAST_SHARE, pace.share)
+        for _ in range(300):
+            pace.note_stream(100, 250)
+        self.assertFalse(pace.bounded)
+
+
 class PromptCacheTest(unittest.TestCase):
     PROMPT = (PromptPart("a", 100), PromptPart("b", 50), PromptPart("own", 10))
 
@@ -323,7 +394,8 @@
     @parameterized.expand(
         [
             (ask("a", 5, shared="s"),),
-            (dataclasses.replace(ask("a", 5), slots=64),),
+            (dataclasses.replace(ask("a", 5), slots=64, gap_ms=250),),
+            (Done("a/1", 312),),
             (PromptRead("a/1"),),
             (Done("a/1"),),
             (Granted("a/1", 4),),
@@ -341,6 +413,7 @@
         [
             ("side", b'["f", "", 3, []]', FleetTraffic("", 3, ())),
             ("gateway", b'["a", "a/1", 1, 5, [], 7]', Ask("a/1", 1, 5, (), 7)),
+            ("end", b'["d", "a/1"]', Done("a/1")),
         ]
     )
     def test_messages_of_an_older_version_are_understood(
