Harm datagrams and single gateways' store in the soak, with prompts that sides refuse

The soak had no loss of datagrams, no prompts large enough for refusals, and gateways without control addresses (docs/soak.md listed the first two as not covered). A relay now loses, repeats and delays datagrams; a tenth of the prompts is large; engines answer reports; the store turns single gateways away, mostly while a key is revoked, so that peers' news are checked against revocation.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -39,6 +39,8 @@
             ("let an engine leave", self._leave),
             ("start an engine anew", self._renew),
             ("lose answers of engines", self._lose_answers),
+            ("harm datagrams", self._harm_datagrams),
+            ("turn one gateway away from the store", self._one_away),
         )
 
     async def run(self, seconds: float) -> None:
@@ -137,6 +139,26 @@
         await asyncio.sleep(seconds)
         self._world.store.refuse_with = 0
 
+    async def _one_away(self) -> None:
+        """Let the store turn one gateway away, mostly while a key is revoked."""
+        proxy = self._random.choice(self._world.store_proxies)
+        seconds = self._random.uniform(2.0, 9.0)
+        self._note_harm(seconds)
+        proxy.refuses = True
+        proxy.reset(1.0, self._random)
+        if self._random.random() < 0.7:
+            await self._revoke()
+        await asyncio.sleep(seconds)
+        proxy.heal()
+
+    async def _harm_datagrams(self) -> None:
+        relay = self._random.choice(self._world.relays)
+        relay.lost_share = self._random.choice((0.0, 0.1, 0.5, 1.0))
+        relay.repeated_share = self._random.choice((0.0, 0.3))
+        relay.delay_s = self._random.choice((0.0, 0.02, 0.3))
+        await asyncio.sleep(self._random.uniform(0.5, 4.0))
+        relay.heal()
+
     async def _compact(self) -> None:
         self._note_harm(0.0)
         self._world.put_configuration()
--- a/soak/load.py
+++ b/soak/load.py
@@ -7,11 +7,20 @@
 
 from pearshed._internal.utils.addresses import Address
 from soak.promises import Ending
-from soak.world import World, answer_body, stream_body
+from soak.world import (
+    LARGE_PROMPT_TOKENS,
+    PROMPT_TOKENS,
+    World,
+    answer_body,
+    stream_body,
+)
 from tests.lib.users_caller import Caller
 
 _PATHS = ("/lookup/a", "/confirm/a", "/draft/a", "/explain/a")
 _PAUSE_S = 0.05
+#: Part of the requests whose prompt is so large that others must wait or are refused.
+_LARGE_SHARE = 0.1
+_SHARED_TOKENS = 200
 _ANSWER_TIMEOUT_S = 10.0
 #: A planned stop must cut no request that was sent within this time after it, seconds.
 _SERVED_AFTER_STOP_S = 2.0
@@ -77,7 +86,12 @@
         program = self._world.gateways[gateway]
         starts = program.starts
         sent = time.monotonic()
-        prompt = {"Pearshed-Token-Usage": "300,20", "Pearshed-Prefix-Hash": "aa:200,bb:100"}
+        large = self._random.random() < _LARGE_SHARE
+        own = (LARGE_PROMPT_TOKENS if large else PROMPT_TOKENS) - _SHARED_TOKENS
+        prompt = {
+            "Pearshed-Token-Usage": f"{own + _SHARED_TOKENS},20",
+            "Pearshed-Prefix-Hash": f"aa:{_SHARED_TOKENS},bb:{own}",
+        }
         headers = {"Authorization": f"Token {key}", "Pearshed-Deadline-Ms": "6000", **prompt}
         caller.send(path, request_id=name, headers=headers)
         try:
--- a/soak/world.py
+++ b/soak/world.py
@@ -4,14 +4,17 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import sys
 import time
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 from pearshed._internal.utils.addresses import Address
+from soak.datagrams import DatagramRelay
 from soak.promises import Record, Run
 from soak.proxy import Proxy
 from tests.lib.gateway_fixture import free_address
@@ -27,6 +30,11 @@
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 EVENTS = 6
 KEYS = ("key-a", "key-b", "key-c")
+#: Tokens of a usual prompt; large ones have many times more.
+PROMPT_TOKENS = 300
+LARGE_PROMPT_TOKENS = 20_000
+#: Memory of an engine: a large prompt and some usual ones.
+ENGINE_TOKENS = 40_000
 _EVENT_PAUSE_S = 0.03
 _WORK_S = 0.02
 GRACE_S = 8.0
@@ -109,6 +117,7 @@
         self.store_proxies: list[Proxy] = []
         self.engines: list[EngineStandIn] = []
         self.engine_proxies: list[Proxy] = []
+        self.relays: list[DatagramRelay] = []
         self.gateways: list[Program] = []
         self.sides: list[Program] = []
         self.callers: list[Address] = []
@@ -116,9 +125,11 @@
         self.version = 1
         self.keys = list(KEYS)
         self.lost_share = 0.0
+        self._going: Counter[EngineStandIn] = Counter()
         self._folder = folder
         self._counts = (gateways, engines)
         self._port = free_address().port
+        self._control_port = free_address().port
 
     async def start(self) -> None:
         """Start stand-ins, then the processes."""
@@ -140,6 +151,8 @@
             await program.end()
         for proxy in (*self.store_proxies, *self.engine_proxies):
             proxy.stop()
+        for relay in self.relays:
+            relay.stop()
         for engine in self.engines:
             await engine.stop()
         await self.store.stop()
@@ -202,10 +215,16 @@
         self.engine_proxies.append(proxy)
         self.store.put(f"servers/{engine.identity}", engine.entry(address=str(proxy.address)))
         if service == "fleet":
+            side_host = host.replace("127.0.12.", "127.0.14.")
+            relay = DatagramRelay(
+                Address(host, self._port), Address(side_host, self._port), random.Random(host)
+            )
+            await relay.start()
+            self.relays.append(relay)
             settings = {
                 "node": f"side-{host}",
                 "zone": "olympia",
-                "ip": host,
+                "ip": side_host,
                 "portRange": [self._port, self._port + 1],
                 "app": str(engine.address),
             }
@@ -223,9 +242,13 @@
             "node": f"gateway-{number}",
             "zone": "olympia",
             "ip": host,
-            "listen": {"front": str(callers), "ready": str(pages)},
+            "listen": {
+                "front": str(callers),
+                "ready": str(pages),
+                "control": f"{host}:{self._control_port}",
+            },
             "portRange": [self._port, self._port + 1],
-            "seeds": [],
+            "seeds": [f"127.0.11.{seed}:{self._control_port}" for seed in (1, 2, 3)],
             "bounds": {
                 "failClosed": True,
                 "revokeMs": 5000,
@@ -243,11 +266,28 @@
         path.write_text(json.dumps(settings))
         return Program(name, command, path, self._folder / f"{name}.log")
 
+    def _report(
+        self, engine: EngineStandIn, connection: EngineConnection, request: EngineRequest
+    ) -> None:
+        """Answer the side's questions: the engine is small, and its cache tells nothing."""
+        if request.target != "/v1/report":
+            connection.answer(request, 404, b"{}")
+            return
+        going = self._going[engine]
+        report = {
+            "running": going,
+            "queued": 0,
+            "kvUsed": going * PROMPT_TOKENS,
+            "kvTotal": ENGINE_TOKENS,
+            "runs": [],
+        }
+        connection.answer(request, body=json.dumps(report).encode())
+
     async def _answer(
         self, engine: EngineStandIn, connection: EngineConnection, request: EngineRequest
     ) -> None:
         if request.target.startswith("/v1/"):
-            connection.answer(request, 404, b"{}")
+            self._report(engine, connection, request)
             return
         if request.headers.get("pearshed-expect-instance") != engine.identity:
             connection.answer(request, 421, b"", {"Pearshed-Response-Signature": ""})
@@ -257,6 +297,15 @@
         customer = request.headers.get("pearshed-tenant", "")
         run = Run(name, engine.identity, time.monotonic(), repeatable, customer)
         self.record.runs.append(run)
+        self._going[engine] += 1
+        try:
+            await self._work(connection, request)
+        finally:
+            self._going[engine] -= 1
+
+    async def _work(self, connection: EngineConnection, request: EngineRequest) -> None:
+        """Work on a request, and answer it."""
+        name = request.request_id
         await asyncio.sleep(_WORK_S)
         if len(self.record.runs) % 100 < self.lost_share * 100:
             connection.reset()
--- a/src/pearshed/_internal/gateway/knowledge.py
+++ b/src/pearshed/_internal/gateway/knowledge.py
@@ -23,8 +23,8 @@
 #: Wait of one watch, seconds. Each answer confirms the configuration as of its question; others
 #: are asked in time for their news when an answer is lost (``peer_news``).
 WATCH_WAIT_S = 1.5
-#: Pause after an answer that brought changes, seconds: changes come in series, each would end the
-#: next watch at once, and calls are priced. Short beside the seconds in which changes must be known.
+#: Pause after an answer that brought changes, seconds: changes come in series, and each would end
+#: the next watch at once. Changes must be known within seconds, and calls are priced.
 CHANGES_PAUSE_S = 0.25
 RETRY_FIRST_S = 0.1
 #: A store that is back is noticed within this time; calls are priced, refused ones too.
