--- a/src/pearshed/_internal/engine_side/side_pages.py
+++ b/src/pearshed/_internal/engine_side/side_pages.py
@@ -8,7 +8,7 @@
 
 from pearshed._internal.engine_side.admission_queue import AdmissionQueue
 from pearshed._internal.http.page_server import page_name
-from pearshed._internal.telemetry.histogram import LatencyHistogram
+from pearshed._internal.telemetry.histogram import latency_histogram
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
 from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
 
@@ -29,14 +29,14 @@
         self._log_stream = log_stream
         self._dump = dump
         self._decisions: Counter[tuple[str, int]] = Counter()
-        self._waits = LatencyHistogram()
+        self._waits = latency_histogram()
         self._metrics = MetricsPage()
         self._metrics.add(self._collect)
 
     def note_granted(self, rank: int, waited_s: float) -> None:
         """Count a request that was admitted."""
         self._decisions[("granted", rank)] += 1
-        self._waits.add(waited_s)
+        self._waits.observe(waited_s)
 
     def note_refused(self, rank: int) -> None:
         """Count a request that was refused."""
@@ -71,8 +71,7 @@
             "pearshed_side_wait_seconds_bucket",
             "Admitted requests by their wait, cumulative",
             tuple(
-                Sample(count, {"le": str(bound)})
-                for bound, count in self._waits.cumulative().items()
+                Sample(count, {"le": str(bound)}) for bound, count in self._waits.buckets.items()
             ),
             counter=True,
         )
--- a/src/pearshed/_internal/entry/metrics.py
+++ b/src/pearshed/_internal/entry/metrics.py
@@ -95,7 +95,7 @@
             tuple(
                 Sample(count, {"class": name, "le": str(bound)})
                 for name, histogram in histograms
-                for bound, count in histogram.cumulative().items()
+                for bound, count in histogram.buckets.items()
             ),
             counter=True,
         )
--- a/src/pearshed/_internal/entry/request_log.py
+++ b/src/pearshed/_internal/entry/request_log.py
@@ -4,10 +4,11 @@
 from collections import Counter
 
 from absl import logging
+from aioprometheus.histogram import Histogram
 
 from pearshed._internal.models.outcomes import FailureCode, RequestFailure
 from pearshed._internal.models.requests import RoutedRequest
-from pearshed._internal.telemetry.histogram import LatencyHistogram
+from pearshed._internal.telemetry.histogram import latency_histogram
 from pearshed._internal.timers import clock
 
 
@@ -22,7 +23,7 @@
         self._answered: Counter[str] = Counter()
         self._on_time: Counter[str] = Counter()
         self._failed: Counter[tuple[str, FailureCode]] = Counter()
-        self._first: dict[str, LatencyHistogram] = {}
+        self._first: dict[str, Histogram] = {}
 
     @property
     def answered(self) -> dict[str, int]:
@@ -40,7 +41,7 @@
         return dict(self._failed)
 
     @property
-    def first_part(self) -> dict[str, LatencyHistogram]:
+    def first_part(self) -> dict[str, Histogram]:
         """Time to the first part of the answer by class."""
         return dict(self._first)
 
@@ -49,7 +50,7 @@
         name = request.request_class.name
         target_s = request.request_class.first_token_ms / clock.MILLISECONDS_PER_SECOND
         with self._lock:
-            self._first.setdefault(name, LatencyHistogram()).add(seconds)
+            self._first.setdefault(name, latency_histogram()).observe(seconds)
             if seconds <= target_s:
                 self._on_time[name] += 1
 
--- a/src/pearshed/_internal/gateway/request_metrics.py
+++ b/src/pearshed/_internal/gateway/request_metrics.py
@@ -3,8 +3,10 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from aioprometheus.histogram import Histogram
+
 from pearshed._internal.gateway.call import AttemptOutcome, Call
-from pearshed._internal.telemetry.histogram import LatencyHistogram
+from pearshed._internal.telemetry.histogram import latency_histogram
 from pearshed._internal.telemetry.metrics import Metric, Sample
 from pearshed._internal.timers import clock
 
@@ -17,21 +19,21 @@
         self._on_time: Counter[str] = Counter()
         self._refusals: Counter[tuple[int, str]] = Counter()
         self._attempts: Counter[str] = Counter()
-        self._first_part: dict[str, LatencyHistogram] = {}
-        self._admission: LatencyHistogram = LatencyHistogram()
-        self._gaps: LatencyHistogram = LatencyHistogram()
+        self._first_part: dict[str, Histogram] = {}
+        self._admission: Histogram = latency_histogram()
+        self._gaps: Histogram = latency_histogram()
         self._wasted = 0
 
     def note_first_part(self, call: Call) -> None:
         """Note the start of an answer."""
         elapsed_s = clock.now() - call.request.received
-        self._first_part.setdefault(call.route.name, LatencyHistogram()).add(elapsed_s)
+        self._first_part.setdefault(call.route.name, latency_histogram()).observe(elapsed_s)
         if elapsed_s * clock.MILLISECONDS_PER_SECOND <= call.route.target_ms:
             self._on_time[call.route.name] += 1
 
     def note_gap(self, seconds: float) -> None:
         """Note the pause before an event of a stream."""
-        self._gaps.add(seconds)
+        self._gaps.observe(seconds)
 
     def note_answer(self, call: Call, status: int) -> None:
         """Note a whole answer of an endpoint."""
@@ -47,7 +49,7 @@
 
     def note_admission(self, seconds: float) -> None:
         """Note the time that a request waited for admission."""
-        self._admission.add(seconds)
+        self._admission.observe(seconds)
 
     def note_wasted(self) -> None:
         """Note a request that an endpoint worked on for a caller that left."""
@@ -101,14 +103,14 @@
 
 
 def _histogram(
-    name: str, help_text: str, histogram: LatencyHistogram, route: str = ""
+    name: str, help_text: str, histogram: Histogram, route: str = ""
 ) -> Iterable[Metric]:
     labels = {"route": route} if route else {}
-    buckets = histogram.cumulative().items()
+    buckets = histogram.buckets.items()
     yield _counter(
         f"{name}_bucket",
         f"{help_text}, cumulative",
         (Sample(count, {**labels, "le": str(bound)}) for bound, count in buckets),
     )
-    yield _counter(f"{name}_sum", help_text, (Sample(histogram.sum_s, labels),))
-    yield _counter(f"{name}_count", help_text, (Sample(histogram.total, labels),))
+    yield _counter(f"{name}_sum", help_text, (Sample(histogram.sum, labels),))
+    yield _counter(f"{name}_count", help_text, (Sample(histogram.observations, labels),))
