Bound the reuse of idle connections once an endpoint dropped one without a word

Ruled out: a probe before each request (no answer proves the next one); never reusing connections for such requests (each new one is priced and takes a millisecond).

Change: a reused connection that ends with the first bytes after a rest of 0.1 s or more bounds the reuse of all connections to that service to half that rest for 30 s.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -90,6 +90,7 @@
         if remaining_s <= 0:
             self._whole = True
             return OutOfTime(sent=False)
+        rested_s = clock.now() - connection.idle_since
         self._run = self._endpoint.begin(self._call.fields.prompt_tokens)
         connection.send(self._encode(remaining_s), self._recognise)
         if not self._call.route.repeatable and not self._call.route.streaming:
@@ -101,6 +102,8 @@
             return self._timed_out(remaining_s)
         if isinstance(first, ResponseEnd):
             self._endpoint.note_failure()
+            if connection.used and first.kind is EndKind.CUT:
+                self._endpoint.note_dropped_idle(rested_s)
             return Failed(first.reason)
         assert isinstance(first, ResponseHead)
         fields = self._codec.read_endpoint(first)
--- a/src/pearshed/_internal/gateway/endpoints.py
+++ b/src/pearshed/_internal/gateway/endpoints.py
@@ -5,6 +5,7 @@
 from absl import logging
 
 from pearshed._internal.gateway.header_codec import EndpointLoadReport
+from pearshed._internal.gateway.idle_bound import IdleBound
 from pearshed._internal.http.endpoint_connection import EndpointConnection, connect
 from pearshed._internal.models.routing import EndpointEntry, EndpointState
 from pearshed._internal.timers import clock
@@ -31,10 +32,12 @@
     """One endpoint with this process's connections to it.
 
     :param entry: what the platform lists; replaced as it changes.
+    :param idle_bound: of the service's connections.
     """
 
-    def __init__(self, entry: EndpointEntry) -> None:
+    def __init__(self, entry: EndpointEntry, idle_bound: IdleBound | None = None) -> None:
         self._entry = entry
+        self._idle_bound = idle_bound or IdleBound(entry.service)
         self._idle: list[EndpointConnection] = []
         self._running: dict[int, tuple[float, int]] = {}
         self._open = 0
@@ -122,7 +125,7 @@
         while self._idle:
             connection = self._idle.pop()
             idle_s = moment - connection.idle_since
-            limit_s = connection.idle_limit_s(IDLE_LIMIT_S) * IDLE_SHARE
+            limit_s = self._idle_limit_s(connection)
             if not repeatable:
                 limit_s = min(limit_s, FRESH_IDLE_S)
             if connection.usable and idle_s < limit_s:
@@ -136,6 +139,13 @@
             self._open -= 1
             raise
 
+    def note_dropped_idle(self, idle_s: float) -> None:
+        """Note a connection that ended with the first bytes that were sent after a rest.
+
+        :param idle_s: its rest, seconds.
+        """
+        self._idle_bound.note_dropped(idle_s)
+
     def release(self, connection: EndpointConnection, whole: bool) -> None:
         """Give a connection back.
 
@@ -211,11 +221,15 @@
             connection.abort()
         self._idle.clear()
 
+    def _idle_limit_s(self, connection: EndpointConnection) -> float:
+        limit_s = connection.idle_limit_s(IDLE_LIMIT_S) * IDLE_SHARE
+        return min(limit_s, self._idle_bound.longest_s)
+
     def trim(self, moment: float) -> None:
         """Drop idle connections that are closed or idle for too long."""
         kept = []
         for connection in self._idle:
-            limit_s = connection.idle_limit_s(IDLE_LIMIT_S) * IDLE_SHARE
+            limit_s = self._idle_limit_s(connection)
             if connection.usable and moment - connection.idle_since < limit_s:
                 kept.append(connection)
             else:
@@ -229,6 +243,7 @@
     def __init__(self) -> None:
         self._endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, tuple[Endpoint, ...]] = {}
+        self._idle_bounds: dict[str, IdleBound] = {}
 
     @property
     def endpoints(self) -> Iterable[Endpoint]:
@@ -247,11 +262,11 @@
         for identity, entry in entries.items():
             held = self._endpoints.get(identity)
             if held is None:
-                self._endpoints[identity] = Endpoint(entry)
+                self._endpoints[identity] = self._create(entry)
             elif held.entry.born_ms != entry.born_ms or held.entry.address != entry.address:
                 # The identity was started anew; nothing of before holds.
                 held.retire()
-                self._endpoints[identity] = Endpoint(entry)
+                self._endpoints[identity] = self._create(entry)
             else:
                 held.update(entry)
         by_service: dict[str, list[Endpoint]] = {}
@@ -262,6 +277,10 @@
             for service, found in by_service.items()
         }
 
+    def _create(self, entry: EndpointEntry) -> Endpoint:
+        bound = self._idle_bounds.setdefault(entry.service, IdleBound(entry.service))
+        return Endpoint(entry, bound)
+
     def sweep(self) -> None:
         """Drop connections that have been idle for too long."""
         moment = clock.now()
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -87,6 +87,28 @@
         self.assertGreater(float(answer.headers["retry-after"]), 0.0)
         self.assertEqual(1, len(engine.requests))
 
+    @parameterized.expand([("rested", 0.3, [200, 502, 200, 200]), ("busy", 0.0, [200, 502] * 2)])
+    async def test_rest_that_cost_a_connection_bounds_the_reuse_of_others(
+        self, _: str, rest_s: float, statuses: list[int]
+    ) -> None:
+        answered: set[EngineConnection] = set()
+
+        async def forget_after_one(connection: EngineConnection, request: EngineRequest) -> None:
+            if connection in answered:
+                connection.reset()
+                return
+            answered.add(connection)
+            connection.answer(request)
+
+        await self.add_engine("ledger", forget_after_one)
+        await self.start_gateway()
+        await until(lambda: self.knows("ledger", 1))
+        found = []
+        for number in range(4):
+            found.append(await self.status("/confirm/a", request_id=f"n{number}"))
+            self.clock_offset += rest_s
+        self.assertEqual(statuses, found)
+
     async def test_an_endpoint_sees_the_callers_request_and_no_forged_headers(self) -> None:
         engine = await self.add_engine("ledger", answer_well)
         await self.start_gateway()
