--- a/src/pearshed/_internal/gateway/placement.py
+++ b/src/pearshed/_internal/gateway/placement.py
@@ -130,6 +130,9 @@
     #: Requests by which the preferred engine may be above the least loaded one: reading a long
     #: shared part anew costs the engines more than the requests that wait.
     OVERLOAD = 16.0
+    #: Requests by which an engine of another data centre must be less loaded, for prompts without a
+    #: long shared part; bytes between data centres are priced.
+    NEARNESS = 2.0
 
     def __init__(self, data_centre: str, source: random.Random) -> None:
         self._data_centre = data_centre
@@ -151,7 +154,7 @@
         bound = min(loads.values()) + self.OVERLOAD
         if call.shared_tokens < _LEAST_COPIED_TOKENS:
             # Without a long shared part to find again, the least loaded engine of the lane does.
-            return Placing(min(usable, key=lambda one: loads[one] + self._random.random()))
+            return Placing(min(usable, key=lambda one: loads[one] + self._distance(one)))
         part = call.shared_part
         ranked = sorted(
             usable, key=lambda one: rendezvous.score(part, one.entry.identity), reverse=True
@@ -179,6 +182,11 @@
         if len(self._readers) > _MOST_PARTS:
             self._readers.popitem(last=False)
 
+    def _distance(self, endpoint: Endpoint) -> float:
+        """Rate the way to an engine in requests that it may be more loaded, with a random part."""
+        near = endpoint.entry.data_centre == self._data_centre
+        return self._random.random() + (0.0 if near else self.NEARNESS)
+
     def _source(self, call: Call, chosen: Endpoint, home: Endpoint) -> Endpoint | None:
         """Find the engine from which the shared part can be copied.
 
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -98,6 +98,21 @@
         self.assertEqual(6, len(counts))
         self.assertLess(max(counts.values()), 2 * 600 / 6)
 
+    def test_prompts_without_a_long_shared_part_stay_near_while_engines_are_alike(self) -> None:
+        self.endpoints = [
+            Endpoint(entry(number, "olympia" if number < 2 else "tacoma")) for number in range(6)
+        ]
+        placement = self.prompt_placement()
+        for number in range(ENOUGH_REQUESTS):
+            placement.note_request(call(number, "greeting", 200))
+        chosen = {self.chosen(placement, call(number, "greeting", 200)) for number in range(100)}
+        self.assertEqual(set(self.endpoints[:2]), chosen)
+        for endpoint in self.endpoints[:2]:
+            for _ in range(5):
+                endpoint.begin(1)
+        chosen = {self.chosen(placement, call(number, "greeting", 200)) for number in range(100)}
+        self.assertEqual(set(self.endpoints[2:]), chosen)
+
     def test_an_engine_that_takes_a_part_over_copies_it_from_its_reader(self) -> None:
         placement = self.prompt_placement()
         one = call(1, "rota-history", 13_000)
