--- a/src/pearshed/_internal/gateway/lanes.py
+++ b/src/pearshed/_internal/gateway/lanes.py
@@ -35,8 +35,9 @@
 FLEET_LIFE_S = 4.0
 #: Weight of the latest request in the mean sizes of a busy route.
 LEAST_SIZE_SHARE = 0.01
-#: A lane is resized when its share of the engines is off by this many, or by this part.
-LEAST_CHANGE = 0.75
+#: A lane is resized when it lacks so many engines, has so many too many, or is off by this part.
+LEAST_GROWTH = 0.3
+LEAST_SHRINKING = 1.0
 LEAST_CHANGE_SHARE = 0.15
 #: Requests that must have been seen before their sizes are trusted.
 ENOUGH_REQUESTS = 20
@@ -129,17 +130,26 @@
         for at, demand in enumerate(demands[:-1]):
             share = endpoints * demand / whole * SHORT_LANE_SHARE
             needed = demand / _WEIGHT_OF_RATE_S / SHORT_LANE_TOKENS_PER_S
-            sizes.append(self._steady(at, min(max(share, needed), endpoints * LARGEST_SHARE)))
+            most = int(endpoints * LARGEST_SHARE)
+            sizes.append(self._steady(at, min(max(share, needed), float(most)), most))
         while sum(sizes) >= endpoints:
             sizes[sizes.index(max(sizes))] -= 1
         return [*sizes, endpoints - sum(sizes)]
 
-    def _steady(self, lane: int, wanted: float) -> int:
-        """Keep a lane's size until another fits clearly better: each change moves shared parts."""
+    def _steady(self, lane: int, wanted: float, most: int) -> int:
+        """Keep a lane's size until another fits clearly better: each change moves shared parts.
+
+        A lane grows sooner than it shrinks, since an engine too few delays every stream of it.
+        """
         held = self._held.get(lane)
-        if held is None or abs(wanted - held) > max(LEAST_CHANGE, held * LEAST_CHANGE_SHARE):
+        spare = LEAST_CHANGE_SHARE * (held or 0)
+        if (
+            held is None
+            or wanted - held > max(LEAST_GROWTH, spare)
+            or held - wanted > max(LEAST_SHRINKING, spare)
+        ):
             before = held or 0
-            held = max(1, round(wanted))
+            held = max(1, min(most, math.ceil(wanted - LEAST_GROWTH)))
             self._held[lane] = held
             if held != before:
                 fields = {"lane": lane, "engines": held, "before": before}
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -265,6 +265,15 @@
             self.play(22, 20)
         self.assertEqual(before, self.selected())
 
+    @parameterized.expand([("few", 20, 1), ("a_third_over_one", 44, 2), ("twice", 64, 2)])
+    def test_a_small_fleet_has_an_engine_more_before_the_lane_is_overloaded(
+        self, _: str, short_per_s: int, engines: int
+    ) -> None:
+        self.endpoints = [Endpoint(entry(number)) for number in range(5)]
+        for _second in range(30):
+            self.play(short_per_s, 100)
+        self.assertEqual(engines, len(self.selected()[0]))
+
     def test_the_fleets_traffic_goes_before_a_gateways_own(self) -> None:
         for _ in range(30):
             self.play(20, 20)
