Ask again for a page of entries that the store turned away; never find a test's port twice

A gateway that reads 3,000 entries makes 60 calls, more than a hundred gateways do so at once, and one page that was turned away threw all pages before it away.

Change 1: reading goes page by page; a page that fails is asked for up to four times. test_pages_that_are_turned_away... never ends on the code before.

Cause 2: three of about 24 runs of the gateways' tests failed with one test whose gateway never became ready. Traced: free_address found the same port twice (144 times in 2,000), and the second to bind it failed unseen.

Change 2: ports are drawn once each, below the range of the kernel's own choice. test_no_port_is_found_twice fails on the code before.

--- a/src/pearshed/_internal/gateway/knowledge.py
+++ b/src/pearshed/_internal/gateway/knowledge.py
@@ -29,6 +29,8 @@
 RETRY_FIRST_S = 0.1
 #: A store that is back is noticed within this time; calls are priced, refused ones too.
 RETRY_LONGEST_S = 0.6
+#: Times that one page of entries is asked for; after that the store is taken as down.
+MOST_PAGE_TRIES = 4
 #: Outages shorter than this let no entry lapse: entries outlive three heartbeats of over 1 s.
 LAPSE_OUTAGE_S = 1.5
 #: Entries that lapsed in an outage are back this long after it, if their endpoint lives.
@@ -215,10 +217,9 @@
         if not is_successful(read):
             return read.failure()
         configuration = read.unwrap()
-        listed = await self._store.read_endpoints()
-        if not is_successful(listed):
-            return listed.failure()
-        entries = listed.unwrap()
+        entries = await self._read_endpoints()
+        if isinstance(entries, StoreFailure):
+            return entries
         self._note_answer()
         for item in configuration.items:
             self._take_configuration(item)
@@ -229,6 +230,31 @@
         self._confirm(configuration)
         return None
 
+    async def _read_endpoints(self) -> StoreAnswer | StoreFailure:
+        """Read the entries of all endpoints, page by page.
+
+        A page that fails is asked for again: when many processes start at once, the store turns
+        calls away, and reading everything anew would only bring more.
+
+        :returns: all entries, as of the first page: a watch from there covers later changes.
+        """
+        pages: list[StoreAnswer] = []
+        backoff = Backoff(RETRY_FIRST_S, RETRY_LONGEST_S, self._random)
+        failed = 0
+        while not pages or pages[-1].next_after:
+            read = await self._store.read_endpoints(pages[-1].next_after if pages else "")
+            if is_successful(read):
+                pages.append(read.unwrap())
+                failed = 0
+                backoff.reset()
+                continue
+            failed += 1
+            if failed >= MOST_PAGE_TRIES:
+                return read.failure()
+            await asyncio.sleep(backoff.next_delay())
+        items = tuple(item for page in pages for item in page.items)
+        return StoreAnswer(items, pages[0].revision, pages[0].asked)
+
     async def _watch(self) -> StoreFailure | None:
         watched = await self._store.watch(self._revision, WATCH_WAIT_S)
         if not is_successful(watched):
--- a/src/pearshed/_internal/gateway/store.py
+++ b/src/pearshed/_internal/gateway/store.py
@@ -25,13 +25,13 @@
 
     :ivar revision: revision of the whole store that the answer covers.
     :ivar asked: clock reading at which the question was sent: the answer is no older.
-    :ivar complete: whether all items that match were read.
+    :ivar next_after: key after which more items follow; empty when all that match were read.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
     asked: float
-    complete: bool = True
+    next_after: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,8 +56,11 @@
         """Read the item that holds the configuration."""
 
     @abc.abstractmethod
-    async def read_endpoints(self) -> StoreResult:
-        """Read all entries of endpoints, page by page; the pages are no snapshot."""
+    async def read_endpoints(self, after: str) -> StoreResult:
+        """Read one page of the entries of endpoints; several pages are no snapshot.
+
+        :param after: key behind which the page begins; empty for the first.
+        """
 
     @abc.abstractmethod
     async def watch(self, after: int, wait_s: float) -> StoreResult:
--- a/src/pearshed/_internal/platform/store_client.py
+++ b/src/pearshed/_internal/platform/store_client.py
@@ -50,28 +50,23 @@
         items = (_item(raw),) if status == _OK else ()
         return _answer(items, raw, asked)
 
-    async def read_endpoints(self) -> StoreResult:
-        """Read all entries of endpoints."""
-        found: list[StoreItem | None] = []
-        after = ""
-        first: tuple[Mapping[str, Any], float] | None = None
-        while True:
-            query = {"pathPrefix": names.ENDPOINT_PREFIX}
-            if after:
-                query["sinceRev"] = after
-            answer = await self._call(names.RANGE_CALL, query)
-            if isinstance(answer, StoreFailure):
-                return Failure(answer)
-            _, raw, asked = answer
-            # Changes between pages are covered by a watch from the first page's revision.
-            first = first or (raw, asked)
-            page = raw.get("items")
-            if not isinstance(page, list):
-                return Failure(StoreFailure("the page of entries has no items"))
-            found.extend(_item(entry) for entry in page)
-            if raw.get("truncated") is not True or not page:
-                return _answer(tuple(found), *first)
-            after = str(page[-1].get("key", ""))
+    async def read_endpoints(self, after: str) -> StoreResult:
+        """Read one page of the entries of endpoints."""
+        query = {"pathPrefix": names.ENDPOINT_PREFIX}
+        if after:
+            # The name says revision, but here it holds a key.
+            query["sinceRev"] = after
+        answer = await self._call(names.RANGE_CALL, query)
+        if isinstance(answer, StoreFailure):
+            return Failure(answer)
+        _, raw, asked = answer
+        page = raw.get("items")
+        if not isinstance(page, list):
+            return Failure(StoreFailure("the page of entries has no items"))
+        last = page[-1].get("key") if page and isinstance(page[-1], dict) else None
+        more = raw.get("truncated") is True and isinstance(last, str)
+        items = tuple(_item(entry) for entry in page)
+        return _answer(items, raw, asked, str(last) if more else "")
 
     async def watch(self, after: int, wait_s: float) -> StoreResult:
         """Wait for changes of any key after a revision."""
@@ -116,12 +111,13 @@
 
 
 def _answer(
-    items: tuple[StoreItem | None, ...], raw: Mapping[str, Any], asked: float
+    items: tuple[StoreItem | None, ...], raw: Mapping[str, Any], asked: float, next_after: str = ""
 ) -> StoreResult:
     revision = raw.get("storeRevision")
     if not isinstance(revision, int):
         return Failure(StoreFailure("the answer names no revision of the store"))
-    return Success(StoreAnswer(tuple(item for item in items if item is not None), revision, asked))
+    readable = tuple(item for item in items if item is not None)
+    return Success(StoreAnswer(readable, revision, asked, next_after))
 
 
 def _item(raw: Any) -> StoreItem | None:
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -102,6 +102,19 @@
         self.knowledge._lapsed["i-1"] -= LAPSE_GRACE_S
         self.assertEqual({"i-2"}, self.identities())
 
+    async def test_pages_that_are_turned_away_are_asked_for_again(self) -> None:
+        for number in range(2, 21):
+            self.store.put(f"servers/i-{number}", ENTRY)
+        self.store.refuse_every = 3
+        self.store.calls.clear()
+        client = PlatformStore(self.store.address)
+        knowledge = Knowledge(client, PlatformDocuments(), random.Random(2))
+        task = asyncio.get_running_loop().create_task(knowledge.run())
+        self.addAsyncCleanup(_end, task, client)
+        await until(lambda: len(knowledge.endpoints) == 20)
+        # Ten pages, and one in three calls is turned away.
+        self.assertLess(sum("range" in call for call in self.store.calls), 20)
+
     async def test_changes_in_series_cost_few_calls(self) -> None:
         other = PlatformStore(self.store.address)
         self.addCleanup(other.close)
--- a/tests/gateway/test_platform_adapter.py
+++ b/tests/gateway/test_platform_adapter.py
@@ -11,6 +11,7 @@
 
 from pearshed._internal.errors import SettingsError
 from pearshed._internal.gateway.header_codec import EndpointOrder
+from pearshed._internal.gateway.store import StoreAnswer
 from pearshed._internal.http.messages import Headers, ResponseHead
 from pearshed._internal.models.routing import EndpointEntry, EndpointState, PromptPart
 from pearshed._internal.platform.documents import decode_configuration, decode_endpoint
@@ -251,12 +252,18 @@
     async def test_pages_are_read_to_the_end(self) -> None:
         for number in range(5):
             self.store.put(f"servers/i-{number}", ENTRY)
-        answer = (await self.client.read_endpoints()).unwrap()
-        self.assertEqual([f"servers/i-{n}" for n in range(5)], [i.key for i in answer.items])
+        pages: list[StoreAnswer] = []
+        after = ""
+        while not pages or after:
+            pages.append((await self.client.read_endpoints(after)).unwrap())
+            after = pages[-1].next_after
+        self.assertEqual([2, 2, 1], [len(page.items) for page in pages])
+        found = [item.key for page in pages for item in page.items]
+        self.assertEqual([f"servers/i-{n}" for n in range(5)], found)
 
     async def test_a_watch_brings_changes_and_deletions(self) -> None:
         self.store.put("servers/i-1", ENTRY)
-        before = (await self.client.read_endpoints()).unwrap().revision
+        before = (await self.client.read_endpoints("")).unwrap().revision
         self.store.put("servers/i-2", ENTRY)
         self.store.delete("servers/i-1")
         answer = (await self.client.watch(before, 1.0)).unwrap()
--- a/tests/lib/gateway_fixture.py
+++ b/tests/lib/gateway_fixture.py
@@ -1,6 +1,7 @@
 """A gateway in the test's own process, between the stand-ins of the users' platform."""
 
 import asyncio
+import random
 import socket
 import unittest
 from collections.abc import Callable
@@ -19,6 +20,10 @@
 from tests.lib.users_store import StoreStandIn
 
 _CONDITION_TIMEOUT_S = 20.0
+#: Ports below those that the kernel chooses itself.
+_FIRST_PORT, _LAST_PORT = 10_000, 32_000
+_ports = random.Random()
+_found_ports: set[int] = set()
 
 
 class QuietLogStream:
@@ -31,10 +36,23 @@
 
 
 def free_address() -> Address:
-    """Find a port that is free on loopback."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", probe.getsockname()[1])
+    """Find a port on loopback that is free and was not found before.
+
+    The port is bound later, so it must not be found again until then, nor lie in the range from
+    which the kernel takes ports for connections and servers of its own choice.
+    """
+    while True:
+        port = _ports.randrange(_FIRST_PORT, _LAST_PORT)
+        if port in _found_ports:
+            continue
+        _found_ports.add(port)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(type=kind) as probe:
+                    probe.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return Address("127.0.0.1", port)
 
 
 def gateway_settings(store: Address, **more: Any) -> GatewaySettings:
@@ -89,7 +107,10 @@
         """Start the gateway and wait until it is ready and knows the engines."""
         self.settings = gateway_settings(self.store.address, **more)
         self.gateway, self.running = self.run_gateway(lambda: self.settings)
-        await until(lambda: not self.gateway.not_ready_reasons())
+        await until(lambda: self.running.done() or not self.gateway.not_ready_reasons())
+        if self.running.done():
+            # Shows why it could not start.
+            await self.running
         return self.gateway
 
     def run_gateway(
--- a/tests/lib/users_store.py
+++ b/tests/lib/users_store.py
@@ -22,10 +22,12 @@
     """The platform's store: items, a history of changes, and faults that tests switch on.
 
     :ivar refuse_with: status that every call gets while it isn't 0.
+    :ivar refuse_every: one in so many calls is turned away for its rate; 0 for none.
     :ivar hold: calls hang while it is set.
     """
 
     refuse_with: int = 0
+    refuse_every: int = 0
     hold: bool = False
     page_size: int = 2
     calls: list[str] = field(default_factory=list)
@@ -104,6 +106,8 @@
     async def _answer(self, target: str) -> tuple[int, dict[str, Any]]:
         if self.refuse_with:
             return self.refuse_with, {"error": "turned away"}
+        if self.refuse_every and len(self.calls) % self.refuse_every == 0:
+            return 429, {"error": "too many calls"}
         parts = urlsplit(target)
         query = {name: found[0] for name, found in parse_qs(parts.query).items()}
         if parts.path == "/v1/kv-key":
--- /dev/null
+++ b/tests/unit/test_fixtures.py
@@ -0,0 +1,11 @@
+"""The tests' own helpers."""
+
+import unittest
+
+from tests.lib.gateway_fixture import free_address
+
+
+class FreeAddressTest(unittest.TestCase):
+    def test_no_port_is_found_twice(self) -> None:
+        ports = [free_address().port for _ in range(2000)]
+        self.assertEqual(2000, len(set(ports)))
