--- a/src/pearshed/_internal/gateway/knowledge.py
+++ b/src/pearshed/_internal/gateway/knowledge.py
@@ -93,7 +93,7 @@
         self._grace_until = float("-inf")
         self._connected = False
         self._second_hand = False
-        self._changed = False
+        self._heard_changes = False
         self._configuration_callbacks: list[Callable[[RoutingConfiguration], None]] = []
         self._endpoint_callbacks: list[Callable[[Mapping[str, EndpointEntry]], None]] = []
 
@@ -153,7 +153,7 @@
             failure = await (self._watch() if known else self._read_all())
             if failure is None:
                 backoff.reset()
-                if self._changed:
+                if self._heard_changes:
                     await asyncio.sleep(CHANGES_PAUSE_S)
                 continue
             if failure.history_lost:
@@ -226,7 +226,7 @@
         self._replace_endpoints(entries.items)
         self._revision = min(configuration.revision, entries.revision)
         self._second_hand = False
-        self._changed = False
+        self._heard_changes = False
         self._confirm(configuration)
         return None
 
@@ -261,7 +261,7 @@
             return watched.failure()
         answer = watched.unwrap()
         self._note_answer()
-        self._changed = bool(answer.items)
+        self._heard_changes = bool(answer.items)
         touched = False
         for item in answer.items:
             if self._store.is_configuration(item.key):
--- /dev/null
+++ b/src/pearshed/_internal/gateway/peer_messages.py
@@ -0,0 +1,100 @@
+"""Questions and news between gateways, as query strings and JSON."""
+
+import base64
+import binascii
+import urllib.parse
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+from returns.result import Failure, Result, Success
+
+from pearshed._internal.gateway.knowledge import News
+from pearshed._internal.gateway.store import StoreItem
+from pearshed._internal.timers import clock
+
+#: Longest age that is told, seconds: about a year.
+_LONGEST_AGO_S = 3e7
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    """What an asking gateway knows already.
+
+    :ivar confirmed_ago_s: age of what it knows, seconds; infinite while it knows nothing.
+    """
+
+    version: int
+    endpoints_digest: str
+    confirmed_ago_s: float
+
+    def query(self) -> Mapping[str, str]:
+        """Encode the question."""
+        ago_ms = min(self.confirmed_ago_s, _LONGEST_AGO_S) * clock.MILLISECONDS_PER_SECOND
+        return {
+            "version": str(self.version),
+            "endpoints": self.endpoints_digest,
+            "confirmed_ago_ms": str(int(ago_ms)),
+        }
+
+
+def decode_question(query: str) -> Result[Question, str]:
+    """Decode the query of a question.
+
+    :returns: the question, or what is wrong with it.
+    """
+    fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+    try:
+        ago_ms = int(fields["confirmed_ago_ms"])
+        version = int(fields["version"])
+    except (KeyError, ValueError) as error:
+        return Failure(f"the question is malformed: {error}")
+    ago_s = ago_ms / clock.MILLISECONDS_PER_SECOND
+    return Success(Question(version, fields.get("endpoints", ""), ago_s))
+
+
+def encode_news(news: News) -> bytes:
+    """Encode news as JSON."""
+    configuration = news.configuration
+    return orjson.dumps(
+        {
+            "revision": news.revision,
+            "version": news.version,
+            # Rounded up: an age must not get smaller on its way.
+            "confirmed_ago_ms": int(news.confirmed_ago_s * clock.MILLISECONDS_PER_SECOND) + 1,
+            "configuration": _plain(configuration) if configuration is not None else None,
+            "endpoints": (
+                [_plain(item) for item in news.endpoints] if news.endpoints is not None else None
+            ),
+        }
+    )
+
+
+def decode_news(raw: Mapping[str, Any]) -> Result[News, str]:
+    """Decode news.
+
+    :returns: the news, or what is wrong with it.
+    """
+    try:
+        configuration, endpoints = raw["configuration"], raw["endpoints"]
+        return Success(
+            News(
+                int(raw["revision"]),
+                int(raw["version"]),
+                int(raw["confirmed_ago_ms"]) / clock.MILLISECONDS_PER_SECOND,
+                _item(configuration) if configuration is not None else None,
+                tuple(_item(entry) for entry in endpoints) if endpoints is not None else None,
+            )
+        )
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        return Failure(f"{type(error).__name__}: {error}")
+
+
+def _plain(item: StoreItem) -> list[object]:
+    return [item.key, item.revision, base64.b64encode(item.value or b"").decode()]
+
+
+def _item(raw: Any) -> StoreItem:
+    key, revision, value = raw
+    return StoreItem(str(key), int(revision), base64.b64decode(value, validate=True))
--- a/src/pearshed/_internal/gateway/peer_news.py
+++ b/src/pearshed/_internal/gateway/peer_news.py
@@ -7,22 +7,23 @@
 """
 
 import asyncio
-import base64
-import binascii
 import collections
+import enum
 import random
 import urllib.parse
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
-from typing import Any
+from collections.abc import Iterable
 
-import orjson
 from absl import logging
 from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
 
-from pearshed._internal.gateway.knowledge import WATCH_WAIT_S, Knowledge, News
-from pearshed._internal.gateway.store import StoreItem
+from pearshed._internal.gateway.knowledge import WATCH_WAIT_S, Knowledge
+from pearshed._internal.gateway.peer_directory import PeerDirectory
+from pearshed._internal.gateway.peer_messages import (
+    Question,
+    decode_news,
+    decode_question,
+    encode_news,
+)
 from pearshed._internal.http.json_call import JsonCaller
 from pearshed._internal.telemetry.metrics import Metric, Sample
 from pearshed._internal.timers import clock
@@ -43,62 +44,18 @@
 ASKED_IN_A_ROUND = 3
 #: Other gateways are some milliseconds away; one that is cut off doesn't answer.
 ANSWER_TIMEOUT_S = 0.3
-#: Gateways that are remembered; enough to find one that is well if most are not.
-MOST_PEERS = 32
-#: Longest age that is told, seconds: about a year.
-_LONGEST_AGO_S = 3e7
 _OK = 200
 _NOTHING_NEWER = 204
 
 
-class PeerDirectory:
-    """Control addresses of other gateways: the seeds, and those that sides have named.
+class Outcome(enum.StrEnum):
+    """How a question ended."""
 
-    :param own: control address of this gateway; all gateways use its port.
-    """
-
-    def __init__(self, own: Address, seeds: Iterable[Address], source: random.Random) -> None:
-        self._own = own
-        self._seeds = [seed for seed in seeds if seed != own]
-        self._named: collections.OrderedDict[str, None] = collections.OrderedDict()
-        self._random = source
-
-    def note_hosts(self, hosts: Iterable[str]) -> None:
-        """Take hosts of gateways that a side has heard from."""
-        for host in hosts:
-            if host == self._own.host:
-                continue
-            self._named[host] = None
-            self._named.move_to_end(host)
-            if len(self._named) > MOST_PEERS:
-                self._named.popitem(last=False)
-
-    def draw(self, count: int) -> list[Address]:
-        """Draw some gateways to ask."""
-        named = [Address(host, self._own.port) for host in self._named]
-        known = list(dict.fromkeys([*self._seeds, *named]))
-        return self._random.sample(known, min(count, len(known)))
-
-
-@dataclass(frozen=True, slots=True)
-class Question:
-    """What an asking gateway knows already.
-
-    :ivar confirmed_ago_s: age of what it knows, seconds; infinite while it knows nothing.
-    """
-
-    version: int
-    endpoints_digest: str
-    confirmed_ago_s: float
-
-    def query(self) -> Mapping[str, str]:
-        """Encode the question."""
-        ago_ms = min(self.confirmed_ago_s, _LONGEST_AGO_S) * clock.MILLISECONDS_PER_SECOND
-        return {
-            "version": str(self.version),
-            "endpoints": self.endpoints_digest,
-            "confirmed_ago_ms": str(int(ago_ms)),
-        }
+    TAKEN = "taken"
+    NOTHING_NEWER = "nothing newer"
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    MALFORMED = "malformed"
 
 
 class PeerNews:
@@ -113,7 +70,7 @@
         self._started = clock.now()
         self._not_before = float("-inf")
         self._round: asyncio.Task[None] | None = None
-        self._outcomes: collections.Counter[str] = collections.Counter()
+        self._outcomes: collections.Counter[Outcome] = collections.Counter()
 
     @property
     def asked(self) -> int:
@@ -134,14 +91,14 @@
         :param target: of its request.
         :returns: status and body; 204 where it knows as much.
         """
-        question = _read_question(urllib.parse.urlsplit(target).query)
+        question = decode_question(urllib.parse.urlsplit(target).query)
         if not is_successful(question):
             return 400, question.failure().encode() + b"\n"
         asked = question.unwrap()
         news = self._knowledge.news(asked.version, asked.endpoints_digest)
         if news is None or news.confirmed_ago_s >= asked.confirmed_ago_s:
             return _NOTHING_NEWER, b""
-        return _OK, _encode(news)
+        return _OK, encode_news(news)
 
     def close(self) -> None:
         """Stop asking."""
@@ -153,7 +110,7 @@
         yield Metric(
             "pearshed_gateway_peer_news_total",
             "Questions to other gateways for what the store says, by outcome",
-            tuple(Sample(count, {"outcome": word}) for word, count in self._outcomes.items()),
+            tuple(Sample(count, {"outcome": one.value}) for one, count in self._outcomes.items()),
             counter=True,
         )
 
@@ -171,16 +128,13 @@
         for peer in self._directory.draw(ASKED_IN_A_ROUND):
             outcome = await self._ask(peer)
             self._outcomes[outcome] += 1
-            if outcome == "taken":
+            if outcome is Outcome.TAKEN:
                 self._backoff.reset()
                 return
         self._not_before = clock.now() + self._backoff.next_delay()
 
-    async def _ask(self, peer: Address) -> str:
-        """Ask one gateway.
-
-        :returns: the outcome, in a word.
-        """
+    async def _ask(self, peer: Address) -> Outcome:
+        """Ask one gateway."""
         knowledge = self._knowledge
         known = knowledge.configuration
         question = Question(
@@ -195,19 +149,19 @@
         finally:
             caller.close()
         if not is_successful(answer):
-            return "unreachable"
+            return Outcome.UNREACHABLE
         status, raw = answer.unwrap()
         if status != _OK:
-            return "nothing newer" if status == _NOTHING_NEWER else "refused"
-        news = _decode(raw)
+            return Outcome.NOTHING_NEWER if status == _NOTHING_NEWER else Outcome.REFUSED
+        news = decode_news(raw)
         if not is_successful(news):
             logging.warning(
                 "peer.news_malformed",
                 extra={"fields": {"peer": str(peer), "reason": news.failure()}},
             )
-            return "malformed"
+            return Outcome.MALFORMED
         if not knowledge.take_news(news.unwrap(), asked):
-            return "nothing newer"
+            return Outcome.NOTHING_NEWER
         configuration = knowledge.configuration
         logging.info(
             "peer.news",
@@ -220,56 +174,4 @@
                 }
             },
         )
-        return "taken"
-
-
-def _read_question(query: str) -> Result[Question, str]:
-    fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
-    try:
-        ago_ms = int(fields["confirmed_ago_ms"])
-        version = int(fields["version"])
-    except (KeyError, ValueError) as error:
-        return Failure(f"the question is malformed: {error}")
-    ago_s = ago_ms / clock.MILLISECONDS_PER_SECOND
-    return Success(Question(version, fields.get("endpoints", ""), ago_s))
-
-
-def _encode(news: News) -> bytes:
-    configuration = news.configuration
-    return orjson.dumps(
-        {
-            "revision": news.revision,
-            "version": news.version,
-            # Rounded up: an age must not get smaller on its way.
-            "confirmed_ago_ms": int(news.confirmed_ago_s * clock.MILLISECONDS_PER_SECOND) + 1,
-            "configuration": _plain(configuration) if configuration is not None else None,
-            "endpoints": (
-                [_plain(item) for item in news.endpoints] if news.endpoints is not None else None
-            ),
-        }
-    )
-
-
-def _decode(raw: Mapping[str, Any]) -> Result[News, str]:
-    try:
-        configuration, endpoints = raw["configuration"], raw["endpoints"]
-        return Success(
-            News(
-                int(raw["revision"]),
-                int(raw["version"]),
-                int(raw["confirmed_ago_ms"]) / clock.MILLISECONDS_PER_SECOND,
-                _item(configuration) if configuration is not None else None,
-                tuple(_item(entry) for entry in endpoints) if endpoints is not None else None,
-            )
-        )
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
-        return Failure(f"{type(error).__name__}: {error}")
-
-
-def _plain(item: StoreItem) -> list[object]:
-    return [item.key, item.revision, base64.b64encode(item.value or b"").decode()]
-
-
-def _item(raw: Any) -> StoreItem:
-    key, revision, value = raw
-    return StoreItem(str(key), int(revision), base64.b64decode(value, validate=True))
+        return Outcome.TAKEN
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -19,12 +19,8 @@
 from pearshed._internal.gateway.header_codec import HeaderCodec
 from pearshed._internal.gateway.knowledge import DecodeDocuments, Knowledge
 from pearshed._internal.gateway.operator_pages import OperatorPages
-from pearshed._internal.gateway.peer_news import (
-    CHECK_PERIOD_S,
-    NEWS_PAGE,
-    PeerDirectory,
-    PeerNews,
-)
+from pearshed._internal.gateway.peer_directory import PeerDirectory
+from pearshed._internal.gateway.peer_news import CHECK_PERIOD_S, NEWS_PAGE, PeerNews
 from pearshed._internal.gateway.placement import LeastLoadPlacement, PromptPlacement
 from pearshed._internal.gateway.repeat_budget import RepeatBudget
 from pearshed._internal.gateway.request_lines import RequestLines
--- a/tests/gateway/test_peer_news.py
+++ b/tests/gateway/test_peer_news.py
@@ -8,7 +8,8 @@
 from parameterized import parameterized
 
 from pearshed._internal.gateway.knowledge import Knowledge
-from pearshed._internal.gateway.peer_news import MOST_PEERS, PeerDirectory, PeerNews
+from pearshed._internal.gateway.peer_directory import MOST_PEERS, PeerDirectory
+from pearshed._internal.gateway.peer_news import PeerNews
 from pearshed._internal.gateway.process import GatewayProcess
 from pearshed._internal.platform.documents import PlatformDocuments
 from pearshed._internal.platform.store_client import PlatformStore
