Log and count the framing of endpoints' responses

request.attempt now names what marks the end of the endpoint's response, the bytes of its body and of an event that it left unfinished, and the last event passed on; pearshed_gateway_response_framing_total counts the same by outcome. ResponseHead derives the framing, in place of flags in EndpointConnection.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -23,7 +23,7 @@
 )
 from pearshed._internal.http import messages
 from pearshed._internal.http.endpoint_connection import EndKind, EndpointConnection, ResponseEnd
-from pearshed._internal.http.messages import ResponseHead
+from pearshed._internal.http.messages import BodyFraming, ResponseHead
 from pearshed._internal.timers import clock
 
 _SUCCESS = range(200, 300)
@@ -62,6 +62,24 @@
         self._request_handle = 0
         self._first_ms = 0
         self._longest_gap_ms = 0
+        self._framing: BodyFraming | None = None
+        self._body_bytes = 0
+        self._unfinished_event_bytes = 0
+
+    @property
+    def framing(self) -> BodyFraming | None:
+        """What marks the end of the endpoint's response; ``None`` without a response."""
+        return self._framing
+
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the endpoint's response body received."""
+        return self._body_bytes
+
+    @property
+    def unfinished_event_bytes(self) -> int:
+        """Bytes after the last complete event when the stream ended."""
+        return self._unfinished_event_bytes
 
     @property
     def first_ms(self) -> int:
@@ -110,6 +128,7 @@
                 self._endpoint.record_idle_drop(idle_s)
             return Failed(first_event.reason)
         assert isinstance(first_event, ResponseHead)
+        self._framing = first_event.framing
         metadata = self._codec.decode_response(first_event)
         self._endpoint.record_data(metadata.load)
         try:
@@ -168,6 +187,7 @@
                 self._complete = event.kind is EndKind.COMPLETE
                 return b"".join(chunks), event
             if isinstance(event, bytes):
+                self._body_bytes += len(event)
                 chunks.append(event)
 
     async def _relay_stream(
@@ -179,9 +199,11 @@
         while True:
             chunk = await connection.next_event()
             if isinstance(chunk, ResponseEnd):
+                self._unfinished_event_bytes = len(buffer.remainder)
                 return self._end_stream(head, buffer, chunk)
             if not isinstance(chunk, bytes):
                 continue
+            self._body_bytes += len(chunk)
             self._endpoint.record_data()
             now = clock.now()
             self._record_chunk(now, last_received_at)
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -277,7 +277,7 @@
             outcome = await attempt.run()
         finally:
             self._admission.notify_finished(admitted, decision.endpoint, attempt.longest_gap_ms)
-        self._record_attempt(call, decision, attempt, outcome, len(progress.tried))
+        self._record_attempt(call, decision, attempt, outcome, len(progress.tried), writer)
         return outcome
 
     def _finish_failed(
@@ -352,8 +352,9 @@
         attempt: Attempt,
         outcome: AttemptOutcome,
         number: int,
+        writer: ResponseWriter,
     ) -> None:
-        self._metrics.record_attempt(outcome)
+        self._metrics.record_attempt(outcome, attempt.framing)
         if isinstance(outcome, Answered):
             self._metrics.record_response(call, outcome.status)
         endpoint = decision.endpoint
@@ -368,6 +369,10 @@
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", ""),
             status=getattr(outcome, "status", 0),
+            framing=attempt.framing.value if attempt.framing is not None else "",
+            body_bytes=attempt.body_bytes,
+            unfinished_event_bytes=attempt.unfinished_event_bytes,
+            last_event_id=writer.last_event_id,
             in_flight=endpoint.in_flight,
             first_ms=attempt.first_ms,
             longest_gap_ms=attempt.longest_gap_ms,
--- a/src/pearshed/_internal/gateway/request_metrics.py
+++ b/src/pearshed/_internal/gateway/request_metrics.py
@@ -6,6 +6,7 @@
 from aioprometheus.histogram import Histogram
 
 from pearshed._internal.gateway.routed_call import AttemptOutcome, RoutedCall
+from pearshed._internal.http.messages import BodyFraming
 from pearshed._internal.telemetry.histogram import latency_histogram
 from pearshed._internal.telemetry.metrics import Metric, Sample
 from pearshed._internal.timers import clock
@@ -19,6 +20,7 @@
         self._on_time: Counter[str] = Counter()
         self._refusals: Counter[tuple[int, str]] = Counter()
         self._attempts: Counter[str] = Counter()
+        self._framings: Counter[tuple[str, str]] = Counter()
         self._response_start: dict[str, Histogram] = {}
         self._admission_wait: Histogram = latency_histogram()
         self._gaps: Histogram = latency_histogram()
@@ -43,9 +45,14 @@
         """Count a refusal by the gateway."""
         self._refusals[(status, reason)] += 1
 
-    def record_attempt(self, outcome: AttemptOutcome) -> None:
-        """Count an attempt by its outcome."""
+    def record_attempt(self, outcome: AttemptOutcome, framing: BodyFraming | None) -> None:
+        """Count an attempt by its outcome.
+
+        :param framing: of the endpoint's response; ``None`` without a response.
+        """
         self._attempts[type(outcome).__name__] += 1
+        if framing is not None:
+            self._framings[(framing.value, type(outcome).__name__)] += 1
 
     def record_admission_wait(self, seconds: float) -> None:
         """Record the time that a request waited for admission."""
@@ -83,6 +90,14 @@
             "Attempts by how they ended",
             (Sample(count, {"outcome": outcome}) for outcome, count in self._attempts.items()),
         )
+        yield _counter(
+            "pearshed_gateway_response_framing_total",
+            "Responses of endpoints by what marks the end of the body, and how the attempt ended",
+            (
+                Sample(count, {"framing": framing, "outcome": outcome})
+                for (framing, outcome), count in self._framings.items()
+            ),
+        )
         yield _counter(
             "pearshed_gateway_wasted_total",
             "Requests that were worked on when their callers left",
--- a/src/pearshed/_internal/http/endpoint_connection.py
+++ b/src/pearshed/_internal/http/endpoint_connection.py
@@ -10,7 +10,7 @@
 import httptools
 
 from pearshed._internal.http import messages
-from pearshed._internal.http.messages import Header, ResponseHead
+from pearshed._internal.http.messages import BodyFraming, Header, ResponseHead
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
 
@@ -19,7 +19,6 @@
 #: Buffered bytes of a response at which reading pauses.
 READ_BUFFER_BYTES = 256 * 1024
 _FIRST_FINAL_STATUS = 200
-_BODILESS_STATUSES = (204, 304)
 
 
 class EndKind(enum.Enum):
@@ -235,14 +234,10 @@
         return bool(self._events) and isinstance(self._events[-1], ResponseEnd)
 
     def _record_framing(self, head: ResponseHead) -> None:
-        headers = head.headers
-        chunked = messages.header_value(headers, b"transfer-encoding") is not None
-        sized = messages.header_value(headers, b"content-length") is not None
-        self._body_until_close = not (chunked or sized or head.status in _BODILESS_STATUSES)
-        options = messages.connection_options(headers)
-        if b"close" in options:
+        self._body_until_close = head.framing is BodyFraming.UNTIL_CLOSE
+        if b"close" in messages.connection_options(head.headers):
             self._not_reusable = True
-        self._keep_alive_s = _keep_alive_timeout(headers)
+        self._keep_alive_s = _keep_alive_timeout(head.headers)
 
     def _push(self, event: ResponseEvent) -> None:
         if self._ended():
--- a/src/pearshed/_internal/http/messages.py
+++ b/src/pearshed/_internal/http/messages.py
@@ -1,5 +1,6 @@
 """HTTP messages after parsing, and encoding of their parts."""
 
+import enum
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -21,6 +22,9 @@
     )
 )
 
+#: Responses with these statuses have no body.
+_BODILESS_STATUSES = (204, 304)
+
 REASON_PHRASES = {
     100: b"Continue",
     200: b"OK",
@@ -74,6 +78,15 @@
     message: str
 
 
+class BodyFraming(enum.Enum):
+    """What marks the end of a message's body."""
+
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    UNTIL_CLOSE = "until close"
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status line and headers of an endpoint's response.
@@ -86,6 +99,17 @@
     reason: bytes
     headers: Headers
 
+    @property
+    def framing(self) -> BodyFraming:
+        """What marks the end of the body, as sent by the endpoint."""
+        if self.status in _BODILESS_STATUSES:
+            return BodyFraming.NO_BODY
+        if header_value(self.headers, b"transfer-encoding") is not None:
+            return BodyFraming.CHUNKED
+        if header_value(self.headers, b"content-length") is not None:
+            return BodyFraming.LENGTH
+        return BodyFraming.UNTIL_CLOSE
+
 
 def header_value(headers: Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header, or ``None``.
--- a/tests/gateway/test_streams_and_stops.py
+++ b/tests/gateway/test_streams_and_stops.py
@@ -63,6 +63,50 @@
         runs = sum(len(engine.requests) for engine in self.engines)
         self.assertEqual(2 if path == "/draft/a" else 1, runs)
 
+    @parameterized.expand(
+        [
+            ("chunked", "/explain/a", True, 0, "Answered"),
+            ("chunked", "/explain/a", True, 4, "Interrupted"),
+            ("until close", "/explain/a", False, 0, "Answered"),
+            ("length", "/lookup/a", True, 0, "Answered"),
+        ]
+    )
+    async def test_attempts_are_logged_and_counted_by_framing(
+        self, framing: str, path: str, chunked: bool, omit_bytes: int, outcome: str
+    ) -> None:
+        async def stream(connection: EngineConnection, request: EngineRequest) -> None:
+            if path == "/lookup/a":
+                connection.send_response(request)
+                return
+            connection.begin_stream(request, chunked)
+            connection.send_event(1)
+            connection.send_event(2, omit_bytes)
+            if omit_bytes:
+                connection.close()
+            else:
+                connection.end_stream()
+
+        await self.add_engine("ledger" if path == "/lookup/a" else "fleet", stream)
+        gateway = await self.start_gateway()
+        await until(lambda: len(tuple(gateway.endpoints.endpoints)) == 1)
+        with self.assertLogs("absl", "INFO") as logs:
+            await self.call(path)
+            await until(lambda: any(record.msg == "request.attempt" for record in logs.records))
+        record = next(record for record in logs.records if record.msg == "request.attempt")
+        event_bytes = len(b"id: 1\ndata: piece-1\n\n")
+        expected = {
+            "framing": framing,
+            "outcome": outcome,
+            "body_bytes": 2 * event_bytes - omit_bytes if path == "/explain/a" else len(b"done"),
+            "unfinished_event_bytes": event_bytes - omit_bytes if omit_bytes else 0,
+        }
+        fields = record.fields  # type: ignore[attr-defined]
+        self.assertEqual(expected, {name: fields[name] for name in expected})
+        self.assertIn(
+            f'response_framing_total{{framing="{framing}",outcome="{outcome}"}} 1',
+            gateway.pages.metrics_page(),
+        )
+
     async def test_events_are_forwarded_as_they_arrive(self) -> None:
         first_received = asyncio.Event()
 
--- a/tests/lib/gateway_platform.py
+++ b/tests/lib/gateway_platform.py
@@ -78,6 +78,7 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._reader = reader
         self._writer = writer
+        self._chunked = True
 
     async def read_request(self) -> EngineRequest | None:
         """Read one request; return None at the end of the connection."""
@@ -119,14 +120,18 @@
         lines = "".join(f"{name}: {value}\r\n" for name, value in all_headers.items() if value)
         self.send(f"HTTP/1.1 {status} Status\r\n{lines}\r\n".encode() + body)
 
-    def begin_stream(self, request: EngineRequest) -> None:
-        """Send the head of a streamed response."""
+    def begin_stream(self, request: EngineRequest, chunked: bool = True) -> None:
+        """Send the head of a streamed response.
+
+        :param chunked: whether the body is sent in chunks; otherwise it ends with the connection.
+        """
+        self._chunked = chunked
         self.send_response(
             request,
             body=b"",
             headers={
                 "Content-Length": "",
-                "Transfer-Encoding": "chunked",
+                "Transfer-Encoding": "chunked" if chunked else "",
                 "Content-Type": "text/event-stream",
             },
         )
@@ -138,11 +143,14 @@
         """
         event = f"id: {number}\ndata: piece-{number}\n\n".encode()
         event = event[: len(event) - omit_bytes]
-        self.send(b"%x\r\n%s\r\n" % (len(event), event))
+        self.send(b"%x\r\n%s\r\n" % (len(event), event) if self._chunked else event)
 
     def end_stream(self) -> None:
         """Send the end of a complete stream."""
-        self.send(b"0\r\n\r\n")
+        if self._chunked:
+            self.send(b"0\r\n\r\n")
+        else:
+            self.close()
 
     async def wait_closed(self) -> None:
         """Wait until the gateway closes the connection."""
