--- a/tests/lib/gateway_caller.py
+++ b/tests/lib/gateway_caller.py
@@ -12,7 +12,8 @@
 class CallerResponse:
     """A response as a caller received it.
 
-    :ivar complete: the whole body arrived, by its length or its last chunk.
+    :ivar complete: the whole body arrived, by its length or its last chunk; if it has neither, the
+        connection was closed and not reset.
     """
 
     status: int
@@ -20,6 +21,11 @@
     body: bytes
     complete: bool
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether neither a length nor chunks mark the end of the body."""
+        return not {"content-length", "transfer-encoding"} & self.headers.keys()
+
 
 class Caller:
     """A caller's connection."""
@@ -44,6 +50,7 @@
         method: str = "POST",
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
+        version: str = "1.1",
     ) -> None:
         """Send a request with the test's API key.
 
@@ -58,7 +65,7 @@
             **(headers or {}),
         }
         lines = "".join(f"{name}: {value}\r\n" for name, value in all_headers.items() if value)
-        self.send_bytes(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode() + body)
+        self.send_bytes(f"{method} {path} HTTP/{version}\r\n{lines}\r\n".encode() + body)
 
     async def read_response(self) -> CallerResponse | None:
         """Read a response; return None when the connection ends before its head."""
@@ -75,6 +82,8 @@
         try:
             if headers.get("transfer-encoding") == "chunked":
                 return CallerResponse(status, headers, *await self._read_chunks())
+            if "content-length" not in headers:
+                return CallerResponse(status, headers, *await self._read_until_close())
             body = await self._reader.readexactly(int(headers["content-length"]))
         except (asyncio.IncompleteReadError, ConnectionError):
             return CallerResponse(status, headers, b"", False)
@@ -101,6 +110,15 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             return body, False
 
+    async def _read_until_close(self) -> tuple[bytes, bool]:
+        body = b""
+        try:
+            while content := await self._reader.read(65536):
+                body += content
+        except ConnectionError:
+            return body, False
+        return body, True
+
     def close(self) -> None:
         """Close the connection."""
         self._writer.close()
--- a/tests/lib/gateway_platform.py
+++ b/tests/lib/gateway_platform.py
@@ -1,6 +1,8 @@
 """The platform's configuration for gateway tests, and stand-ins for its engines on loopback."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -10,6 +12,7 @@
 HOST = "rota.example"
 API_KEY = "key-of-the-guild"
 SIGNATURE = "signed-by-the-engine"
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def route(name: str, kind: str, service: str, **overrides: Any) -> dict[str, Any]:
@@ -152,6 +155,10 @@
         else:
             self.close()
 
+    async def drain(self) -> None:
+        """Wait until sent bytes have left the buffer."""
+        await self._writer.drain()
+
     async def wait_closed(self) -> None:
         """Wait until the gateway closes the connection."""
         try:
@@ -166,6 +173,8 @@
 
     def reset(self) -> None:
         """Reset the connection."""
+        sock = self._writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self._writer.transport.abort()
 
 
