Reset broken-off responses that end with their connection

HTTP/1.0 callers get a stream without chunks: its end is the end of the connection. When the stream broke off, the gateway aborted the transport, which sends a FIN like the end of a complete stream, so the caller could not tell. The same happened to any response in progress when the process stopped or was killed.

A body whose end is the end of the connection now sets SO_LINGER with a time of zero before its first byte, so that every end is a reset, the kernel's own after a kill included; close() restores the default once all has been sent. Responses with chunks or a length keep their FIN: their framing shows that they are cut, and a reset could discard events that are on the way.

--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -350,8 +350,8 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logging.error("the task of a caller's connection failed", exc_info=task.exception())
-            # A reset makes no claim on whether the request ran, and the caller need not wait for
-            # its timeout.
+            # The end of the connection makes no claim on whether the request ran, and the caller
+            # need not wait for its timeout.
             connection.abort()
 
     def _store_task_ended(self, task: "asyncio.Task[None]") -> None:
--- a/src/pearshed/_internal/gateway/response_writer.py
+++ b/src/pearshed/_internal/gateway/response_writer.py
@@ -65,6 +65,7 @@
             headers.append((b"transfer-encoding", b"chunked"))
         else:
             self._close_connection = True
+            self._connection.begin_body_until_close()
         headers.extend(self._connection_header())
         self._connection.write(
             messages.encode_head(messages.status_line(head.status, head.reason), headers)
@@ -93,7 +94,7 @@
         self._connection.on_disconnect(None)
 
     def abort(self) -> None:
-        """Reset the connection, so that a truncated response can't look complete."""
+        """End the connection at once, so that a truncated response can't look complete."""
         self._close_connection = True
         self._connection.abort()
 
--- a/src/pearshed/_internal/http/caller_connection.py
+++ b/src/pearshed/_internal/http/caller_connection.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 import enum
+import socket
+import struct
 from collections.abc import Callable, Iterable
 
 import httptools
@@ -16,6 +18,8 @@
 MAX_PIPELINED_BYTES = 64 * 1024
 #: Unsent bytes of a response at which the writer is paused.
 WRITE_BUFFER_BYTES = 256 * 1024
+_LINGER_RESET = struct.pack("ii", 1, 0)
+_LINGER_DEFAULT = struct.pack("ii", 0, 0)
 
 
 class ConnectionState(enum.Enum):
@@ -57,6 +61,8 @@
         self._header_bytes = 0
         self._reading_paused = False
         self._refused = False
+        self._body_until_close = False
+        self._closing = False
         self._reset_request()
 
     @property
@@ -78,6 +84,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake the tasks that wait on the connection, and report the disconnect."""
+        if self._body_until_close and self._closing and exc is None:
+            self._set_linger(_LINGER_DEFAULT)
         self._state = ConnectionState.CLOSED
         self._wake(self._request_queued)
         self._wake(self._writable)
@@ -159,13 +167,22 @@
         if self._writable is not None and not self.disconnected:
             await self._writable
 
+    def begin_body_until_close(self) -> None:
+        """Begin a body whose end is marked by the end of the connection.
+
+        Unless it is ended by ``close()``, the connection is reset, also when the process is killed.
+        """
+        self._body_until_close = True
+        self._set_linger(_LINGER_RESET)
+
     def close(self) -> None:
         """Close the connection once everything written has been sent."""
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._closing = True
             self._transport.close()
 
     def abort(self) -> None:
-        """Reset the connection, so that a truncated response can't look complete."""
+        """End the connection at once, so that a truncated response can't look complete."""
         if self._transport is not None:
             self._transport.abort()
 
@@ -249,6 +266,11 @@
         self._requests.append(RequestProblem(status, message))
         self._wake(self._request_queued)
 
+    def _set_linger(self, option: bytes) -> None:
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
     def _set_state(self, state: ConnectionState) -> None:
         if self._state is not ConnectionState.CLOSED:
             self._state = state
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -2,7 +2,7 @@
 
 from parameterized import parameterized
 
-from tests.lib.gateway_caller import CallerResponse
+from tests.lib.gateway_caller import Caller, CallerResponse
 from tests.lib.gateway_fixture import GatewayTestCase, until
 from tests.lib.gateway_platform import EngineConnection, EngineRequest, Script
 
@@ -58,6 +58,27 @@
         self.assertEqual((200, False), (response.status, response.complete))
         self.assertEqual(1, sum(len(engine.requests) for engine in self.engines))
 
+    @parameterized.expand([("engine",), ("gateway",)])
+    async def test_a_broken_off_response_that_ends_with_its_connection_is_reset(
+        self, ended_by: str
+    ) -> None:
+        async def break_off(connection: EngineConnection, request: EngineRequest) -> None:
+            connection.begin_stream(request)
+            connection.send_event(1)
+            if ended_by == "engine":
+                connection.close()
+            else:
+                await connection.wait_closed()
+
+        await self.start_with_engines("fleet", break_off)
+        caller = await Caller.connect(self.settings.callers)
+        caller.send("/explain/a", version="1.0")
+        await caller.read_head()
+        if ended_by == "gateway":
+            self.gateway.close()
+        self.assertFalse((await caller.read_until_close())[1])
+        caller.close()
+
     @parameterized.expand([(framing,) for framing in _FRAMINGS])
     async def test_a_resumable_stream_that_ends_inside_an_event_is_resumed(
         self, framing: str
--- a/tests/lib/gateway_caller.py
+++ b/tests/lib/gateway_caller.py
@@ -83,7 +83,7 @@
             if headers.get("transfer-encoding") == "chunked":
                 return CallerResponse(status, headers, *await self._read_chunks())
             if "content-length" not in headers:
-                return CallerResponse(status, headers, *await self._read_until_close())
+                return CallerResponse(status, headers, *await self.read_until_close())
             body = await self._reader.readexactly(int(headers["content-length"]))
         except (asyncio.IncompleteReadError, ConnectionError):
             return CallerResponse(status, headers, b"", False)
@@ -110,7 +110,8 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             return body, False
 
-    async def _read_until_close(self) -> tuple[bytes, bool]:
+    async def read_until_close(self) -> tuple[bytes, bool]:
+        """Read to the end of the connection; return the bytes, and whether it was not reset."""
         body = b""
         try:
             while content := await self._reader.read(65536):
