Take a stream that ends inside an event for broken off

An engine may send a stream with neither a length nor chunks; when it crashes, its connection ends like that of a complete one. The gateway took the close for the end, passed the unfinished event on as a remainder and wrote its last chunk. It trusted the framing alone, although the content shows that more was due.

A stream is now complete only if its framing says so and its last event is whole; else it is interrupted: resumed where the route allows it, or ended so that the caller sees it as cut. The unfinished event isn't passed on. Event ends are found for every line end of the format, since all of a stream with lone carriage returns would count as unfinished. A plain response on a streaming route is no event stream and is relayed as a whole.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -31,6 +31,7 @@
 #: Added to the deadline that is sent to the endpoint, so that the gateway times out first.
 _ENDPOINT_DEADLINE_MARGIN_MS = 20
 _MISDIRECTED = 421
+_EVENT_STREAM = b"text/event-stream"
 
 
 class Attempt:
@@ -158,7 +159,7 @@
             if problem:
                 self._endpoint.record_failure()
                 return Failed(problem)
-            if self._call.route.streaming:
+            if self._call.route.streaming and _may_be_event_stream(head):
                 return await self._relay_stream(connection, head)
         return await self._relay_buffered(connection, head)
 
@@ -199,7 +200,7 @@
         while True:
             chunk = await connection.next_event()
             if isinstance(chunk, ResponseEnd):
-                self._unfinished_event_bytes = len(buffer.remainder)
+                self._unfinished_event_bytes = buffer.unfinished_event_bytes
                 return self._end_stream(head, buffer, chunk)
             if not isinstance(chunk, bytes):
                 continue
@@ -232,17 +233,18 @@
     def _end_stream(
         self, head: ResponseHead, buffer: EventBuffer, end: ResponseEnd
     ) -> AttemptOutcome:
-        if end.kind is EndKind.COMPLETE:
-            self._complete = True
+        self._complete = end.kind is EndKind.COMPLETE
+        if self._complete and not buffer.unfinished_event_bytes:
             if not self._writer.started:
                 self._writer.begin_stream(head)
             self._writer.end_stream(buffer.remainder)
             self._endpoint.record_success()
             return Answered(head.status)
         self._endpoint.record_failure()
+        reason = end.reason or "the stream ended inside an event"
         if self._writer.started:
-            return Interrupted(end.reason)
-        return Failed(f"the stream broke off: {end.reason}")
+            return Interrupted(reason)
+        return Failed(f"the stream broke off: {reason}")
 
     def _is_duplicate(self, event_id: str | None) -> bool:
         """Return whether the caller already has this event of a resumed stream."""
@@ -277,6 +279,11 @@
         return self._codec.decode_response(head).request_id == self._call.request_id
 
 
+def _may_be_event_stream(head: ResponseHead) -> bool:
+    media_type = messages.header_value(head.headers, b"content-type") or _EVENT_STREAM
+    return media_type.partition(b";")[0].strip().lower() == _EVENT_STREAM
+
+
 def _response_problem(head: ResponseHead, metadata: ResponseMetadata) -> str:
     """Return why a successful response can't come from the endpoint itself; empty if it can."""
     if not metadata.signed:
--- a/src/pearshed/_internal/gateway/event_stream.py
+++ b/src/pearshed/_internal/gateway/event_stream.py
@@ -1,9 +1,11 @@
 """Splits a stream of server-sent events (text/event-stream) at the event boundaries."""
 
+import re
 from dataclasses import dataclass
 
-_BOUNDARY = b"\n\n"
-_CRLF_BOUNDARY = b"\r\n\r\n"
+_LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
+_EVENT_END = re.compile(_LINE_END * 2)
+_LINE_END_BYTES = b"\r\n"
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +30,11 @@
         """Bytes after the last complete event."""
         return self._remainder
 
+    @property
+    def unfinished_event_bytes(self) -> int:
+        """Bytes of an event whose end has not arrived; more blank lines belong to no event."""
+        return len(self._remainder.lstrip(_LINE_END_BYTES))
+
     def feed(self, content: bytes) -> list[StreamEvent]:
         """Add bytes.
 
@@ -36,22 +43,14 @@
         self._remainder += content
         events: list[StreamEvent] = []
         while True:
-            end = _boundary_end(self._remainder)
-            if not end:
+            boundary = _EVENT_END.search(self._remainder)
+            if boundary is None:
                 return events
+            end = boundary.end()
             event, self._remainder = self._remainder[:end], self._remainder[end:]
             events.append(StreamEvent(event, _event_id(event)))
 
 
-def _boundary_end(content: bytes) -> int:
-    ends = [
-        index + len(boundary)
-        for boundary in (_BOUNDARY, _CRLF_BOUNDARY)
-        if (index := content.find(boundary)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _event_id(content: bytes) -> str | None:
     for line in content.splitlines():
         name, _, value = line.partition(b":")
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -1,7 +1,10 @@
 """How a gateway decides that an endpoint's response is complete, and what it tells the caller."""
 
+import unittest
+
 from parameterized import parameterized
 
+from pearshed._internal.gateway.event_stream import EventBuffer
 from tests.lib.gateway_caller import Caller, CallerResponse
 from tests.lib.gateway_fixture import GatewayTestCase, until
 from tests.lib.gateway_platform import EngineConnection, EngineRequest, Script
@@ -30,6 +33,35 @@
         connection.close()
 
 
+class EventBufferTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("line_feeds", [b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"], 2, 0),
+            ("carriage_returns", [b"id: 1\rdata: a\r\rid: 2\rdata: b\r\r"], 2, 0),
+            ("both", [b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"], 2, 0),
+            ("mixed", [b"id: 1\r\ndata: a\n\r\nid: 2\ndata: b\r\r\n"], 2, 0),
+            ("cut_in_a_line", [b"id: 1\ndata: a\n\nid: 2\nda"], 1, 8),
+            ("cut_after_a_line", [b"id: 1\ndata: a\n\nid: 2\n"], 1, 6),
+            ("cut_inside_a_line_end", [b"id: 1\r\ndata: a\r\n\r"], 1, 0),
+            ("split_inside_a_line_end", [b"id: 1\r", b"\ndata: a\r\n\r", b"\n"], 1, 0),
+            ("extra_blank_lines", [b"id: 1\ndata: a\n\n\n"], 1, 0),
+            ("one_byte_at_a_time", [bytes((byte,)) for byte in b"id: 1\ndata: a\n\nid"], 1, 2),
+        ]
+    )
+    def test_events_and_an_unfinished_one(
+        self, _: str, chunks: list[bytes], events: int, unfinished_bytes: int
+    ) -> None:
+        buffer = EventBuffer()
+        received = [event for chunk in chunks for event in buffer.feed(chunk)]
+        self.assertEqual(
+            [str(number) for number in range(1, events + 1)],
+            [event.event_id for event in received if event.event_id is not None],
+        )
+        self.assertEqual(unfinished_bytes, buffer.unfinished_event_bytes)
+        content = b"".join(event.content for event in received) + buffer.remainder
+        self.assertEqual(b"".join(chunks), content)
+
+
 class ResponseEndTest(GatewayTestCase):
     async def start_with_engines(self, service: str, script: Script, count: int = 2) -> None:
         """Start a gateway; the engines all follow one script."""
@@ -97,6 +129,14 @@
         response = await self.get_response("/draft/a")
         self.assertEqual((True, b"".join(_EVENTS)), (response.complete, response.body))
 
+    async def test_a_plain_response_on_a_streaming_route_is_not_split_into_events(self) -> None:
+        async def respond_plainly(connection: EngineConnection, request: EngineRequest) -> None:
+            connection.send_response(request, body=b"{}", headers={"Content-Type": "text/plain"})
+
+        await self.start_with_engines("fleet", respond_plainly, count=1)
+        response = await self.get_response("/explain/a")
+        self.assertEqual((200, b"{}", True), (response.status, response.body, response.complete))
+
     @parameterized.expand(
         [
             ("stream", "fleet", "/explain/a", 200),
