Relay responses without framing as such

A response with neither a length nor chunks ends with its connection. Complete and crashed ones end alike, and only the caller can judge the body.

EndKind.CLOSED now stands beside COMPLETE, so each reader has to say what a close means to it. The gateway's own framing never says more than the endpoint's: streams, plain responses and errors without framing are relayed without, and end with the caller's connection, which any failure resets. A resumed stream whose caller already gets chunks, and whose last run merely ends with its connection, is interrupted rather than ended. A JSON document shows its own end, so JsonClient accepts both.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -31,6 +31,7 @@
 #: Added to the deadline that is sent to the endpoint, so that the gateway times out first.
 _ENDPOINT_DEADLINE_MARGIN_MS = 20
 _MISDIRECTED = 421
+_POSSIBLY_COMPLETE = (EndKind.COMPLETE, EndKind.CLOSED)
 _EVENT_STREAM = b"text/event-stream"
 
 
@@ -167,7 +168,7 @@
         self, connection: EndpointConnection, head: ResponseHead
     ) -> AttemptOutcome:
         body, end = await self._read_body(connection)
-        if end.kind is not EndKind.COMPLETE:
+        if end.kind not in _POSSIBLY_COMPLETE:
             self._endpoint.record_failure()
             return Failed(f"the answer broke off: {end.reason}")
         if head.status in _SERVER_ERRORS:
@@ -175,9 +176,7 @@
             return Failed(f"the endpoint answered {head.status}", head, body)
         self._endpoint.record_success()
         self._metrics.record_response_start(self._call)
-        self._writer.write_response(
-            head.status, head.reason, messages.end_to_end(head.headers), body
-        )
+        self._writer.relay_response(head, body)
         return Answered(head.status)
 
     async def _read_body(self, connection: EndpointConnection) -> tuple[bytes, ResponseEnd]:
@@ -234,17 +233,27 @@
         self, head: ResponseHead, buffer: EventBuffer, end: ResponseEnd
     ) -> AttemptOutcome:
         self._complete = end.kind is EndKind.COMPLETE
-        if self._complete and not buffer.unfinished_event_bytes:
+        problem = self._stream_problem(buffer, end)
+        if not problem:
             if not self._writer.started:
                 self._writer.begin_stream(head)
             self._writer.end_stream(buffer.remainder)
             self._endpoint.record_success()
             return Answered(head.status)
         self._endpoint.record_failure()
-        reason = end.reason or "the stream ended inside an event"
         if self._writer.started:
-            return Interrupted(reason)
-        return Failed(f"the stream broke off: {reason}")
+            return Interrupted(problem)
+        return Failed(f"the stream broke off: {problem}")
+
+    def _stream_problem(self, buffer: EventBuffer, end: ResponseEnd) -> str:
+        """Return why the stream must not be ended as complete; empty if it may."""
+        if end.kind not in _POSSIBLY_COMPLETE:
+            return end.reason
+        if buffer.unfinished_event_bytes:
+            return "the stream ended inside an event"
+        if end.kind is EndKind.CLOSED and self._writer.frames_body:
+            return "the resumed stream ended with its connection"
+        return ""
 
     def _is_duplicate(self, event_id: str | None) -> bool:
         """Return whether the caller already has this event of a resumed stream."""
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -32,7 +32,6 @@
     RoutedCall,
 )
 from pearshed._internal.gateway.service_retry_budget import ServiceRetryBudget
-from pearshed._internal.http import messages
 from pearshed._internal.http.caller_connection import CallerConnection
 from pearshed._internal.http.messages import HttpRequest
 from pearshed._internal.models.routing import RouteKind
@@ -299,10 +298,7 @@
             writer.abort()
             return
         if isinstance(last_outcome, Failed) and last_outcome.head is not None:
-            headers = messages.end_to_end(last_outcome.head.headers)
-            writer.write_response(
-                last_outcome.head.status, last_outcome.head.reason, headers, last_outcome.body
-            )
+            writer.relay_response(last_outcome.head, last_outcome.body)
             return
         reason = getattr(
             last_outcome, "reason", "its time ran out" if last_outcome is not None else cause
--- a/src/pearshed/_internal/gateway/response_writer.py
+++ b/src/pearshed/_internal/gateway/response_writer.py
@@ -3,7 +3,7 @@
 from pearshed._internal.gateway.event_stream import StreamEvent
 from pearshed._internal.http import messages
 from pearshed._internal.http.caller_connection import CallerConnection
-from pearshed._internal.http.messages import Header, HttpRequest, ResponseHead
+from pearshed._internal.http.messages import BodyFraming, Header, HttpRequest, ResponseHead
 
 
 class ResponseWriter:
@@ -16,7 +16,8 @@
         self, connection: CallerConnection, request: HttpRequest, close_connection: bool
     ) -> None:
         self._connection = connection
-        self._chunked = request.http_1_1
+        self._can_chunk = request.http_1_1
+        self._chunked = False
         self._close_connection = close_connection or not request.keep_alive
         self._head_only = request.method == b"HEAD"
         self._started = False
@@ -28,6 +29,11 @@
         """Whether the start of a response was written."""
         return self._started
 
+    @property
+    def frames_body(self) -> bool:
+        """Whether the started response marks the end of its body itself, not by closing."""
+        return self._chunked
+
     @property
     def caller_disconnected(self) -> bool:
         """Whether the caller has disconnected."""
@@ -52,20 +58,30 @@
         self, status: int, reason: bytes | None, headers: list[Header], body: bytes
     ) -> None:
         """Write a response with a complete body."""
-        self._started = True
-        head = [*headers, (b"content-length", b"%d" % len(body)), *self._connection_header()]
-        content = messages.encode_head(messages.status_line(status, reason), head)
-        self._connection.write(content if self._head_only else content + body)
+        self._write_response(status, reason, [*headers, _content_length(body)], body)
+
+    def relay_response(self, head: ResponseHead, body: bytes) -> None:
+        """Write an endpoint's response, whose body is only as complete as its framing says."""
+        headers = messages.end_to_end(head.headers)
+        if head.framing is BodyFraming.UNTIL_CLOSE:
+            self._begin_body_until_close()
+        else:
+            headers.append(_content_length(body))
+        self._write_response(head.status, head.reason, headers, body)
 
     def begin_stream(self, head: ResponseHead) -> None:
-        """Write the head of a stream."""
+        """Write the head of a stream.
+
+        It gets no chunks if the endpoint's has neither a length nor chunks: a last chunk would say
+        that it is complete, which the end of the endpoint's connection doesn't.
+        """
         self._started = True
         headers = messages.end_to_end(head.headers)
+        self._chunked = self._can_chunk and head.framing is not BodyFraming.UNTIL_CLOSE
         if self._chunked:
             headers.append((b"transfer-encoding", b"chunked"))
         else:
-            self._close_connection = True
-            self._connection.begin_body_until_close()
+            self._begin_body_until_close()
         headers.extend(self._connection_header())
         self._connection.write(
             messages.encode_head(messages.status_line(head.status, head.reason), headers)
@@ -98,8 +114,24 @@
         self._close_connection = True
         self._connection.abort()
 
+    def _write_response(
+        self, status: int, reason: bytes | None, headers: list[Header], body: bytes
+    ) -> None:
+        self._started = True
+        headers = [*headers, *self._connection_header()]
+        content = messages.encode_head(messages.status_line(status, reason), headers)
+        self._connection.write(content if self._head_only else content + body)
+
+    def _begin_body_until_close(self) -> None:
+        self._close_connection = True
+        self._connection.begin_body_until_close()
+
     def _write_body(self, content: bytes) -> None:
         self._connection.write(messages.encode_chunk(content) if self._chunked else content)
 
     def _connection_header(self) -> list[Header]:
         return [(b"connection", b"close")] if self._close_connection else []
+
+
+def _content_length(body: bytes) -> Header:
+    return (b"content-length", b"%d" % len(body))
--- a/src/pearshed/_internal/http/endpoint_connection.py
+++ b/src/pearshed/_internal/http/endpoint_connection.py
@@ -22,9 +22,14 @@
 
 
 class EndKind(enum.Enum):
-    """How a response ended."""
+    """How a response ended.
+
+    ``COMPLETE``: its length or its last chunk says so. ``CLOSED``: it has neither and ended with
+    its connection, which a response that was cut can do as well.
+    """
 
     COMPLETE = "whole"
+    CLOSED = "closed"
     TRUNCATED = "cut"
     MALFORMED = "malformed"
 
@@ -33,7 +38,7 @@
 class ResponseEnd:
     """End of a response.
 
-    :ivar reason: why the response is truncated or malformed; empty if it is complete.
+    :ivar reason: why the response is truncated or malformed; empty otherwise.
     """
 
     kind: EndKind
@@ -103,12 +108,12 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the response in progress: only a body that extends to the close is complete."""
+        """End the response in progress; an error is never the end of its body."""
         self._closed = True
         if self._matches is None:
             return
         if self._body_until_close and self._in_response and self._delivering and exc is None:
-            self._push(ResponseEnd(EndKind.COMPLETE))
+            self._push(ResponseEnd(EndKind.CLOSED))
         else:
             self._push(ResponseEnd(EndKind.TRUNCATED, f"connection lost: {exc or 'closed'}"))
 
--- a/src/pearshed/_internal/http/json_client.py
+++ b/src/pearshed/_internal/http/json_client.py
@@ -94,7 +94,7 @@
                 status = event.status
             elif isinstance(event, ResponseEnd):
                 connection.finish()
-                if event.kind is not EndKind.COMPLETE:
+                if event.kind not in (EndKind.COMPLETE, EndKind.CLOSED):
                     raise OSError(event.reason)
                 return status, b"".join(body)
             else:
