Reject empty responses with status 200 in JsonClient

The calls to the store, to engines and to other gateways go through JsonClient, which read an empty body as an empty document. A response with neither a length nor chunks whose connection ended after the head therefore counted as an answer: an engine's report said that nothing runs, and its cache events had no epoch. The store client was protected only by the revision that it requires.

A document shows its own end, so a response that ends with its connection is accepted once it parses; an empty one with status 200 is now a failure. Other statuses may come without a body.

--- a/src/pearshed/_internal/http/json_client.py
+++ b/src/pearshed/_internal/http/json_client.py
@@ -20,6 +20,7 @@
 
 #: All servers are one network hop away.
 CONNECT_TIMEOUT_S = 0.8
+_OK = 200
 
 
 class JsonClient:
@@ -50,7 +51,8 @@
         """Send a GET request and decode the response.
 
         :param timeout_s: timeout for the response, in addition to opening a connection, seconds.
-        :returns: status and body, or an error message; a failed connection is closed.
+        :returns: status and body, or an error message; a failed connection is closed. Only a
+            response with another status than 200 may have no body.
         """
         self._calls += 1
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
@@ -63,8 +65,10 @@
         except asyncio.CancelledError:
             self.close()
             raise
+        if not body and status != _OK:
+            return Success((status, {}))
         try:
-            raw = orjson.loads(body) if body else {}
+            raw = orjson.loads(body)
         except orjson.JSONDecodeError as error:
             return Failure(f"{path}: status {status}, {error}")
         if not isinstance(raw, dict):
