End responses to HEAD, 204 and 304 with their head

Found while asking of every hop how it knows that a response is whole. The gateway waited for the body that the headers of a response to HEAD describe, but which never comes, until the request's time ran out: callers got 504. A 204 was relayed with Content-Length: 0, which it may not have, and a 304 with a length of 0 in place of the endpoint's.

EndpointConnection is now told that no body follows, ends such a response with its head and doesn't use the connection again, since the parser would take the next response for the body. The writer passes the endpoint's Content-Length on where there is no body, and none for 204.

Six rows fail before (four 504, two wrong lengths) and pass now.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -116,7 +116,11 @@
             return OutOfTime(sent=False)
         idle_s = clock.now() - connection.idle_since
         self._request_handle = self._endpoint.start_request(self._call.metadata.prompt_tokens)
-        connection.send(self._encode(remaining_s), self._matches_response)
+        connection.send(
+            self._encode(remaining_s),
+            self._matches_response,
+            expects_body=not self._call.request.head_only,
+        )
         if not self._call.route.retryable and not self._call.route.streaming:
             self._writer.ignore_disconnect()
         try:
@@ -160,7 +164,7 @@
             if problem:
                 self._endpoint.record_failure()
                 return Failed(problem)
-            if self._call.route.streaming and _may_be_event_stream(head):
+            if self._call.route.streaming and self._may_be_event_stream(head):
                 return await self._relay_stream(connection, head)
         return await self._relay_buffered(connection, head)
 
@@ -264,6 +268,12 @@
             event_id.isdigit() and last_event_id.isdigit() and int(event_id) <= int(last_event_id)
         )
 
+    def _may_be_event_stream(self, head: ResponseHead) -> bool:
+        if self._call.request.head_only:
+            return False
+        media_type = messages.header_value(head.headers, b"content-type") or _EVENT_STREAM
+        return media_type.partition(b";")[0].strip().lower() == _EVENT_STREAM
+
     def _encode(self, remaining_s: float) -> bytes:
         call = self._call
         remaining_ms = (
@@ -288,11 +298,6 @@
         return self._codec.decode_response(head).request_id == self._call.request_id
 
 
-def _may_be_event_stream(head: ResponseHead) -> bool:
-    media_type = messages.header_value(head.headers, b"content-type") or _EVENT_STREAM
-    return media_type.partition(b";")[0].strip().lower() == _EVENT_STREAM
-
-
 def _response_problem(head: ResponseHead, metadata: ResponseMetadata) -> str:
     """Return why a successful response can't come from the endpoint itself; empty if it can."""
     if not metadata.signed:
--- a/src/pearshed/_internal/gateway/response_writer.py
+++ b/src/pearshed/_internal/gateway/response_writer.py
@@ -5,6 +5,9 @@
 from pearshed._internal.http.caller_connection import CallerConnection
 from pearshed._internal.http.messages import BodyFraming, Header, HttpRequest, ResponseHead
 
+#: A response with this status may not have a Content-Length (RFC 9110, section 8.6).
+_NO_CONTENT = 204
+
 
 class ResponseWriter:
     """Writes an endpoint's response, or one that the gateway itself generates.
@@ -19,7 +22,7 @@
         self._can_chunk = request.http_1_1
         self._chunked = False
         self._close_connection = close_connection or not request.keep_alive
-        self._head_only = request.method == b"HEAD"
+        self._head_only = request.head_only
         self._started = False
         self._event_count = 0
         self._last_event_id = ""
@@ -63,7 +66,11 @@
     def relay_response(self, head: ResponseHead, body: bytes) -> None:
         """Write an endpoint's response, whose body is only as complete as its framing says."""
         headers = messages.end_to_end(head.headers)
-        if head.framing is BodyFraming.UNTIL_CLOSE:
+        if self._head_only or head.framing is BodyFraming.NO_BODY:
+            length = messages.header_value(head.headers, b"content-length")
+            if length is not None and head.status != _NO_CONTENT:
+                headers.append((b"content-length", length))
+        elif head.framing is BodyFraming.UNTIL_CLOSE:
             self._begin_body_until_close()
         else:
             headers.append(_content_length(body))
--- a/src/pearshed/_internal/http/endpoint_connection.py
+++ b/src/pearshed/_internal/http/endpoint_connection.py
@@ -63,6 +63,7 @@
         self._event_queued: asyncio.Future[None] | None = None
         self._matches: ResponseMatcher | None = None
         self._delivering = False
+        self._expects_body = True
         self._body_until_close = False
         self._in_response = False
         self._closed = False
@@ -133,13 +134,15 @@
             self._not_reusable = True
             self._push(ResponseEnd(EndKind.MALFORMED, f"malformed answer: {error}"))
 
-    def send(self, content: bytes, matches: ResponseMatcher) -> None:
+    def send(self, content: bytes, matches: ResponseMatcher, *, expects_body: bool = True) -> None:
         """Send a request.
 
         :param matches: returns whether a response's head belongs to this request.
+        :param expects_body: false for HEAD, whose response has no body whatever its headers say.
         """
         assert self._transport is not None
         self._matches = matches
+        self._expects_body = expects_body
         self._events.clear()
         self._buffered_bytes = 0
         self._delivering = False
@@ -213,6 +216,11 @@
         self._delivering = True
         self._record_framing(head)
         self._push(head)
+        if not self._expects_body:
+            # The parser would take the next response for the body.
+            self._not_reusable = True
+            self._in_response = False
+            self._push(ResponseEnd(EndKind.COMPLETE))
 
     def on_body(self, body: bytes) -> None:
         """Queue a piece of the body; pause reading when the buffer is full."""
--- a/src/pearshed/_internal/http/messages.py
+++ b/src/pearshed/_internal/http/messages.py
@@ -61,6 +61,11 @@
     http_1_1: bool
     received_at: float
 
+    @property
+    def head_only(self) -> bool:
+        """Whether its response has no body whatever the response's headers say."""
+        return self.method == b"HEAD"
+
     @property
     def path(self) -> str:
         """The target without its query string."""
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -160,6 +160,39 @@
         self.assertTrue(response.ends_with_connection)
         self.assertEqual("close", response.headers.get("connection"))
 
+    @parameterized.expand(
+        [
+            ("head_sized", "HEAD", "/lookup/a", 200, "Content-Length", "5"),
+            ("head_chunked", "HEAD", "/lookup/a", 200, "Transfer-Encoding", "chunked"),
+            ("head_unframed", "HEAD", "/lookup/a", 200, "Cache-Control", "no-store"),
+            ("head_of_a_stream", "HEAD", "/explain/a", 200, "Content-Type", "text/event-stream"),
+            ("no_content", "POST", "/lookup/a", 204, "Cache-Control", "no-store"),
+            ("not_modified", "GET", "/lookup/a", 304, "Content-Length", "5"),
+        ]
+    )
+    async def test_a_response_without_a_body_ends_with_its_head(
+        self, _: str, method: str, path: str, status: int, name: str, value: str
+    ) -> None:
+        async def respond_without_body(
+            connection: EngineConnection, request: EngineRequest
+        ) -> None:
+            headers = {"Content-Length": "", name: value}
+            connection.send_response(request, status, b"", headers)
+
+        await self.start_with_engines("fleet", respond_without_body, count=1)
+        await self.add_engine("ledger", respond_without_body)
+        await until(lambda: self.has_endpoints("ledger", 1))
+        caller = await Caller.connect(self.settings.callers)
+        for _request in range(2):
+            caller.send(path, method=method)
+            head = (await caller.read_head()).lower()
+            self.assertIn(b" %d " % status, head.splitlines()[0])
+            expected = b"content-length: 5" if name == "Content-Length" else None
+            lengths = [line for line in head.splitlines() if line.startswith(b"content-length")]
+            self.assertEqual([expected] if expected else [], lengths)
+            self.assertNotIn(b"transfer-encoding", head)
+        caller.close()
+
     @parameterized.expand([("until_close", False), ("chunked", True)])
     async def test_a_resumed_stream_is_only_as_complete_as_its_last_run(
         self, _: str, chunked: bool
