Take a stream that ends inside an event for broken off at sides too

The same fault as in the gateway, at the other kind of process: a side took any end that urllib3 reports without an error for a complete response, so an endpoint's stream that closed inside an event, or ended its chunks there, was kept as complete, relayed by the entry without the error event that marks a broken-off stream, and replayed for its idempotency key.

The run checks its last event when the endpoint ends a response that is an event stream. The splitting of events moves to the http package, which both kinds of process use.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 
-from pearshed._internal.gateway.event_stream import EventBuffer
 from pearshed._internal.gateway.header_codec import (
     ForwardingMetadata,
     HeaderCodec,
@@ -23,6 +22,7 @@
 )
 from pearshed._internal.http import messages
 from pearshed._internal.http.endpoint_connection import EndKind, EndpointConnection, ResponseEnd
+from pearshed._internal.http.event_stream import EventBuffer, is_event_stream
 from pearshed._internal.http.messages import BodyFraming, ResponseHead
 from pearshed._internal.timers import clock
 
@@ -32,7 +32,6 @@
 _ENDPOINT_DEADLINE_MARGIN_MS = 20
 _MISDIRECTED = 421
 _POSSIBLY_COMPLETE = (EndKind.COMPLETE, EndKind.CLOSED)
-_EVENT_STREAM = b"text/event-stream"
 
 
 class Attempt:
@@ -271,8 +270,8 @@
     def _may_be_event_stream(self, head: ResponseHead) -> bool:
         if self._call.request.head_only:
             return False
-        media_type = messages.header_value(head.headers, b"content-type") or _EVENT_STREAM
-        return media_type.partition(b";")[0].strip().lower() == _EVENT_STREAM
+        content_type = messages.header_value(head.headers, b"content-type")
+        return content_type is None or is_event_stream(content_type.decode("latin-1"))
 
     def _encode(self, remaining_s: float) -> bytes:
         call = self._call
--- a/src/pearshed/_internal/gateway/response_writer.py
+++ b/src/pearshed/_internal/gateway/response_writer.py
@@ -1,8 +1,8 @@
 """Writes one response to a caller."""
 
-from pearshed._internal.gateway.event_stream import StreamEvent
 from pearshed._internal.http import messages
 from pearshed._internal.http.caller_connection import CallerConnection
+from pearshed._internal.http.event_stream import StreamEvent
 from pearshed._internal.http.messages import BodyFraming, Header, HttpRequest, ResponseHead
 
 #: A response with this status may not have a Content-Length (RFC 9110, section 8.6).
--- a/src/pearshed/_internal/gateway/event_stream.py
+++ b/src/pearshed/_internal/http/event_stream.py
@@ -7,6 +7,8 @@
 _EVENT_END = re.compile(_LINE_END * 2)
 _LINE_END_BYTES = b"\r\n"
 
+MEDIA_TYPE = "text/event-stream"
+
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
@@ -51,6 +53,17 @@
             events.append(StreamEvent(event, _event_id(event)))
 
 
+def is_event_stream(content_type: str) -> bool:
+    """Return whether a Content-Type is that of server-sent events."""
+    return content_type.partition(";")[0].strip().lower() == MEDIA_TYPE
+
+
+def ends_inside_event(content: bytes | bytearray) -> bool:
+    """Return whether a stream's last event is unfinished."""
+    text_end = len(content.rstrip(_LINE_END_BYTES))
+    return text_end > 0 and _EVENT_END.search(content, text_end) is None
+
+
 def _event_id(content: bytes) -> str | None:
     for line in content.splitlines():
         name, _, value = line.partition(b":")
--- a/src/pearshed/_internal/side/run.py
+++ b/src/pearshed/_internal/side/run.py
@@ -3,6 +3,7 @@
 import enum
 from collections.abc import Iterable
 
+from pearshed._internal.http.event_stream import ends_inside_event, is_event_stream
 from pearshed._internal.models.outcomes import Execution
 from pearshed._internal.peers import frames
 from pearshed._internal.peers import peer_pb2 as pb
@@ -125,6 +126,8 @@
 
     def finish(self, execution: Execution, complete: bool, detail: str = "") -> None:
         """Store the outcome; the response has ended."""
+        if complete and self._is_event_stream() and ends_inside_event(self._content):
+            complete, detail = False, "the stream ended inside an event"
         self._state = RunState.FINISHED
         self._execution = execution
         self._complete = complete
@@ -172,6 +175,12 @@
             ),
         )
 
+    def _is_event_stream(self) -> bool:
+        return any(
+            name.lower() == "content-type" and is_event_stream(value)
+            for name, value in self._headers
+        )
+
     def _offer(self) -> None:
         if self._writer is not None:
             self._writer.offer(self, urgent=not self._sent_bytes)
--- a/tests/gateway/test_response_ends.py
+++ b/tests/gateway/test_response_ends.py
@@ -4,7 +4,7 @@
 
 from parameterized import parameterized
 
-from pearshed._internal.gateway.event_stream import EventBuffer
+from pearshed._internal.http.event_stream import EventBuffer, ends_inside_event
 from tests.lib.gateway_caller import Caller, CallerResponse
 from tests.lib.gateway_fixture import GatewayTestCase, until
 from tests.lib.gateway_platform import EngineConnection, EngineRequest, Script
@@ -58,6 +58,7 @@
             [event.event_id for event in received if event.event_id is not None],
         )
         self.assertEqual(unfinished_bytes, buffer.unfinished_event_bytes)
+        self.assertEqual(unfinished_bytes > 0, ends_inside_event(b"".join(chunks)))
         content = b"".join(event.content for event in received) + buffer.remainder
         self.assertEqual(b"".join(chunks), content)
 
--- a/tests/lib/engine.py
+++ b/tests/lib/engine.py
@@ -30,6 +30,8 @@
     :ivar slots: requests that run at full speed; with more of them, all slow down in proportion.
     :ivar slow: factor on both times.
     :ivar cut_after: tokens after which the connection is closed; negative for never.
+    :ivar omit_bytes: bytes left out at the end of a stream's last event.
+    :ivar until_close: responses have neither a length nor chunks and end with the connection.
     :ivar hang: runs are suspended while it is set.
     :ivar cancelled: runs whose client disconnected.
     :ivar journal: an entry for each run.
@@ -40,6 +42,8 @@
     slots: int = 8
     slow: float = 1.0
     cut_after: int = -1
+    omit_bytes: int = 0
+    until_close: bool = False
     hang: bool = False
     running: int = 0
     max_running: int = 0
@@ -160,7 +164,8 @@
                 return
             with state.lock:
                 number = len(state.journal)
-            self.respond_json({"path": self.path, "run": number, "got": content.decode()})
+            document = {"path": self.path, "run": number, "got": content.decode()}
+            self._respond(json.dumps(document).encode())
         finally:
             state.end_run()
 
@@ -179,7 +184,7 @@
                 if state.cut_after >= 0:
                     self.drop_connection()
                     return
-                self.respond(200, response_body(body))
+                self._respond(response_body(body))
         except (BrokenPipeError, ConnectionResetError):
             with state.lock:
                 state.cancelled += 1
@@ -190,17 +195,35 @@
     def _send_stream(self, body: dict[str, Any]) -> None:
         self.send_response(200)
         self.send_header("Content-Type", "text/event-stream")
-        self.send_header("Transfer-Encoding", "chunked")
-        self.end_headers()
         state = self.server.state
-        for number, chunk in enumerate(stream_chunks(body)):
+        if state.until_close:
+            self.close_connection = True
+        else:
+            self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        chunks = list(stream_chunks(body))
+        chunks[-1] = chunks[-1][: len(chunks[-1]) - state.omit_bytes]
+        for number, chunk in enumerate(chunks):
             if number == state.cut_after:
                 self.drop_connection()
                 return
-            self.wfile.write(f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n")
+            frame = b"%s" if state.until_close else b"%x\r\n%%s\r\n" % len(chunk)
+            self.wfile.write(frame % chunk)
             state.tokens += 1
             self._sleep(state.token_ms)
-        self.wfile.write(b"0\r\n\r\n")
+        if not state.until_close:
+            self.wfile.write(b"0\r\n\r\n")
+
+    def _respond(self, content: bytes) -> None:
+        if not self.server.state.until_close:
+            self.respond(200, content)
+            return
+        self.close_connection = True
+        self.send_response(200)
+        self.send_header("Content-Type", "application/json")
+        self.end_headers()
+        if self.command != "HEAD":
+            self.wfile.write(content)
 
     def _sleep(self, base_ms: float) -> None:
         _NEVER.wait(self.server.state.step_s(base_ms))
