Relay responses without framing as such at entries

An endpoint's response with neither a length nor chunks got a length or a last chunk from the entry, and so did its replay for an idempotency key: the side kept the body, but not what had marked its end.

The side now records whether the end of the connection marked the end of the body; the head carries it to the entry (until_close, unknown to older builds, which go on as before) and stays with the stored response. The entry relays such a body without a length or chunks and closes the connection after it.

test_a_response_without_framing_is_not_framed_as_complete (stream, plain) and test_a_replayed_response_is_framed_like_the_first fail before and pass now; a new table says which endpoint responses count as unframed. The scripted server of that table closed with the request's body unread, which reset the connection in some runs: it reads the whole request now.

--- a/src/pearshed/_internal/entry/application.py
+++ b/src/pearshed/_internal/entry/application.py
@@ -22,7 +22,13 @@
     new_request_id,
 )
 from pearshed._internal.entry.dispatcher import Dispatcher
-from pearshed._internal.entry.http_server import READ_DONE_KEY, SOCKET_KEY, caller_disconnected
+from pearshed._internal.entry.http_server import (
+    BODY_FRAMING_KEY,
+    READ_DONE_KEY,
+    SOCKET_KEY,
+    BodyFraming,
+    caller_disconnected,
+)
 from pearshed._internal.entry.request_log import RequestLog
 from pearshed._internal.entry.response_sink import ResponseSink, WriteBytes
 from pearshed._internal.models.outcomes import (
@@ -81,7 +87,7 @@
         if not is_successful(admitted):
             self._request_log.record_refusal(request, admitted.failure())
             return self._refuse(admitted.failure(), request_id, start_response)
-        return self._serve(request, environ[SOCKET_KEY], start_response)
+        return self._serve(request, environ[SOCKET_KEY], environ[BODY_FRAMING_KEY], start_response)
 
     def _read_call(self, environ: dict[str, Any]) -> Result[HttpCall, RequestFailure]:
         limit = self._max_body_bytes
@@ -121,7 +127,11 @@
         return [content]
 
     def _serve(
-        self, request: RoutedRequest, sock: socket.socket, start_response: StartResponse
+        self,
+        request: RoutedRequest,
+        sock: socket.socket,
+        framing: BodyFraming,
+        start_response: StartResponse,
     ) -> Iterable[bytes]:
         sink = ResponseSink()
         dispatch = asyncio.run_coroutine_threadsafe(self._dispatch(request, sink), self._loop)
@@ -137,9 +147,12 @@
             return self._refuse(first_event, request.request_id, start_response)
         if isinstance(first_event, RelayedHead):
             headers = responses.relayed_headers(first_event.headers, request.request_id)
+            if first_event.until_close:
+                headers.extend(framing.begin_until_close())
             if not request.streaming:
                 content = body.read_all()
-                headers.append(("Content-Length", str(len(content))))
+                if not first_event.until_close:
+                    headers.append(("Content-Length", str(len(content))))
                 start_response(responses.status_line(first_event.status), headers)
                 return body.iterate_and_close([content])
             body.enable_direct_writes(
--- a/src/pearshed/_internal/entry/attempt.py
+++ b/src/pearshed/_internal/entry/attempt.py
@@ -154,7 +154,8 @@
             self._dropped_frames += 1
             return
         head = frame.head
-        self._head = RelayedHead(head.status, frames.headers_from_wire(head.headers), head.replayed)
+        headers = frames.headers_from_wire(head.headers)
+        self._head = RelayedHead(head.status, headers, head.replayed, head.until_close)
         if self._bound_link is None:
             # A response replayed for an idempotency key comes without a grant.
             self._events.put_nowait((link, frame))
--- a/src/pearshed/_internal/entry/http_server.py
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -22,6 +22,7 @@
 from pearshed._internal.timers import clock
 
 SOCKET_KEY = "pearshed.socket"
+BODY_FRAMING_KEY = "pearshed.body_framing"
 READ_DONE_KEY = "pearshed.read_done"
 
 _LISTEN_BACKLOG = 1024
@@ -133,14 +134,34 @@
             self.server.read_monitor.finish_read(self.socket)
 
 
+class BodyFraming:
+    """What marks the end of a response's body: a length or chunks, or the end of its connection.
+
+    :param request: whose response has not begun.
+    """
+
+    def __init__(self, request: server.HTTPRequest) -> None:
+        self._request = request
+
+    def begin_until_close(self) -> responses.Headers:
+        """Let the end of the connection mark the end of the body.
+
+        :returns: headers of the response.
+        """
+        # Without a length, cheroot sends chunks to callers of HTTP/1.1 only.
+        self._request.response_protocol = "HTTP/1.0"
+        return [("Connection", "close")]
+
+
 class _SocketGateway(wsgi.Gateway_10):
-    """Adds the caller's socket to the WSGI environment, to detect disconnected callers."""
+    """Adds the caller's connection to the WSGI environment."""
 
     def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
         """Return the WSGI environment of one call."""
         environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
         sock = self.req.conn.socket
         environ[SOCKET_KEY] = sock
+        environ[BODY_FRAMING_KEY] = BodyFraming(self.req)
         environ[READ_DONE_KEY] = lambda: self.req.server.read_monitor.finish_read(sock)
         return environ
 
--- a/src/pearshed/_internal/models/outcomes.py
+++ b/src/pearshed/_internal/models/outcomes.py
@@ -86,11 +86,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayedHead:
-    """Status and headers of an endpoint's response, or of a stored one that is replayed."""
+    """Status and headers of an endpoint's response, or of a stored one that is replayed.
+
+    :ivar until_close: the body has neither a length nor chunks and ends with the connection.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     replayed: bool = False
+    until_close: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pearshed/_internal/side/attempt_manager.py
+++ b/src/pearshed/_internal/side/attempt_manager.py
@@ -45,9 +45,11 @@
         self._key = key
         self._run = run
 
-    def set_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
-        """Store the status and the headers."""
-        self._run.set_head(status, headers)
+    def set_head(
+        self, status: int, headers: tuple[tuple[str, str], ...], until_close: bool
+    ) -> None:
+        """Store the status, the headers and the framing."""
+        self._run.set_head(status, headers, until_close)
 
     def add(self, content: bytes) -> None:
         """Append bytes of the body."""
--- a/src/pearshed/_internal/side/endpoint_client.py
+++ b/src/pearshed/_internal/side/endpoint_client.py
@@ -27,8 +27,13 @@
     """Receives an endpoint's response, on the event loop's thread."""
 
     @abc.abstractmethod
-    def set_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
-        """Receive the status and the headers."""
+    def set_head(
+        self, status: int, headers: tuple[tuple[str, str], ...], until_close: bool
+    ) -> None:
+        """Receive the status and the headers.
+
+        :param until_close: the body has neither a length nor chunks and ends with the connection.
+        """
 
     @abc.abstractmethod
     def add(self, content: bytes) -> None:
@@ -192,7 +197,8 @@
             timeout=self._timeout,
         )
         headers = tuple((name, value) for name, value in response.headers.items())
-        self._loop_queue.post(lambda: receiver.set_head(response.status, headers))
+        until_close = _ends_with_connection(response)
+        self._loop_queue.post(lambda: receiver.set_head(response.status, headers, until_close))
         length = 0
         for chunk in _iter_chunks(response):
             length += len(chunk)
@@ -206,6 +212,12 @@
         return _End(Execution.RAN, True)
 
 
+def _ends_with_connection(response: urllib3.BaseHTTPResponse) -> bool:
+    """Return whether a response's body has neither a length nor chunks."""
+    # urllib3 gives a length of 0 to responses that have no body.
+    return not getattr(response, "chunked", False) and response.length_remaining is None
+
+
 def _iter_chunks(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
     """Yield the body in chunks as they arrive."""
     read_chunk: Callable[[], bytes]
--- a/src/pearshed/_internal/side/run.py
+++ b/src/pearshed/_internal/side/run.py
@@ -35,6 +35,7 @@
         self._state = RunState.RUNNING
         self._status = 0
         self._headers: tuple[tuple[str, str], ...] = ()
+        self._until_close = False
         self._content = bytearray()
         self._execution = Execution.NOT_RUN
         self._complete = False
@@ -113,10 +114,13 @@
         """Mark the response as no longer needed."""
         self._cancelled = True
 
-    def set_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
-        """Store the status and the headers of the response."""
+    def set_head(
+        self, status: int, headers: tuple[tuple[str, str], ...], until_close: bool
+    ) -> None:
+        """Store the status, the headers and the framing of the response."""
         self._status = status
         self._headers = headers
+        self._until_close = until_close
         self._offer()
 
     def add(self, content: bytes) -> None:
@@ -139,6 +143,7 @@
         copy = Run(attempt, self._idempotent)
         copy._status = self._status
         copy._headers = self._headers
+        copy._until_close = self._until_close
         copy._content = self._content
         copy._replayed = True
         copy.finish(self._execution, self._complete, self._detail)
@@ -152,6 +157,7 @@
                 status=self._status,
                 headers=frames.headers_to_wire(self._headers),
                 replayed=self._replayed,
+                until_close=self._until_close,
             )
             yield pb.Frame(attempt=self._attempt, head=head)
         while self._sent_bytes < len(self._content):
--- a/tests/functional/test_response_ends.py
+++ b/tests/functional/test_response_ends.py
@@ -4,9 +4,12 @@
 import unittest
 from typing import ClassVar
 
+import urllib3
 from parameterized import parameterized
 
+from tests.lib.engine import response_body, stream_chunks
 from tests.lib.fleet import Fleet, SmallSite, chat_body
+from tests.lib.load import uuid7
 
 
 class ResponseEndTest(unittest.TestCase):
@@ -26,6 +29,11 @@
             self.site.engines[0], until_close=until_close, omit_bytes=omit_bytes, token_ms=token_ms
         )
 
+    def assert_ends_with_connection(self, response: urllib3.BaseHTTPResponse) -> None:
+        names = {name.lower() for name in response.headers}
+        self.assertFalse({"content-length", "transfer-encoding"} & names, response.headers)
+        self.assertEqual("close", response.headers["Connection"])
+
     @parameterized.expand([("until_close", True), ("chunked", False)])
     def test_a_stream_that_ends_inside_an_event_ends_with_an_error(
         self, _: str, until_close: bool
@@ -36,6 +44,35 @@
         self.assertEqual(("endpoint_failed", "ran"), (error["code"], error["execution"]))
         self.assertIn("inside an event", error["message"])
 
+    @parameterized.expand([("stream", True), ("plain", False)])
+    def test_a_response_without_framing_is_not_framed_as_complete(
+        self, _: str, stream: bool
+    ) -> None:
+        self.set_engine(until_close=True)
+        body = chat_body(stream=stream)
+        response = self.fleet.call(self.site.entry, body=body)
+        expected = b"".join(stream_chunks(body)) if stream else response_body(body)
+        self.assertEqual((200, expected), (response.status, response.data))
+        self.assert_ends_with_connection(response)
+
+    def test_a_replayed_response_is_framed_like_the_first(self) -> None:
+        self.set_engine(until_close=True)
+        key = uuid7()
+        responses = [
+            self.fleet.call(
+                entry,
+                "/services/writing/orders",
+                key.encode(),
+                X_Request_Class="order",
+                Idempotency_Key=key,
+            )
+            for entry in self.site.entries
+        ]
+        self.assertEqual(responses[0].data, responses[1].data)
+        for response in responses:
+            self.assertEqual(200, response.status)
+            self.assert_ends_with_connection(response)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -124,7 +124,7 @@
     def respond(self, content: bytes = b"answer", complete: bool = True) -> None:
         """Send a complete or an interrupted response."""
         self.ended = True
-        self.receiver.set_head(200, ())
+        self.receiver.set_head(200, (), until_close=False)
         self.receiver.add(content)
         self.receiver.finish(Execution.RAN if complete else Execution.MAY_HAVE_RUN, complete, "")
 
--- a/tests/unit/test_adapters.py
+++ b/tests/unit/test_adapters.py
@@ -22,6 +22,7 @@
 _HEAD = b"HTTP/1.1 200 OK\r\n"
 _CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 _KEEP_OPEN = b"..."
+_BODY = b"body"
 
 
 @contextlib.contextmanager
@@ -35,7 +36,13 @@
     def serve() -> None:
         with contextlib.suppress(OSError):
             connection, _ = listener.accept()
-            connection.recv(65536)
+            request = connection.recv(65536)
+            # Closing with unread bytes would reset the connection.
+            while request.startswith(b"POST") and not request.endswith(_BODY):
+                received = connection.recv(65536)
+                if not received:
+                    break
+                request += received
             connection.sendall(script.removesuffix(_KEEP_OPEN))
             if script.endswith(_KEEP_OPEN):
                 connection.recv(65536)
@@ -51,14 +58,18 @@
 
     def __init__(self) -> None:
         self.status = 0
+        self.until_close = False
         self.content = b""
         self.execution: Execution | None = None
         self.complete = False
         self.ended = asyncio.Event()
 
-    def set_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+    def set_head(
+        self, status: int, headers: tuple[tuple[str, str], ...], until_close: bool
+    ) -> None:
         del headers
         self.status = status
+        self.until_close = until_close
 
     def add(self, content: bytes) -> None:
         self.content += content
@@ -80,7 +91,7 @@
             loop_queue = LoopQueue(asyncio.get_running_loop())
             client = EndpointClient(Address("127.0.0.1", port), loop_queue, 5.0, 0.3, 2)
             endpoint_call = client.start(
-                ForwardedCall("POST", "/x", (), b"body"), received, fresh=False
+                ForwardedCall("POST", "/x", (), _BODY), received, fresh=False
             )
             if after_start is not None:
                 after_start(endpoint_call)
@@ -135,6 +146,19 @@
         actual = (received.execution, received.complete, received.content)
         self.assertEqual((execution, complete, content), actual)
 
+    @parameterized.expand(
+        [
+            ("length", _HEAD + b"Content-Length: 4\r\n\r\nfour", False),
+            ("chunked", _CHUNKED + b"4\r\nfour\r\n0\r\n\r\n", False),
+            ("no_body", b"HTTP/1.1 204 No Content\r\n\r\n", False),
+            ("until_close", _HEAD + b"\r\nfour", True),
+        ]
+    )
+    def test_framing(self, _: str, script: bytes, until_close: bool) -> None:
+        with scripted_server(script) as port:
+            received = self.call(port)
+        self.assertEqual((True, until_close), (received.complete, received.until_close))
+
     def test_refused_connection_means_not_run(self) -> None:
         self.assertEqual(Execution.NOT_RUN, self.call(free_port()).execution)
 
--- a/tests/unit/test_side.py
+++ b/tests/unit/test_side.py
@@ -149,7 +149,7 @@
     def test_resumed_response_continues_at_the_requested_byte(self) -> None:
         self.run_one(1)
         receiver = self.harness.client.started[0].receiver
-        receiver.set_head(200, ())
+        receiver.set_head(200, (), until_close=False)
         receiver.add(b"first ")
         self.harness.disconnect("e1")
         receiver.add(b"second")
