Reset an entry's responses that end with their connection when it is killed

Streams to HTTP/1.0 callers, and responses relayed without framing, end with the caller's connection. When the entry was killed in the middle, the kernel closed the connection in order, like after a complete response.

As in the gateway, such a response sets SO_LINGER before its first byte and takes it back once its end has been written; the option moves to utils/sockets, which both use. An error event still ends a broken-off stream and is delivered.

Both rows of the new test fail before (end of input instead of a reset).

--- a/src/pearshed/_internal/entry/application.py
+++ b/src/pearshed/_internal/entry/application.py
@@ -135,7 +135,9 @@
     ) -> Iterable[bytes]:
         sink = ResponseSink()
         dispatch = asyncio.run_coroutine_threadsafe(self._dispatch(request, sink), self._loop)
-        body = _ResponseBody(request, sink, sock, dispatch, self._request_log, self._admission)
+        body = _ResponseBody(
+            request, sink, sock, framing, dispatch, self._request_log, self._admission
+        )
         try:
             first_event = body.wait_first_event()
         except BaseException:
@@ -147,7 +149,7 @@
             return self._refuse(first_event, request.request_id, start_response)
         if isinstance(first_event, RelayedHead):
             headers = responses.relayed_headers(first_event.headers, request.request_id)
-            if first_event.until_close:
+            if first_event.until_close or (request.streaming and not framing.can_chunk):
                 headers.extend(framing.begin_until_close())
             if not request.streaming:
                 content = body.read_all()
@@ -182,6 +184,7 @@
         request: RoutedRequest,
         sink: ResponseSink,
         sock: socket.socket,
+        framing: BodyFraming,
         dispatch: "concurrent.futures.Future[None]",
         request_log: RequestLog,
         admission: EntryAdmission,
@@ -190,6 +193,7 @@
         self._dispatch = dispatch
         self._sink = sink
         self._socket = sock
+        self._framing = framing
         self._request_log = request_log
         self._admission = admission
         self._started_at = time.monotonic()
@@ -244,6 +248,8 @@
         if self._closed:
             return
         self._closed = True
+        if self._finished:
+            self._framing.end_until_close()
         self._sink.close()
         self._dispatch.cancel()
         self._admission.release(self._request.customer)
--- a/src/pearshed/_internal/entry/http_server.py
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -20,6 +20,7 @@
 from pearshed._internal.models.outcomes import FailureCode, RequestFailure
 from pearshed._internal.settings.model import EntrySettings
 from pearshed._internal.timers import clock
+from pearshed._internal.utils.sockets import set_reset_on_close
 
 SOCKET_KEY = "pearshed.socket"
 BODY_FRAMING_KEY = "pearshed.body_framing"
@@ -142,16 +143,31 @@
 
     def __init__(self, request: server.HTTPRequest) -> None:
         self._request = request
+        self._until_close = False
+
+    @property
+    def can_chunk(self) -> bool:
+        """Whether a body without a length may have chunks."""
+        return bool(self._request.response_protocol == "HTTP/1.1")
 
     def begin_until_close(self) -> responses.Headers:
         """Let the end of the connection mark the end of the body.
 
+        Until ``end_until_close``, every end of the connection is a reset.
+
         :returns: headers of the response.
         """
+        self._until_close = True
         # Without a length, cheroot sends chunks to callers of HTTP/1.1 only.
         self._request.response_protocol = "HTTP/1.0"
+        set_reset_on_close(self._request.conn.socket, True)
         return [("Connection", "close")]
 
+    def end_until_close(self) -> None:
+        """Let the connection be closed instead of reset, if it marks the end of the body."""
+        if self._until_close:
+            set_reset_on_close(self._request.conn.socket, False)
+
 
 class _SocketGateway(wsgi.Gateway_10):
     """Adds the caller's connection to the WSGI environment."""
--- a/src/pearshed/_internal/http/caller_connection.py
+++ b/src/pearshed/_internal/http/caller_connection.py
@@ -3,8 +3,6 @@
 import asyncio
 import collections
 import enum
-import socket
-import struct
 from collections.abc import Callable, Iterable
 
 import httptools
@@ -13,13 +11,12 @@
 from pearshed._internal.http.messages import Header, HttpRequest, RequestProblem
 from pearshed._internal.models.routing import CallerLimits
 from pearshed._internal.timers import clock
+from pearshed._internal.utils.sockets import set_reset_on_close
 
 #: Bytes received since the last finished request at which reading pauses while one is served.
 MAX_PIPELINED_BYTES = 64 * 1024
 #: Unsent bytes of a response at which the writer is paused.
 WRITE_BUFFER_BYTES = 256 * 1024
-_LINGER_RESET = struct.pack("ii", 1, 0)
-_LINGER_DEFAULT = struct.pack("ii", 0, 0)
 
 
 class ConnectionState(enum.Enum):
@@ -85,7 +82,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake the tasks that wait on the connection, and report the disconnect."""
         if self._body_until_close and self._closing and exc is None:
-            self._set_linger(_LINGER_DEFAULT)
+            self._set_reset_on_close(False)
         self._state = ConnectionState.CLOSED
         self._wake(self._request_queued)
         self._wake(self._writable)
@@ -173,7 +170,7 @@
         Unless it is ended by ``close()``, the connection is reset, also when the process is killed.
         """
         self._body_until_close = True
-        self._set_linger(_LINGER_RESET)
+        self._set_reset_on_close(True)
 
     def close(self) -> None:
         """Close the connection once everything written has been sent."""
@@ -266,10 +263,10 @@
         self._requests.append(RequestProblem(status, message))
         self._wake(self._request_queued)
 
-    def _set_linger(self, option: bytes) -> None:
+    def _set_reset_on_close(self, reset: bool) -> None:
         sock = self._transport.get_extra_info("socket") if self._transport is not None else None
-        if sock is not None and sock.fileno() >= 0:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        if sock is not None:
+            set_reset_on_close(sock, reset)
 
     def _set_state(self, state: ConnectionState) -> None:
         if self._state is not ConnectionState.CLOSED:
--- a/tests/functional/test_response_ends.py
+++ b/tests/functional/test_response_ends.py
@@ -1,6 +1,7 @@
 """How sides and entries decide that an endpoint's response is complete, with real processes."""
 
 import json
+import socket
 import unittest
 from typing import ClassVar
 
@@ -10,6 +11,7 @@
 from tests.lib.engine import response_body, stream_chunks
 from tests.lib.fleet import Fleet, SmallSite, chat_body
 from tests.lib.load import uuid7
+from tests.lib.records import API_KEY
 
 
 class ResponseEndTest(unittest.TestCase):
@@ -73,6 +75,29 @@
             self.assertEqual(200, response.status)
             self.assert_ends_with_connection(response)
 
+    @parameterized.expand([("until_close", True, "1.1"), ("http_1_0_caller", False, "1.0")])
+    def test_a_response_that_ends_with_its_connection_is_reset_when_the_entry_is_killed(
+        self, _: str, until_close: bool, version: str
+    ) -> None:
+        self.set_engine(until_close, token_ms=20_000.0)
+        entry = self.fleet.start_entry(f"entry-{version}")
+        self.fleet.wait_ready(entry)
+        self.fleet.wait_links(entry, 1)
+        content = json.dumps(chat_body()).encode()
+        with socket.create_connection(("127.0.0.1", entry.port)) as caller:
+            head = (
+                f"POST /v1/chat/completions HTTP/{version}\r\nHost: localhost\r\n"
+                f"Authorization: Bearer {API_KEY}\r\nContent-Length: {len(content)}\r\n\r\n"
+            )
+            caller.sendall(head.encode() + content)
+            received = b""
+            while b"data: " not in received:
+                received += caller.recv(65536)
+            entry.kill()
+            with self.assertRaises(ConnectionResetError):
+                while caller.recv(65536):
+                    pass
+
 
 if __name__ == "__main__":
     unittest.main()
