Break off and unframe engines' responses in the soak

A new fault lets engines end streams inside an event, by the close of their connection or with their last chunk, reset plain responses midway, and send half of all responses without framing. The checker stays as it is: a success that is complete by its framing must be the engine's whole body. The soak's proxy ended connections with a FIN where it was to reset them, and delivered the end of a connection whose bytes it had dropped; it resets now, as TCP would.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -40,6 +40,7 @@
             ("withdraw an engine", self._withdraw_engine),
             ("replace an engine", self._replace_engine),
             ("lose responses of engines", self._lose_responses),
+            ("break off responses of engines", self._break_off_responses),
             ("disturb datagrams", self._disturb_datagrams),
             ("isolate a gateway from the store", self._isolate_gateway),
         )
@@ -131,8 +132,11 @@
         # A fault counts against the store and all gateways, whichever connections it affects.
         now = time.monotonic()
         self._testbed.history.store_faults.append((now, now + duration_s))
+        self._record_gateway_fault(duration_s)
+
+    def _record_gateway_fault(self, duration_s: float) -> None:
         for node in self._testbed.gateways:
-            node.fault_until = max(node.fault_until, now + duration_s)
+            node.fault_until = max(node.fault_until, time.monotonic() + duration_s)
 
     async def _reject_store_calls(self) -> None:
         duration_s = self._rng.uniform(0.5, 7.0)
@@ -201,3 +205,10 @@
         self._testbed.response_loss_rate = 0.1
         await asyncio.sleep(2.0)
         self._testbed.response_loss_rate = 0.0
+
+    async def _break_off_responses(self) -> None:
+        duration_s = self._rng.uniform(1.0, 4.0)
+        self._record_gateway_fault(duration_s)
+        self._testbed.break_off_responses = True
+        await asyncio.sleep(duration_s)
+        self._testbed.break_off_responses = False
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -4,6 +4,7 @@
 import random
 
 from pearshed._internal.utils.addresses import Address
+from tests.lib.gateway_platform import reset
 
 _CHUNK_BYTES = 16 * 1024
 
@@ -53,18 +54,18 @@
         for pair in sorted(self._pairs, key=id):
             if rng.random() < share:
                 for writer in pair:
-                    writer.transport.abort()
+                    reset(writer)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.refuse_connections:
-            writer.transport.abort()
+            reset(writer)
             return
         try:
             target_reader, target_writer = await asyncio.open_connection(
                 self.target.host, self.target.port
             )
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         pair = (writer, target_writer)
         self._pairs.add(pair)
@@ -78,14 +79,20 @@
     async def _relay(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, forward: bool
     ) -> None:
+        bytes_lost = False
         try:
             while chunk := await reader.read(_CHUNK_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 if self.drop_forward if forward else self.drop_back:
+                    bytes_lost = True
                     continue
                 writer.write(chunk)
                 await writer.drain()
-            writer.close()
+            if bytes_lost:
+                # TCP delivers the end of a connection only after all bytes before it.
+                reset(writer)
+            else:
+                writer.close()
         except (OSError, asyncio.CancelledError):
-            writer.transport.abort()
+            reset(writer)
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -115,6 +115,8 @@
     :param directory: for settings and logs.
     :ivar sources: code directories of nodes by name, set before the start; others run this tree.
     :ivar response_loss_rate: share of the requests whose engine resets the connection.
+    :ivar break_off_responses: engines break off every third response, and send every second one
+        with neither a length nor chunks.
     """
 
     def __init__(self, directory: pathlib.Path, gateways: int, engines: int) -> None:
@@ -131,6 +133,7 @@
         self.configuration_version = 1
         self.valid_keys = list(API_KEYS)
         self.response_loss_rate = 0.0
+        self.break_off_responses = False
         self.sources: dict[str, pathlib.Path] = {}
         self._in_flight: Counter[EngineStandIn] = Counter()
         self._directory = directory
@@ -322,12 +325,28 @@
         if len(self.history.runs) % 100 < self.response_loss_rate * 100:
             connection.reset()
             return
+        unframed = self.break_off_responses and len(self.history.runs) % 2 == 0
+        breaks_off = self.break_off_responses and len(self.history.runs) % 3 == 0
         if request.target.startswith(("/draft", "/explain")):
-            connection.begin_stream(request)
+            connection.begin_stream(request, chunked=not unframed)
             for number in range(1 + int(request.headers.get("last-event-id", 0)), EVENT_COUNT + 1):
-                chunk = stream_event(request_id, number)
-                connection.send(b"%x\r\n%s\r\n" % (len(chunk), chunk))
+                event = stream_event(request_id, number)
+                if breaks_off and number > EVENT_COUNT // 2:
+                    connection.send_stream_content(event[: len(event) // 2])
+                    break
+                connection.send_stream_content(event)
                 await asyncio.sleep(_EVENT_INTERVAL_S)
             connection.end_stream()
-        else:
-            connection.send_response(request, body=response_body(request_id))
+            return
+        body = response_body(request_id)
+        if breaks_off:
+            connection.send_response(
+                request, body=body[: len(body) // 2], headers={"Content-Length": ""}
+            )
+            connection.reset()
+            return
+        connection.send_response(
+            request, body=body, headers={"Content-Length": "" if unframed else str(len(body))}
+        )
+        if unframed:
+            connection.close()
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -13,7 +13,7 @@
 
 
 class SoakTest(unittest.TestCase):
-    @parameterized.expand([("first", 1)])
+    @parameterized.expand([("first", 1), ("responses_broken_off", 607)])
     def test_invariants_hold(self, _: str, seed: int) -> None:
         with tempfile.TemporaryDirectory() as directory:
             passed = asyncio.run(run_soak(seed, _DURATION_S, pathlib.Path(directory), (2, 3, 6)))
--- a/tests/lib/gateway_platform.py
+++ b/tests/lib/gateway_platform.py
@@ -1,18 +1,16 @@
 """The platform's configuration for gateway tests, and stand-ins for its engines on loopback."""
 
 import asyncio
-import socket
-import struct
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from pearshed._internal.utils.addresses import Address
+from pearshed._internal.utils.sockets import set_reset_on_close
 
 HOST = "rota.example"
 API_KEY = "key-of-the-guild"
 SIGNATURE = "signed-by-the-engine"
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def route(name: str, kind: str, service: str, **overrides: Any) -> dict[str, Any]:
@@ -145,8 +143,11 @@
         :param omit_bytes: bytes left out at its end.
         """
         event = f"id: {number}\ndata: piece-{number}\n\n".encode()
-        event = event[: len(event) - omit_bytes]
-        self.send(b"%x\r\n%s\r\n" % (len(event), event) if self._chunked else event)
+        self.send_stream_content(event[: len(event) - omit_bytes])
+
+    def send_stream_content(self, content: bytes) -> None:
+        """Send a piece of a stream, as a chunk if it has chunks."""
+        self.send(b"%x\r\n%s\r\n" % (len(content), content) if self._chunked else content)
 
     def end_stream(self) -> None:
         """Send the end of a complete stream."""
@@ -173,9 +174,13 @@
 
     def reset(self) -> None:
         """Reset the connection."""
-        sock = self._writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-        self._writer.transport.abort()
+        reset(self._writer)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    set_reset_on_close(writer.get_extra_info("socket"), True)
+    writer.transport.abort()
 
 
 Script = Callable[[EngineConnection, EngineRequest], Awaitable[None]]
