Load a replaced certificate and key into a new TLS context

Callers and peers could not connect ("no shared cipher") between the moments at which a deployment tool replaced a certificate and its key, and until the next reload after that: the files were loaded into the context in service, where OpenSSL puts in the new certificate and drops the old key before it reports that the two don't belong together.

Changed files are now loaded into a new context, which is taken into use only when that worked. A server's context switches each connection to the current one as its handshake begins; an entry's connections to sides take the current one when they are opened. The reason that a pair can't be loaded is logged once, not at each check.

--- a/src/pearshed/_internal/entry/link.py
+++ b/src/pearshed/_internal/entry/link.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import random
-import ssl
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -23,6 +22,7 @@
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import TimerService
 from pearshed._internal.utils.backoff import Backoff
+from pearshed._internal.utils.tls import ReloadingContext
 
 _INITIAL_RECONNECT_DELAY_S = 0.05
 _MAX_RECONNECT_DELAY_S = 2.0
@@ -76,7 +76,7 @@
         settings: PeerSettings,
         timers: TimerService,
         relay: FeedRelay,
-        tls: ssl.SSLContext | None,
+        tls: ReloadingContext | None,
     ) -> None:
         self._tls = tls
         self._endpoint = endpoint
@@ -212,7 +212,7 @@
             address.host,
             address.port,
             config=connection_configuration(),
-            ssl=self._tls,
+            ssl=self._tls.current if self._tls is not None else None,
         )
         batch_s = self._settings.batch_ms / clock.MILLISECONDS_PER_SECOND
         writer = FrameWriter(batch_s)
--- a/src/pearshed/_internal/entry/links.py
+++ b/src/pearshed/_internal/entry/links.py
@@ -1,7 +1,6 @@
 """The links of an entry, kept in sync with the endpoint records."""
 
 import asyncio
-import ssl
 from collections.abc import Mapping
 
 from pearshed._internal.configuration.catalogue import Catalogue
@@ -13,6 +12,7 @@
 from pearshed._internal.peers.relay import FeedRelay
 from pearshed._internal.settings.model import PeerSettings
 from pearshed._internal.timers.service import TimerService
+from pearshed._internal.utils.tls import ReloadingContext
 
 _UNUSED_LINK_CHECK_INTERVAL_S = 5.0
 _CONNECT_POLL_INTERVAL_S = 0.02
@@ -36,7 +36,7 @@
         health: EndpointHealth,
         view: VMView,
         subset_size: int,
-        tls: ssl.SSLContext | None,
+        tls: ReloadingContext | None,
     ) -> None:
         self._tls = tls
         self._identity = identity
--- a/src/pearshed/_internal/entry/process.py
+++ b/src/pearshed/_internal/entry/process.py
@@ -51,7 +51,7 @@
             self._health,
             self._view,
             settings.subset,
-            self._peer_tls.context if self._peer_tls is not None else None,
+            self._peer_tls,
         )
         self._dispatcher = Dispatcher(
             Candidates(self._list_links, self._health, self._view),
@@ -71,7 +71,7 @@
         self._server = CallerServer(
             settings,
             self._application(),
-            self._caller_tls.context if self._caller_tls is not None else None,
+            self._caller_tls.create_server_context() if self._caller_tls is not None else None,
         )
         self._server_thread = threading.Thread(
             target=self._server.serve, name="callers", daemon=True
--- a/src/pearshed/_internal/side/process.py
+++ b/src/pearshed/_internal/side/process.py
@@ -88,7 +88,7 @@
     async def _start(self) -> None:
         listen = self._settings.listen
         try:
-            tls = self._peer_tls.context if self._peer_tls is not None else None
+            tls = self._peer_tls.create_server_context() if self._peer_tls is not None else None
             await self._server.start(listen.host, listen.port, ssl=tls)
             self._serving = True
         except OSError as error:
--- a/src/pearshed/_internal/utils/tls.py
+++ b/src/pearshed/_internal/utils/tls.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import ssl
+from collections.abc import Callable
 
 from absl import logging
 
@@ -14,18 +15,22 @@
 
 
 class ReloadingContext:
-    """A TLS context that reloads its certificate and key when the files change.
+    """TLS contexts for a certificate and key that are reloaded when the files change.
 
-    New connections use the new certificate; open connections keep the old one. If the new files
-    can't be loaded, an error is logged and the previous certificate stays in use.
+    The files may be replaced one after the other. Changed files are loaded into a new context,
+    which is used for new connections once the key belongs to the certificate; until then an error
+    is logged and the previous pair stays in use. Open connections keep theirs.
+
+    :param create: creates a context without a certificate.
     """
 
-    def __init__(self, context: ssl.SSLContext, files: TlsFiles) -> None:
-        self._context = context
+    def __init__(self, create: Callable[[], ssl.SSLContext], files: TlsFiles) -> None:
+        self._create = create
         self._files = files
         self._reloads = 0
+        self._problem = ""
         try:
-            self._load()
+            self._current = self._load()
         except (OSError, ssl.SSLError) as error:
             raise SettingsError(
                 "can't load the TLS certificate and key",
@@ -35,31 +40,51 @@
         self._modified_at = self._read_modification_times()
 
     @property
-    def context(self) -> ssl.SSLContext:
-        """The context; the same object for the lifetime of the process."""
-        return self._context
+    def current(self) -> ssl.SSLContext:
+        """The context with the certificate in use; replaced by a reload."""
+        return self._current
 
     @property
     def reloads(self) -> int:
         """Number of times that changed files were loaded."""
         return self._reloads
 
+    def create_server_context(self) -> ssl.SSLContext:
+        """Create a context for a server; its connections use the pair in use when they begin."""
+        context = self._create()
+        context.sni_callback = self._use_current
+        return context
+
     def reload_if_changed(self) -> None:
         """Reload the files if they have changed."""
         try:
             modified_at = self._read_modification_times()
             if modified_at == self._modified_at:
                 return
-            self._load()
+            self._current = self._load()
         except (OSError, ssl.SSLError) as error:
-            logging.error("kept the TLS certificate in use; can't load the new files: %s", error)
+            if str(error) != self._problem:
+                self._problem = str(error)
+                logging.error(
+                    "kept the TLS certificate in use; can't load the new files: %s", error
+                )
             return
+        self._problem = ""
         self._modified_at = modified_at
         self._reloads += 1
         logging.info("reloaded the TLS certificate")
 
-    def _load(self) -> None:
-        self._context.load_cert_chain(self._files.certificate, self._files.key)
+    def _load(self) -> ssl.SSLContext:
+        context = self._create()
+        context.load_cert_chain(self._files.certificate, self._files.key)
+        return context
+
+    def _use_current(
+        self, connection: ssl.SSLObject, server_name: str | None, context: ssl.SSLContext
+    ) -> None:
+        """Switch a connection whose handshake begins; called without a server name as well."""
+        del server_name, context
+        connection.context = self._current
 
     def _read_modification_times(self) -> _ModificationTimes:
         paths = (self._files.certificate, self._files.key)
@@ -68,8 +93,7 @@
 
 def peer_server_context(files: TlsFiles) -> ReloadingContext:
     """Create a side's context: entries must present a certificate of the same authority."""
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    return ReloadingContext(_require_authority(context, files), files)
+    return ReloadingContext(lambda: _peer_context(ssl.PROTOCOL_TLS_SERVER, files), files)
 
 
 def peer_client_context(files: TlsFiles) -> ReloadingContext:
@@ -78,19 +102,24 @@
     Host names are not checked: entries connect by IP address, and the authority issues
     certificates only for this fleet.
     """
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-    context.check_hostname = False
-    return ReloadingContext(_require_authority(context, files), files)
+    return ReloadingContext(lambda: _peer_context(ssl.PROTOCOL_TLS_CLIENT, files), files)
 
 
 def caller_server_context(files: TlsFiles) -> ReloadingContext:
     """Create the context for connections of callers."""
+    return ReloadingContext(_caller_context, files)
+
+
+def _caller_context() -> ssl.SSLContext:
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.minimum_version = ssl.TLSVersion.TLSv1_2
-    return ReloadingContext(context, files)
+    return context
 
 
-def _require_authority(context: ssl.SSLContext, files: TlsFiles) -> ssl.SSLContext:
+def _peer_context(protocol: int, files: TlsFiles) -> ssl.SSLContext:
+    """Create a context whose peers must present a certificate of the fleet's authority."""
+    context = ssl.SSLContext(protocol)
+    context.check_hostname = False
     context.minimum_version = ssl.TLSVersion.TLSv1_3
     context.verify_mode = ssl.CERT_REQUIRED
     context.set_alpn_protocols([_HTTP2])
