Register a histogram once with its labels

The metrics page of a gateway failed with "a collector is already registered" once two routes had a first response, so whoever was on call saw nothing: the histogram of first responses was registered once a route, as three counters.

A histogram is now one metric with a value for each set of labels, and rendered by aioprometheus as a histogram (the samples keep their names; the last bucket is +Inf, as Prometheus writes it). The entry's histogram by class does the same.

The new test fetches the page over HTTP after requests on four routes and parses it with the Prometheus client's parser; it fails before and finds what it sent now.

--- a/src/pearshed/_internal/entry/metrics.py
+++ b/src/pearshed/_internal/entry/metrics.py
@@ -9,7 +9,13 @@
 from pearshed._internal.entry.link import SideLink
 from pearshed._internal.entry.request_log import RequestLog
 from pearshed._internal.entry.retry_budget import RetryBudget
-from pearshed._internal.telemetry.metrics import Metric, Sample, counter, gauge
+from pearshed._internal.telemetry.metrics import (
+    HistogramMetric,
+    Metric,
+    Sample,
+    counter,
+    gauge,
+)
 
 
 class EntryMetrics:
@@ -31,7 +37,7 @@
 
     def collect(
         self, links: Sequence[SideLink], read_monitor: ReadTimeoutMonitor
-    ) -> Iterable[Metric]:
+    ) -> Iterable[Metric | HistogramMetric]:
         """Yield the metrics with their current values."""
         yield from self._requests()
         yield from self._latencies()
@@ -93,17 +99,12 @@
             counter=True,
         )
 
-    def _latencies(self) -> Iterable[Metric]:
+    def _latencies(self) -> Iterable[HistogramMetric]:
         histograms = self._request_log.first_event_latency.items()
-        yield Metric(
-            "pearshed_first_part_seconds_bucket",
-            "Requests by time to the first part of the answer, cumulative",
-            tuple(
-                Sample(count, {"class": name, "le": str(bound)})
-                for name, histogram in histograms
-                for bound, count in histogram.buckets.items()
-            ),
-            counter=True,
+        yield HistogramMetric(
+            "pearshed_first_part_seconds",
+            "Time to the first part of the answer",
+            tuple(({"class": name}, histogram) for name, histogram in histograms),
         )
 
 
--- a/src/pearshed/_internal/entry/process.py
+++ b/src/pearshed/_internal/entry/process.py
@@ -23,7 +23,7 @@
 from pearshed._internal.entry.retry_budget import RetryBudget
 from pearshed._internal.processes.base import Process
 from pearshed._internal.settings.model import EntrySettings
-from pearshed._internal.telemetry.metrics import Metric
+from pearshed._internal.telemetry.metrics import HistogramMetric, Metric
 from pearshed._internal.utils.tls import caller_server_context, peer_client_context
 
 _READ_CHECK_INTERVAL_S = 0.5
@@ -129,7 +129,7 @@
     def _list_links(self) -> list[SideLink]:
         return list(self._links.links.values())
 
-    def _collect(self) -> Iterable[Metric]:
+    def _collect(self) -> Iterable[Metric | HistogramMetric]:
         metrics = EntryMetrics(
             self._request_log, self._admission, self._dispatcher, self._budget, self._health
         )
--- a/src/pearshed/_internal/gateway/request_metrics.py
+++ b/src/pearshed/_internal/gateway/request_metrics.py
@@ -8,7 +8,7 @@
 from pearshed._internal.gateway.routed_call import AttemptOutcome, RoutedCall
 from pearshed._internal.http.messages import BodyFraming
 from pearshed._internal.telemetry.histogram import latency_histogram
-from pearshed._internal.telemetry.metrics import Metric, Sample
+from pearshed._internal.telemetry.metrics import HistogramMetric, Metric, Sample
 from pearshed._internal.timers import clock
 
 
@@ -62,7 +62,7 @@
         """Count a request that was cancelled while it was being served."""
         self._cancelled += 1
 
-    def collect(self) -> Iterable[Metric]:
+    def collect(self) -> Iterable[Metric | HistogramMetric]:
         """Return the metrics with their current values."""
         yield _counter(
             "pearshed_gateway_answers_total",
@@ -103,29 +103,20 @@
             "Requests that were worked on when their callers left",
             (Sample(self._cancelled),),
         )
-        for route, histogram in self._response_start.items():
-            yield from _histogram(
-                "pearshed_gateway_first_part_seconds", "Time to the first part", histogram, route
-            )
-        yield from _histogram(
-            "pearshed_gateway_admission_seconds", "Wait for admission", self._admission_wait
+        yield HistogramMetric(
+            "pearshed_gateway_first_part_seconds",
+            "Time to the first part",
+            tuple(({"route": route}, values) for route, values in self._response_start.items()),
+        )
+        yield HistogramMetric(
+            "pearshed_gateway_admission_seconds",
+            "Wait for admission",
+            (({}, self._admission_wait),),
+        )
+        yield HistogramMetric(
+            "pearshed_gateway_gap_seconds", "Pauses between events", (({}, self._gaps),)
         )
-        yield from _histogram("pearshed_gateway_gap_seconds", "Pauses between events", self._gaps)
 
 
 def _counter(name: str, help_text: str, samples: Iterable[Sample]) -> Metric:
     return Metric(name, help_text, tuple(samples), counter=True)
-
-
-def _histogram(
-    name: str, help_text: str, histogram: Histogram, route: str = ""
-) -> Iterable[Metric]:
-    labels = {"route": route} if route else {}
-    buckets = histogram.buckets.items()
-    yield _counter(
-        f"{name}_bucket",
-        f"{help_text}, cumulative",
-        (Sample(count, {**labels, "le": str(bound)}) for bound, count in buckets),
-    )
-    yield _counter(f"{name}_sum", help_text, (Sample(histogram.sum, labels),))
-    yield _counter(f"{name}_count", help_text, (Sample(histogram.observations, labels),))
--- a/src/pearshed/_internal/telemetry/metrics.py
+++ b/src/pearshed/_internal/telemetry/metrics.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
+from aioprometheus import collectors
 from aioprometheus.collectors import Counter, Gauge, Registry
+from aioprometheus.histogram import Histogram
 from aioprometheus.renderer import render
 
 
@@ -31,7 +33,16 @@
     counter: bool = False
 
 
-Collect = Callable[[], Iterable[Metric]]
+@dataclass(frozen=True)
+class HistogramMetric:
+    """Histograms of one quantity, by the labels that distinguish them."""
+
+    name: str
+    help: str
+    samples: tuple[tuple[Mapping[str, str], Histogram], ...]
+
+
+Collect = Callable[[], Iterable[Metric | HistogramMetric]]
 
 
 class MetricsPage:
@@ -71,7 +82,12 @@
     return Metric(name, help_text, (Sample(value),))
 
 
-def _register(metric: Metric, registry: Registry) -> None:
+def _register(metric: Metric | HistogramMetric, registry: Registry) -> None:
+    if isinstance(metric, HistogramMetric):
+        histograms = collectors.Histogram(metric.name, metric.help, registry=registry)
+        for labels, histogram in metric.samples:
+            histograms.values[dict(labels)] = histogram
+        return
     collector_class = Counter if metric.counter else Gauge
     collector = collector_class(metric.name, metric.help, registry=registry)
     for sample in metric.samples:
--- a/tests/gateway/test_streams_and_stops.py
+++ b/tests/gateway/test_streams_and_stops.py
@@ -6,6 +6,8 @@
 from unittest import mock
 
 from parameterized import parameterized
+from prometheus_client.parser import text_string_to_metric_families
+from prometheus_client.samples import Sample
 
 from pearshed._internal.errors import InvariantBrokenError
 from tests.lib.gateway_caller import Caller
@@ -189,6 +191,45 @@
         self.assertIn(content, response.body)
         caller.close()
 
+    async def test_metrics_of_several_routes_and_classes(self) -> None:
+        async def stream(connection: EngineConnection, request: EngineRequest) -> None:
+            connection.begin_stream(request)
+            connection.send_event(1)
+            connection.end_stream()
+
+        await self.add_engine("ledger", respond_ok)
+        await self.add_engine("fleet", stream)
+        gateway = await self.start_gateway()
+        await until(lambda: len(tuple(gateway.endpoints.endpoints)) == 2)
+        counts = {"lookup": 3, "open": 2, "confirm": 1, "explain": 2}
+        for name, count in counts.items():
+            for _ in range(count):
+                self.assertEqual(200, await self.status(f"/{name}/a"))
+        self.assertEqual(404, await self.status("/nowhere/a"))
+        caller = await Caller.connect(self.settings.control)
+        caller.send("/metrics", method="GET")
+        response = await caller.read_response()
+        caller.close()
+        assert response is not None
+        self.assertEqual((200, True), (response.status, response.complete))
+        families = text_string_to_metric_families(response.body.decode())
+        samples = [sample for family in families for sample in family.samples]
+        for metric in ("answers_total", "on_time_total", "first_part_seconds_count"):
+            self.assertEqual(counts, _by_label(samples, metric, "route"))
+        buckets = [sample for sample in samples if sample.labels.get("le") == "+Inf"]
+        self.assertEqual(counts, _by_label(buckets, "first_part_seconds_bucket", "route"))
+        attempts = _by_label(samples, "attempts_total", "outcome")
+        self.assertEqual({"Answered": sum(counts.values())}, attempts)
+        self.assertEqual({"404": 1}, _by_label(samples, "refusals_total", "status"))
+
+
+def _by_label(samples: list[Sample], metric: str, label: str) -> dict[str, float]:
+    return {
+        sample.labels[label]: sample.value
+        for sample in samples
+        if sample.name == f"pearshed_gateway_{metric}"
+    }
+
 
 class FailedTaskTest(GatewayTestCase):
     async def test_a_request_whose_task_fails_is_reset(self) -> None:
