Answer 500 when a page can't be rendered

A page whose handler raised ended the task of its connection without a word, so that the reader waited for its timeout: that is how the failing metrics page looked from outside.

PageServer logs the error with the page's target (page.failed), answers 500 and closes the connection.

The new test hangs before and passes now.

--- a/src/pearshed/_internal/http/page_server.py
+++ b/src/pearshed/_internal/http/page_server.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from absl import logging
+
 from pearshed._internal.errors import AddressInUseError
 from pearshed._internal.http import messages
 from pearshed._internal.http.caller_connection import CallerConnection
@@ -69,7 +71,13 @@
             if isinstance(request, RequestProblem):
                 write_problem(connection, request)
                 return
-            status, content = self._handler(request.target.decode("latin-1"))
+            try:
+                status, content = self._handler(request.target.decode("latin-1"))
+            except Exception:
+                target = request.target.decode("latin-1")
+                logging.exception("page.failed", extra={"fields": {"target": target}})
+                write_problem(connection, RequestProblem(500, f"{target} can't be rendered"))
+                return
             headers = ((b"content-length", b"%d" % len(content)),) if status != _NO_CONTENT else ()
             connection.write(messages.encode_head(messages.status_line(status), headers) + content)
             if not request.keep_alive:
--- a/tests/gateway/test_streams_and_stops.py
+++ b/tests/gateway/test_streams_and_stops.py
@@ -222,6 +222,22 @@
         self.assertEqual({"Answered": sum(counts.values())}, attempts)
         self.assertEqual({"404": 1}, _by_label(samples, "refusals_total", "status"))
 
+    async def test_a_page_that_cannot_be_rendered_is_an_error_response(self) -> None:
+        gateway = await self.start_gateway()
+        with (
+            mock.patch.object(gateway.pages, "page", side_effect=RuntimeError("on purpose")),
+            self.assertLogs("absl", "ERROR") as logs,
+        ):
+            caller = await Caller.connect(self.settings.control)
+            caller.send("/metrics", method="GET")
+            response = await asyncio.wait_for(caller.read_response(), 10)
+        assert response is not None
+        self.assertEqual((500, "close"), (response.status, response.headers["connection"]))
+        record = logs.records[0]
+        self.assertEqual("page.failed", record.msg)
+        self.assertEqual({"target": "/metrics"}, record.fields)  # type: ignore[attr-defined]
+        caller.close()
+
 
 def _by_label(samples: list[Sample], metric: str, label: str) -> dict[str, float]:
     return {
