Lower a cached prompt part after a partial eviction

A side kept the larger count when the engine reported that fewer tokens of a part are cached, so it admitted prompts as if nothing had to be read again.

Cache events say whether tokens were added or evicted; that sign was dropped when they were decoded. An eviction now sets the count. An addition still never lowers it: events come late, and an earlier count of a part that is being read must not undo a completed prefill.

The row dropped_in_part fails before (10 instead of 96 tokens to read).

--- a/src/pearshed/_internal/engine_side/monitor.py
+++ b/src/pearshed/_internal/engine_side/monitor.py
@@ -40,11 +40,13 @@
 class CacheChange:
     """A change in how much of a prompt part the engine caches.
 
-    :ivar tokens: cached tokens of the part; 0 when it was evicted.
+    :ivar tokens: cached tokens of the part after the change; 0 when all of it was evicted.
+    :ivar evicted: whether tokens of the part were evicted; otherwise some were added.
     """
 
     part_id: str
     tokens: int
+    evicted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pearshed/_internal/engine_side/prompt_cache.py
+++ b/src/pearshed/_internal/engine_side/prompt_cache.py
@@ -46,10 +46,12 @@
             self._epoch = update.epoch
             self._tokens_by_part.clear()
         for change in update.changes:
-            if change.tokens > 0:
-                self._add(change.part_id, change.tokens)
-            else:
+            if not change.tokens:
                 self._tokens_by_part.pop(change.part_id, None)
+            elif change.evicted and change.part_id in self._tokens_by_part:
+                self._tokens_by_part[change.part_id] = change.tokens
+            else:
+                self._add(change.part_id, change.tokens)
 
     def clear(self) -> None:
         """Drop all parts, as the engine has restarted."""
--- a/src/pearshed/_internal/platform/engine_client.py
+++ b/src/pearshed/_internal/platform/engine_client.py
@@ -77,7 +77,7 @@
     for event in events if isinstance(events, list) else []:
         # [number, + or -, empty text, part, tokens of it in the cache now, model]
         if isinstance(event, list) and len(event) > 4 and isinstance(event[4], int):
-            changes.append(CacheChange(str(event[3]), event[4]))
+            changes.append(CacheChange(str(event[3]), event[4], evicted=event[1] == "-"))
     return Success(
         CacheUpdate(
             str(raw.get("epoch")), _get_count(raw, "next"), bool(raw.get("lost")), tuple(changes)
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import unittest
+from typing import Any
 
 from parameterized import parameterized
 from returns.pipeline import is_successful
@@ -214,14 +215,17 @@
             ("both", (("a", 100), ("b", 50)), 10),
             ("gap", (("b", 50),), 160),
             ("partly", (("a", 64), ("b", 50)), 96),
-            ("dropped", (("a", 100), ("a", 0)), 160),
+            ("dropped", (("a", 100), ("a", 0, True)), 160),
+            ("dropped_in_part", (("a", 100), ("b", 50), ("a", 64, True)), 96),
+            ("dropped_in_part_and_read_again", (("a", 100), ("a", 64, True), ("a", 100)), 60),
+            ("an_earlier_count_comes_late", (("a", 100), ("a", 64)), 60),
         ]
     )
     def test_uncached_tokens(
-        self, _: str, events: tuple[tuple[str, int], ...], uncached: int
+        self, _: str, events: tuple[tuple[Any, ...], ...], uncached: int
     ) -> None:
         cache = PromptCache()
-        changes = tuple(CacheChange(part, tokens) for part, tokens in events)
+        changes = tuple(CacheChange(*event) for event in events)
         cache.apply_update(CacheUpdate("1", len(changes), False, changes))
         self.assertEqual(uncached, cache.uncached_tokens(self.PROMPT))
 
--- a/tests/gateway/test_json_client.py
+++ b/tests/gateway/test_json_client.py
@@ -3,15 +3,41 @@
 import asyncio
 import unittest
 
+import orjson
 from parameterized import parameterized
 from returns.pipeline import is_successful
 
+from pearshed._internal.engine_side.monitor import CacheChange, CacheUpdate
 from pearshed._internal.http.json_client import JsonClient
+from pearshed._internal.platform.engine_client import PlatformEngineMonitor
 from pearshed._internal.utils.addresses import Address
 
 _DOCUMENT = b'{"running": 3}'
 
 
+class EngineMonitorTest(unittest.IsolatedAsyncioTestCase):
+    async def test_cache_events_say_whether_tokens_were_evicted(self) -> None:
+        events = [
+            [1, "+", "", "aa", 64, "m"],
+            [2, "-", "", "aa", 16, "m"],
+            [3, "-", "", "aa", 0, "m"],
+        ]
+        document = {"epoch": 7, "next": 3, "lost": False, "events": events}
+        body = orjson.dumps(document)
+
+        async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        monitor = PlatformEngineMonitor(Address("127.0.0.1", server.sockets[0].getsockname()[1]))
+        self.addCleanup(monitor.close)
+        update = (await monitor.next_cache_update(0, 0.1)).unwrap()
+        changes = [CacheChange("aa", 64), CacheChange("aa", 16, True), CacheChange("aa", 0, True)]
+        self.assertEqual(CacheUpdate("7", 3, False, tuple(changes)), update)
+
+
 class JsonClientTest(unittest.IsolatedAsyncioTestCase):
     @parameterized.expand(
         [
