Forget cached prompt parts after lost cache events

CacheUpdate.lost was decoded and not used: after missed changes a side went on counting parts that the engine had evicted in the meantime, and admitted prompts that had to be read again.

The side now drops what it knew and counts only what is reported or prefilled from then on, with a log line. It doesn't read the engine's full list: that call delays the engine's work, and the parts in use are reported within requests.

The new test fails before (parts still counted) and passes now.

--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -208,6 +208,10 @@
             if update.epoch != epoch and epoch:
                 logging.info("engine.started_anew", extra={"fields": {"epoch": update.epoch}})
                 self._cache.clear()
+            elif update.lost and epoch:
+                logging.info(
+                    "engine.cache_events_lost", extra={"fields": {"next": update.next_number}}
+                )
             epoch = update.epoch
             since = update.next_number
             self._cache.apply_update(update)
--- a/src/pearshed/_internal/engine_side/prompt_cache.py
+++ b/src/pearshed/_internal/engine_side/prompt_cache.py
@@ -41,8 +41,12 @@
             self._add(part.part_id, part.tokens)
 
     def apply_update(self, update: CacheUpdate) -> None:
-        """Apply changes that the engine reports, after a restart to an empty cache."""
-        if update.epoch != self._epoch:
+        """Apply changes that the engine reports.
+
+        After a restart the cache is empty. After missed changes its contents are unknown, so no
+        part counts as cached until it is reported or prefilled again.
+        """
+        if update.epoch != self._epoch or update.lost:
             self._epoch = update.epoch
             self._tokens_by_part.clear()
         for change in update.changes:
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -229,6 +229,14 @@
         cache.apply_update(CacheUpdate("1", len(changes), False, changes))
         self.assertEqual(uncached, cache.uncached_tokens(self.PROMPT))
 
+    def test_after_lost_events_only_what_is_reported_since_counts(self) -> None:
+        cache = PromptCache()
+        cache.apply_update(CacheUpdate("1", 1, False, (CacheChange("a", 100),)))
+        cache.apply_update(CacheUpdate("1", 90, True, (CacheChange("b", 50),)))
+        self.assertEqual(160, cache.uncached_tokens(self.PROMPT))
+        cache.apply_update(CacheUpdate("1", 91, False, (CacheChange("a", 100),)))
+        self.assertEqual(10, cache.uncached_tokens(self.PROMPT))
+
     def test_a_restarted_engine_has_an_empty_cache(self) -> None:
         cache = PromptCache()
         cache.apply_update(CacheUpdate("1", 1, False, (CacheChange("a", 100),)))
