Match the engine's report to request ids that contain a slash

A reservation's id is the request id, a slash and the number of the attempt. The side cut it at the first slash, so a request id with a slash of its own never matched the engine's report: the prompt counted as not read until the gateway said so, and the grant was dropped after its time although the request ran.

Ids are built and split in one place, and split at the last slash. Two rows of the new test fail before.

--- a/src/pearshed/_internal/engine_side/admission_queue.py
+++ b/src/pearshed/_internal/engine_side/admission_queue.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from pearshed._internal.engine_side.messages import AdmissionRequest
+from pearshed._internal.engine_side.messages import AdmissionRequest, request_id_of
 from pearshed._internal.engine_side.monitor import EngineReport
 from pearshed._internal.engine_side.prefill_speed import PrefillProgress, PrefillSpeed
 from pearshed._internal.engine_side.prefill_throttle import PrefillThrottle
@@ -199,7 +199,7 @@
         now = clock.now()
         events = {run.request_id: run.events for run in report.runs}
         for reservation_id, grant in tuple(self._grants.items()):
-            request_id = reservation_id.partition("/")[0]
+            request_id = request_id_of(reservation_id)
             if request_id in events:
                 grant.reported = True
                 if events[request_id] > 0:
--- a/src/pearshed/_internal/engine_side/messages.py
+++ b/src/pearshed/_internal/engine_side/messages.py
@@ -19,6 +19,16 @@
 MAX_DATAGRAM_BYTES = 4096
 
 
+def reservation_id(request_id: str, attempt: int) -> str:
+    """Create the id of an attempt's reservation."""
+    return f"{request_id}/{attempt}"
+
+
+def request_id_of(reservation: str) -> str:
+    """Return the request id in a reservation's id; it may contain slashes itself."""
+    return reservation.rpartition("/")[0]
+
+
 @dataclass(frozen=True, slots=True)
 class AdmissionRequest:
     """A gateway requests admission of a request to the engine.
--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -169,7 +169,7 @@
             "admission.refused",
             extra={
                 "fields": {
-                    "request": reservation.request.reservation.partition("/")[0],
+                    "request": messages.request_id_of(reservation.request.reservation),
                     "rank": reservation.request.rank,
                     "unread": reservation.prefill_tokens,
                     "waiting": self._queue.waiting_count,
--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -146,7 +146,7 @@
         host = endpoint.entry.address.host
         if clock.now() < self._skipped_until.get(host, 0.0):
             return Admitted("")
-        reservation = f"{call.request_id}/{attempt}"
+        reservation = messages.reservation_id(call.request_id, attempt)
         responses: asyncio.Queue[Message] = asyncio.Queue()
         self._responses[reservation] = responses
         granted = False
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -148,6 +148,14 @@
         self.report(0)
         self.assertEqual(["lost", "next"], self.granted)
 
+    @parameterized.expand([("plain", "r1"), ("slash", "batch/r1"), ("slashes", "/a/b/")])
+    def test_an_engine_report_is_matched_by_request_id(self, _: str, request_id: str) -> None:
+        self.submit(admission_request(request_id, 500))
+        before = self.queue.pending_prefill_tokens
+        run = RunningRequest(request_id, 500, 1)
+        self.queue.apply_report(EngineReport(1, 0, 500, 100_000, (run,)))
+        self.assertEqual((500, 0), (before, self.queue.pending_prefill_tokens))
+
     def test_an_engine_report_confirms_prefill(self) -> None:
         self.submit(
             admission_request("a", BACKLOG_TOKENS), admission_request("b", 100, budget_ms=5000)
--- a/tests/lib/admission.py
+++ b/tests/lib/admission.py
@@ -3,7 +3,7 @@
 import unittest
 
 from pearshed._internal.engine_side.admission_queue import AdmissionQueue, Reservation
-from pearshed._internal.engine_side.messages import AdmissionRequest
+from pearshed._internal.engine_side.messages import AdmissionRequest, request_id_of
 from pearshed._internal.engine_side.prompt_cache import PromptCache
 from pearshed._internal.models.routing import PromptPart
 from tests.lib.fakes import FakeClock
@@ -28,11 +28,11 @@
         self.queue = AdmissionQueue(self.cache, self._grant, self._refuse)
 
     def _grant(self, reservation: Reservation) -> None:
-        self.granted.append(reservation.request.reservation.partition("/")[0])
+        self.granted.append(request_id_of(reservation.request.reservation))
 
     def _refuse(self, reservation: Reservation, wait_s: float) -> None:
         self.assertGreaterEqual(wait_s, 0.0)
-        self.refused.append(reservation.request.reservation.partition("/")[0])
+        self.refused.append(request_id_of(reservation.request.reservation))
 
     def submit(self, *requests: AdmissionRequest) -> None:
         for request in requests:
