Send 100 Continue to a pipelined request after earlier responses

A caller that pipelines a request with Expect: 100-continue, whose header arrives while another one is served, got no interim response and withheld the body until its own timeout.

The connection remembers the expectation and sends 100 once no earlier response is due, so that it can't be taken for the response to another request. Both rows of the new test fail before.

--- a/src/pearshed/_internal/http/caller_connection.py
+++ b/src/pearshed/_internal/http/caller_connection.py
@@ -144,6 +144,7 @@
             return
         self._bytes_since_finish = 0
         self._set_state(ConnectionState.IDLE)
+        self._send_continue_if_due()
         if self._reading_paused and self._transport is not None:
             self._reading_paused = False
             self._transport.resume_reading()
@@ -220,8 +221,8 @@
             self._refuse(problem.status, problem.message)
             return
         expectation = messages.header_value(self._headers, b"expect") or b""
-        if expectation.lower() == b"100-continue" and self._state is ConnectionState.READING:
-            self.write(messages.status_line(100) + b"\r\n\r\n")
+        self._expects_continue = expectation.lower() == b"100-continue"
+        self._send_continue_if_due()
 
     def on_body(self, body: bytes) -> None:
         """Append a piece of the body."""
@@ -233,6 +234,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
+        self._expects_continue = False
         if self._refused:
             return
         request = HttpRequest(
@@ -253,9 +255,20 @@
         self._target = b""
         self._headers: list[Header] = []
         self._headers_done = False
+        self._expects_continue = False
         self._body: list[bytes] = []
         self._body_bytes = 0
 
+    def _send_continue_if_due(self) -> None:
+        """Send 100 Continue if it is expected and no earlier response must come first."""
+        if (
+            self._expects_continue
+            and self._state is not ConnectionState.SERVING
+            and not self._requests
+        ):
+            self._expects_continue = False
+            self.write(messages.status_line(100) + b"\r\n\r\n")
+
     def _refuse(self, status: int, message: str) -> None:
         if self._refused:
             return
--- a/tests/gateway/test_caller_connection.py
+++ b/tests/gateway/test_caller_connection.py
@@ -114,6 +114,29 @@
         connection.data_received(HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
         self.assertTrue(self.transport.written.startswith(b"HTTP/1.1 100 Continue"))
 
+    @parameterized.expand([("next", 1), ("after_another", 2)])
+    async def test_a_pipelined_request_gets_its_interim_response_after_earlier_responses(
+        self, _: str, earlier: int
+    ) -> None:
+        connection = self.connect()
+        connection.data_received(HEAD + b"\r\n")
+        first = await connection.next_request()
+        pipelined = (HEAD + b"\r\n") * (earlier - 1)
+        expecting = HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        connection.data_received(pipelined + expecting)
+        for number in range(earlier):
+            self.assertEqual(b"", self.transport.written)
+            connection.finish_request()
+            if number + 1 < earlier:
+                await connection.next_request()
+        self.assertEqual(b"HTTP/1.1 100 Continue\r\n\r\n", self.transport.written)
+        connection.data_received(b"ok")
+        last = await connection.next_request()
+        assert isinstance(first, HttpRequest) and isinstance(last, HttpRequest)
+        self.assertEqual((b"", b"ok"), (first.body, last.body))
+        connection.finish_request()
+        self.assertEqual(1, self.transport.written.count(b"100 Continue"))
+
     async def test_an_idle_connection_is_closed_and_a_slow_header_is_refused(self) -> None:
         idle = self.connect()
         idle.close_if_overdue(idle._state_since + 14)
