Refuse names that no header can carry when they are read

A customer or endpoint whose name lies outside Latin-1 raised UnicodeEncodeError for each of its requests, which ended their connections; a name with a line end would have added a header of its own to the request at the endpoint.

Names are checked by RFC 9110's rule for header values as the platform's records are decoded. An endpoint's entry is refused like any other invalid one; such a customer is left out with a log line, since the rest of the configuration is valid and must come into force.

--- a/src/pearshed/_internal/platform/documents.py
+++ b/src/pearshed/_internal/platform/documents.py
@@ -1,9 +1,11 @@
 """Decodes the platform's JSON documents into the project's own types."""
 
+import re
 from collections.abc import Mapping
 from typing import Any
 
 import orjson
+from absl import logging
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
@@ -22,6 +24,8 @@
 from pearshed._internal.timers.clock import MILLISECONDS_PER_SECOND
 from pearshed._internal.utils.addresses import parse_address
 
+_HEADER_VALUE = re.compile("[\x21-\x7e\xa0-\xff](?:[\x20-\x7e\xa0-\xff]*[\x21-\x7e\xa0-\xff])?")
+
 
 class _FieldError(Exception):
     """A field of a document is missing or invalid."""
@@ -142,8 +146,13 @@
     key_holders = {}
     for entry in _get_list(raw, "tenants"):
         customer = _require_object(entry)
+        name = _get_text(customer, "name")
+        if not _is_header_value(name):
+            # Without this customer, the rest of the configuration can be used.
+            logging.error("customer.refused", extra={"fields": {"reason": _not_a_header(name)}})
+            continue
         rank = customer.get("priority")
-        holder = KeyHolder(_get_text(customer, "name"), rank if isinstance(rank, int) else None)
+        holder = KeyHolder(name, rank if isinstance(rank, int) else None)
         for key in _get_list(customer, "apiKeys"):
             key_holders[str(key)] = holder
     return key_holders
@@ -165,6 +174,8 @@
 
 
 def _parse_endpoint(identity: str, raw: Mapping[str, Any]) -> EndpointEntry:
+    if not _is_header_value(identity):
+        raise _FieldError(f"identity: {_not_a_header(identity)}")
     address = parse_address(_get_text(raw, "address"))
     if not is_successful(address):
         raise _FieldError(f"address: {address.failure()}")
@@ -184,6 +195,15 @@
     )
 
 
+def _is_header_value(text: str) -> bool:
+    """Return whether a header can carry a text: RFC 9110, section 5.5, in Latin-1."""
+    return _HEADER_VALUE.fullmatch(text) is not None
+
+
+def _not_a_header(text: str) -> str:
+    return f"{text!r} can't be sent in a header"
+
+
 def _require_object(raw: Any) -> Mapping[str, Any]:
     if not isinstance(raw, dict):
         raise _FieldError(f"expected an object, found {type(raw).__name__}")
--- a/tests/gateway/test_platform_adapter.py
+++ b/tests/gateway/test_platform_adapter.py
@@ -6,6 +6,7 @@
 import unittest
 from typing import Any
 
+from absl import logging
 from parameterized import parameterized
 from returns.pipeline import is_successful
 
@@ -56,6 +57,31 @@
         ]
         self.assertEqual(["short", "long", "short", None, "far"], names)
 
+    @parameterized.expand(
+        [
+            ("ascii", "guild of St. Mary", True),
+            ("latin_1", "g\u00e4rten", True),
+            ("cyrillic", "\u0433\u0438\u043b\u044c\u0434\u0438\u044f", False),
+            ("line_end", "guild\r\nX-Admin: 1", False),
+            ("null", "guild\0", False),
+            ("control", "gu\x85ild", False),
+            ("space_at_the_end", "guild ", False),
+        ]
+    )
+    def test_names_that_no_header_can_carry_are_refused(
+        self, _: str, name: str, valid: bool
+    ) -> None:
+        tenants = [{"name": "others", "apiKeys": ["k0"]}, {"name": name, "apiKeys": ["k1", "k2"]}]
+        document = json.dumps(configuration(3, tenants=tenants)).encode()
+        with self.assertLogs("absl", "INFO") as logs:
+            logging.info("end")
+            decoded = decode_configuration(document).unwrap()
+        self.assertEqual({"k0", "k1", "k2"} if valid else {"k0"}, decoded.key_holders.keys())
+        refused = [record.msg for record in logs.records if record.msg == "customer.refused"]
+        self.assertEqual([] if valid else ["customer.refused"], refused)
+        entry = decode_endpoint(name, json.dumps(ENTRY).encode())
+        self.assertEqual(valid, is_successful(entry))
+
     def test_customer_ranks_precede_route_ranks(self) -> None:
         document = configuration(
             3,
