Remove the pause callbacks, to which nothing subscribed

TimerService called subscribers after a pause of the process, but there were none: SlotScheduler.start_run checked for a pause and then relied on the lease's time alone. That is enough, since the clock of leases and deadlines counts the time in which a process is stopped or its VM suspended; a body that comes after a pause of 30 s is refused as expired (a new row of the lease's test, which passes without the check).

The callbacks and the check go, the log line of a pause stays. Of the two tests of the callbacks, one remains and checks the same order and that it happens once, on the log line in place of the callback.

--- a/src/pearshed/_internal/side/scheduler.py
+++ b/src/pearshed/_internal/side/scheduler.py
@@ -139,12 +139,11 @@
     def start_run(self, reservation: Reservation) -> bool:
         """Convert a lease into a run.
 
-        If the process was suspended, the lease may have expired without its timer firing, so
-        pauses are checked for before the lease is used.
+        After a pause of the process the lease may have expired without its timer firing; its time
+        decides.
 
         :returns: whether the lease was still valid.
         """
-        self._timers.check_pause()
         if reservation not in self._leases:
             return False
         self._leases.discard(reservation)
--- a/src/pearshed/_internal/timers/service.py
+++ b/src/pearshed/_internal/timers/service.py
@@ -1,4 +1,4 @@
-"""Timer service: one-shot and periodic callbacks on the event loop, and detection of pauses."""
+"""Timer service: one-shot and periodic callbacks on the event loop; logs pauses of the process."""
 
 import asyncio
 import heapq
@@ -11,7 +11,6 @@
 from pearshed._internal.timers import clock
 
 Callback = Callable[[], None]
-PauseCallback = Callable[[float], None]
 
 PAUSE_THRESHOLD_S = 1.0
 _MAX_SLEEP_S = 0.5
@@ -61,8 +60,9 @@
 class TimerService:
     """Calls subscribed callbacks when they are due, on the event loop's thread.
 
-    Also detects that the process was paused (a stopped process or a suspended VM) and calls the
-    pause callbacks before any timer callback that became due in the meantime.
+    Logs that the process was paused (a stopped process or a suspended VM) before it calls what
+    became due in the meantime. Leases and deadlines need no notice of it: ``clock.now`` counts the
+    pause.
 
     :param seed: seed of the jitter, for tests.
     """
@@ -71,7 +71,6 @@
         self._rng = random.Random(seed)
         self._queue: list[tuple[float, int, Subscription]] = []
         self._sequence = itertools.count()
-        self._pause_callbacks: list[PauseCallback] = []
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._last_tick = clock.now()
@@ -103,28 +102,18 @@
         self._push(subscription, delay_s)
         return subscription
 
-    def on_pause(self, callback: PauseCallback) -> None:
-        """Call ``callback`` with the length of each pause of the process, seconds."""
-        self._pause_callbacks.append(callback)
-
-    def check_pause(self) -> None:
-        """Check for a pause now instead of at the next tick.
+    def tick(self) -> None:
+        """Log a pause, then call the callbacks that are due."""
+        self._log_pause()
+        self._fire_due()
 
-        Call this before acting on a lease.
-        """
+    def _log_pause(self) -> None:
         now = clock.now()
         lost_s = now - self._last_tick - _MAX_SLEEP_S
         self._last_tick = now
         if lost_s < PAUSE_THRESHOLD_S:
             return
         logging.warning("process was paused for about %.1f s", lost_s)
-        for callback in self._pause_callbacks:
-            callback(lost_s)
-
-    def tick(self) -> None:
-        """Check for a pause, then call the callbacks that are due."""
-        self.check_pause()
-        self._fire_due()
 
     def _push(self, subscription: Subscription, delay_s: float) -> None:
         due_at = clock.now() + delay_s
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -67,9 +67,6 @@
             self.repeated.insert(0, callback)
         return mock.Mock()
 
-    def check_pause(self) -> None:
-        """Detect no pause."""
-
     def fire(self) -> None:
         """Call every callback once."""
         for callback in self.repeated:
--- a/tests/unit/test_side.py
+++ b/tests/unit/test_side.py
@@ -102,6 +102,7 @@
         [
             ("in_time", 0.4, True),
             ("late", 0.6, False),
+            ("after_a_pause", 30.0, False),
         ]
     )
     def test_body_runs_only_within_its_lease(self, _: str, delay_s: float, runs: bool) -> None:
--- a/tests/unit/test_timers.py
+++ b/tests/unit/test_timers.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from absl import logging
+
 from pearshed._internal.timers.service import TimerService
 from tests.lib.fakes import FakeClock
 
@@ -37,20 +39,16 @@
         self.advance(timers, [0.11, 0.11, 0.11])
         self.assertEqual(["failed"] * 3, self.fired)
 
-    def test_pause_callbacks_run_before_timers_that_became_due(self) -> None:
-        timers = TimerService(seed=1)
-        timers.on_pause(lambda lost_s: self.fired.append(f"pause of {lost_s:.0f} s"))
-        timers.after(1.0, lambda: self.fired.append("due"))
-        self.advance(timers, [0.1, 30.5])
-        self.assertEqual(["pause of 30 s", "due"], self.fired)
-
-    def test_check_pause_reports_a_pause_at_once_and_only_once(self) -> None:
+    def test_a_pause_is_logged_once_before_timers_that_became_due(self) -> None:
         timers = TimerService(seed=1)
-        timers.on_pause(lambda _: self.fired.append("pause"))
-        self.clock.advance(20)
-        timers.check_pause()
-        timers.check_pause()
-        self.assertEqual(["pause"], self.fired)
+        timers.after(1.0, lambda: logging.warning("due"))
+        with self.assertLogs("absl", "WARNING") as logs:
+            self.advance(timers, [0.1, 30.5])
+            timers.tick()
+        self.assertEqual(
+            ["process was paused for about 30.0 s", "due"],
+            [record.getMessage() for record in logs.records],
+        )
 
 
 if __name__ == "__main__":
