Remove unused names, and keep one copy of the default limits

Readers had found names that nothing uses. For each it was checked whether a rule had been forgotten: none was. An endpoint is ejected at its first failure to connect without _EJECT_AFTER; every send after the first of a request spends the retry budget before it is made, so none is left for record_retry to count; pages are found by their last segment, not by READY_PATH; health answers, whose header IDENTITY names, are not read.

The default limits of callers stood in two modules. make lint covers tools/. Two behaviours get the tests they lacked, both pass on the code as it was: a silent endpoint is left before the time of an idempotent request ends, and a request that might not finish before a stop is refused with when to come back.

--- a/Makefile
+++ b/Makefile
@@ -20,12 +20,12 @@
 check: lint types test
 
 format: setup
-	$(BIN)/black --quiet src tests bench examples soak
-	$(BIN)/ruff check --quiet --fix src tests bench examples soak
+	$(BIN)/black --quiet src tests bench examples soak tools
+	$(BIN)/ruff check --quiet --fix src tests bench examples soak tools
 
 lint: setup
-	$(BIN)/black --quiet --check src tests bench examples soak
-	$(BIN)/ruff check --quiet src tests bench examples soak
+	$(BIN)/black --quiet --check src tests bench examples soak tools
+	$(BIN)/ruff check --quiet src tests bench examples soak tools
 
 types: setup
 	$(BIN)/mypy
--- a/src/pearshed/_internal/commands/process.py
+++ b/src/pearshed/_internal/commands/process.py
@@ -17,9 +17,6 @@
 class ProcessCommand(Command):
     """Loads the settings and runs the process."""
 
-    #: Section of the settings file that the process needs.
-    section = ""
-
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Declare the command's arguments."""
         parser.add_argument(
--- a/src/pearshed/_internal/gateway/endpoints.py
+++ b/src/pearshed/_internal/gateway/endpoints.py
@@ -20,8 +20,6 @@
 NON_RETRYABLE_IDLE_S = 2.5
 #: Weight of the latest outcome in the failure share.
 _FAILURE_WEIGHT = 0.2
-#: Consecutive failures to connect after which an endpoint is ejected.
-_EJECT_AFTER = 1
 _FIRST_EJECTION_S = 0.5
 _MAX_EJECTION_S = 4.0
 #: The weight of a reported load falls from 1 to 0 within this time, seconds.
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -31,13 +31,11 @@
 from pearshed._internal.http.caller_connection import CallerConnection, ConnectionState
 from pearshed._internal.http.messages import HttpRequest, RequestProblem
 from pearshed._internal.http.page_server import PageServer, listen, write_problem
-from pearshed._internal.models.routing import CallerLimits
+from pearshed._internal.models.routing import DEFAULT_CALLER_LIMITS, CallerLimits
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import TimerService
 
-#: Limits that apply until the first configuration is known.
-INITIAL_LIMITS = CallerLimits(16 * 1024, 4 * 1024 * 1024, 5.0, 30.0)
 #: Keys stop being trusted this long before the revocation bound: checks and clocks are not exact.
 REVOCATION_MARGIN_S = 0.5
 #: The load balancer stops routing callers here after two failed readiness checks, a second apart.
@@ -328,7 +326,7 @@
 
     def _caller_limits(self) -> CallerLimits:
         configuration = self._store_cache.configuration
-        return configuration.limits if configuration is not None else INITIAL_LIMITS
+        return configuration.limits if configuration is not None else DEFAULT_CALLER_LIMITS
 
     def _retry_budget(self, service: str) -> ServiceRetryBudget:
         retry_budget = self._retry_budgets.get(service)
--- a/src/pearshed/_internal/gateway/service_retry_budget.py
+++ b/src/pearshed/_internal/gateway/service_retry_budget.py
@@ -42,10 +42,6 @@
         """Count a request of a caller."""
         self._add(self._requests)
 
-    def record_retry(self) -> None:
-        """Count a retry that was sent regardless of the budget."""
-        self._add(self._retries)
-
     def try_spend(self) -> bool:
         """Spend one retry of the budget; return whether it had one."""
         allowed = self._ratio * self._count(self._requests) + self._slack / self._gateways
--- a/src/pearshed/_internal/gateway/settings.py
+++ b/src/pearshed/_internal/gateway/settings.py
@@ -1,6 +1,5 @@
 """Validated, immutable settings of a gateway."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 
 from pearshed._internal.utils.addresses import Address
@@ -23,7 +22,6 @@
     :ivar repeat_ratio: retries allowed per request, over all gateways.
     :ivar repeat_slack: additional retries allowed in each window, over all gateways.
     :ivar repeat_window_s: length of that window, seconds.
-    :ivar bounds: all bounds as published.
     """
 
     name: str
@@ -40,4 +38,3 @@
     repeat_ratio: float
     repeat_slack: float
     repeat_window_s: float
-    bounds: Mapping[str, object]
--- a/src/pearshed/_internal/models/routing.py
+++ b/src/pearshed/_internal/models/routing.py
@@ -111,6 +111,10 @@
     idle_timeout_s: float
 
 
+#: Limits before the first configuration, and where it sets none.
+DEFAULT_CALLER_LIMITS = CallerLimits(16 * 1024, 4 * 1024 * 1024, 5.0, 30.0)
+
+
 @dataclass(frozen=True, slots=True)
 class RoutingConfiguration:
     """One published version of the routing configuration.
--- a/src/pearshed/_internal/platform/documents.py
+++ b/src/pearshed/_internal/platform/documents.py
@@ -11,6 +11,7 @@
 
 from pearshed._internal.gateway.store_cache import DocumentDecoder
 from pearshed._internal.models.routing import (
+    DEFAULT_CALLER_LIMITS,
     CallerLimits,
     EndpointEntry,
     EndpointState,
@@ -162,17 +163,17 @@
     limits = raw.get("limits")
     limits = limits if isinstance(limits, dict) else {}
     return CallerLimits(
-        max_header_bytes=_get_integer(limits, "maxHeaderBytes", DEFAULT_LIMITS.max_header_bytes),
-        max_body_bytes=_get_integer(limits, "maxBodyBytes", DEFAULT_LIMITS.max_body_bytes),
-        header_timeout_s=_get_seconds(limits, "headerTimeoutMs", DEFAULT_LIMITS.header_timeout_s),
-        idle_timeout_s=_get_seconds(limits, "idleTimeoutMs", DEFAULT_LIMITS.idle_timeout_s),
+        max_header_bytes=_get_integer(
+            limits, "maxHeaderBytes", DEFAULT_CALLER_LIMITS.max_header_bytes
+        ),
+        max_body_bytes=_get_integer(limits, "maxBodyBytes", DEFAULT_CALLER_LIMITS.max_body_bytes),
+        header_timeout_s=_get_seconds(
+            limits, "headerTimeoutMs", DEFAULT_CALLER_LIMITS.header_timeout_s
+        ),
+        idle_timeout_s=_get_seconds(limits, "idleTimeoutMs", DEFAULT_CALLER_LIMITS.idle_timeout_s),
     )
 
 
-#: Limits that apply where the configuration sets none.
-DEFAULT_LIMITS = CallerLimits(16 * 1024, 4 * 1024 * 1024, 5.0, 30.0)
-
-
 def _parse_endpoint(identity: str, raw: Mapping[str, Any]) -> EndpointEntry:
     if not _is_header_value(identity):
         raise _FieldError(f"identity: {_not_a_header(identity)}")
--- a/src/pearshed/_internal/platform/names.py
+++ b/src/pearshed/_internal/platform/names.py
@@ -13,7 +13,6 @@
 # Running and waiting requests, and slots; despite its name, not a load factor.
 LOAD = b"pearshed-server-load"
 NOT_EXECUTED = b"pearshed-not-executed"
-IDENTITY = b"pearshed-instance-id"
 LENGTH_HINT = b"pearshed-length-hint"
 RANK = b"pearshed-request-priority"
 FETCH_FROM = b"kv-fetch"
@@ -40,7 +39,6 @@
     )
 )
 
-READY_PATH = "/v1/readyz"
 ITEM_PATH = "/v1/kv-key"
 RANGE_PATH = "/v1/kv-range"
 WATCH_PATH = "/v1/kv-watch"
--- a/src/pearshed/_internal/platform/settings_file.py
+++ b/src/pearshed/_internal/platform/settings_file.py
@@ -98,7 +98,6 @@
         repeat_ratio=reader.number("bounds", "retryBudgetRatio"),
         repeat_slack=reader.number("bounds", "budgetSlack"),
         repeat_window_s=reader.number("bounds", "budgetWindowS"),
-        bounds=bounds,
     )
 
 
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -177,6 +177,31 @@
         await until(lambda: self.has_endpoints("ledger", engines))
         self.assertEqual(200, await self.status("/lookup/a"))
 
+    async def test_an_idempotent_request_leaves_a_silent_endpoint_before_its_own_time_ends(
+        self,
+    ) -> None:
+        async def respond_once_the_other_timed_out(
+            connection: EngineConnection, request: EngineRequest
+        ) -> None:
+            if sum(len(engine.requests) for engine in self.engines) == 1:
+                await connection.wait_closed()
+            else:
+                connection.send_response(request)
+
+        for _number in range(2):
+            await self.add_engine("ledger", respond_once_the_other_timed_out)
+        await self.start_gateway()
+        await until(lambda: self.has_endpoints("ledger", 2))
+        with self.assertLogs("absl", "INFO") as logs:
+            status = await self.status("/lookup/a", headers={"Pearshed-Deadline-Ms": "1000"})
+        self.assertEqual(200, status)
+        outcomes = [
+            (record.fields["outcome"], record.fields["reason"][:16])  # type: ignore[attr-defined]
+            for record in logs.records
+            if record.msg == "request.attempt"
+        ]
+        self.assertEqual([("Failed", "no answer within"), ("Answered", "")], outcomes)
+
     async def test_a_caller_disconnect_ends_the_endpoints_work(self) -> None:
         ended = asyncio.Event()
 
--- a/tests/gateway/test_streams_and_stops.py
+++ b/tests/gateway/test_streams_and_stops.py
@@ -164,6 +164,21 @@
         self.assertEqual(200, await _status_of(slow.read_response))
         await asyncio.wait_for(self.gateway_task, 20)
 
+    async def test_a_request_that_might_not_finish_before_the_stop_is_refused(self) -> None:
+        engine = await self.add_engine("ledger", respond_ok)
+        gateway = await self.start_gateway()
+        await until(lambda: self.has_endpoints("ledger", 1))
+        caller = await Caller.connect(self.settings.callers)
+        gateway._refusing_requests = True
+        caller.send("/lookup/a")
+        response = await caller.read_response()
+        assert response is not None
+        self.assertEqual((503, "close"), (response.status, response.headers["connection"]))
+        self.assertGreater(float(response.headers["retry-after"]), 0)
+        self.assertIsNone(await caller.read_response())
+        self.assertEqual([], engine.requests)
+        caller.close()
+
 
 async def _status_of(read_response: Callable[[], Awaitable[object]]) -> object:
     return getattr(await read_response(), "status", None)
--- a/tests/lib/gateway_fixture.py
+++ b/tests/lib/gateway_fixture.py
@@ -72,7 +72,6 @@
         "repeat_ratio": 0.2,
         "repeat_slack": 200,
         "repeat_window_s": 10,
-        "bounds": {},
         **overrides,
     }
     return GatewaySettings(**values)
