Send nothing more to an endpoint that announces that it leaves

The platform's folder decodes the header. The announcement is remembered for the endpoint's run (identity, address, start): at once, for every status but 421, which comes from another endpoint. No listing brings the run back, be it older or after an absence; a restart or another endpoint at the address isn't concerned.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -136,6 +136,9 @@
         self._framing = first_event.framing
         metadata = self._codec.decode_response(first_event)
         self._endpoint.record_data(metadata.load)
+        if metadata.leaving and first_event.status != _MISDIRECTED:
+            # A misdirected request was answered by another endpoint.
+            self._endpoint.mark_leaving()
         try:
             async with asyncio.timeout(max(0.0, self._call.remaining_s)):
                 return await self._relay_response(connection, first_event, metadata)
--- a/src/pearshed/_internal/gateway/endpoints.py
+++ b/src/pearshed/_internal/gateway/endpoints.py
@@ -6,6 +6,7 @@
 
 from pearshed._internal.gateway.header_codec import EndpointLoadReport
 from pearshed._internal.gateway.idle_reuse_limit import IdleReuseLimit
+from pearshed._internal.gateway.leaving_endpoints import LeavingEndpoints
 from pearshed._internal.http.endpoint_connection import EndpointConnection, connect
 from pearshed._internal.models.routing import EndpointEntry, EndpointState
 from pearshed._internal.timers import clock
@@ -31,13 +32,21 @@
 
     :param entry: as listed by the platform; replaced when it changes.
     :param idle_reuse_limit: of the service's connections.
+    :param leaving_endpoints: the runs of all endpoints that have announced that they leave.
     """
 
     def __init__(
-        self, entry: EndpointEntry, idle_reuse_limit: IdleReuseLimit | None = None
+        self,
+        entry: EndpointEntry,
+        idle_reuse_limit: IdleReuseLimit | None = None,
+        leaving_endpoints: LeavingEndpoints | None = None,
     ) -> None:
         self._entry = entry
         self._idle_reuse_limit = idle_reuse_limit or IdleReuseLimit(entry.service)
+        self._leaving_endpoints = (
+            leaving_endpoints if leaving_endpoints is not None else LeavingEndpoints()
+        )
+        self._leaving = self._leaving_endpoints.is_leaving(entry)
         self._idle_connections: list[EndpointConnection] = []
         self._in_flight: dict[int, tuple[float, int]] = {}
         self._in_use = 0
@@ -73,8 +82,11 @@
 
     @property
     def accepting(self) -> bool:
-        """Whether the endpoint may get new requests: it is listed as ready and not retired."""
-        return not self._retired and self._entry.state is EndpointState.READY
+        """Whether the endpoint may get new requests.
+
+        It is listed as ready, not retired, and hasn't announced that it leaves.
+        """
+        return not self._retired and not self._leaving and self._entry.state is EndpointState.READY
 
     @property
     def failure_share(self) -> float:
@@ -115,6 +127,23 @@
         self._retired = True
         self.close_idle()
 
+    def mark_leaving(self) -> None:
+        """Stop new requests for good: the endpoint has announced that it leaves."""
+        self._leaving = True
+        if self._leaving_endpoints.add(self._entry):
+            self.close_idle()
+            logging.info(
+                "endpoint.leaving",
+                extra={
+                    "fields": {
+                        "identity": self._entry.identity,
+                        "service": self._entry.service,
+                        "address": str(self._entry.address),
+                        "in_flight": self.in_flight,
+                    }
+                },
+            )
+
     async def acquire(self, retryable: bool) -> EndpointConnection:
         """Return an idle connection or open one.
 
@@ -154,7 +183,7 @@
         self._in_use -= 1
         if not complete:
             connection.abort()
-        elif connection.finish() and not self._retired:
+        elif connection.finish() and not (self._retired or self._leaving):
             self._idle_connections.append(connection)
 
     def start_request(self, tokens: int) -> int:
@@ -244,6 +273,12 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, tuple[Endpoint, ...]] = {}
         self._idle_reuse_limits: dict[str, IdleReuseLimit] = {}
+        self._leaving = LeavingEndpoints()
+
+    @property
+    def leaving_announcements(self) -> int:
+        """Number of endpoints that have announced that they leave."""
+        return self._leaving.announcements
 
     @property
     def endpoints(self) -> Iterable[Endpoint]:
@@ -282,7 +317,7 @@
 
     def _create(self, entry: EndpointEntry) -> Endpoint:
         limit = self._idle_reuse_limits.setdefault(entry.service, IdleReuseLimit(entry.service))
-        return Endpoint(entry, limit)
+        return Endpoint(entry, limit, self._leaving)
 
     def close_idle_connections(self) -> None:
         """Close connections that have been idle for too long."""
--- a/src/pearshed/_internal/gateway/header_codec.py
+++ b/src/pearshed/_internal/gateway/header_codec.py
@@ -78,12 +78,14 @@
     :ivar signed: the response carries the endpoint's signature.
     :ivar not_executed: the endpoint guarantees that the request was not run and won't be.
     :ivar load: the endpoint's load, if reported.
+    :ivar leaving: the endpoint announces that it leaves.
     """
 
     request_id: str
     signed: bool
     not_executed: bool
     load: EndpointLoadReport | None
+    leaving: bool = False
 
 
 class HeaderCodec(abc.ABC):
--- a/src/pearshed/_internal/gateway/operator_pages.py
+++ b/src/pearshed/_internal/gateway/operator_pages.py
@@ -125,6 +125,11 @@
             "Log lines dropped since the reader was slow",
             self._log_stream.dropped,
         )
+        yield counter(
+            "pearshed_gateway_endpoints_leaving_total",
+            "Endpoints that announced in a response that they leave",
+            self._endpoints.leaving_announcements,
+        )
         endpoints = tuple(self._endpoints.endpoints)
         yield Metric(
             "pearshed_gateway_in_flight",
--- a/src/pearshed/_internal/platform/headers.py
+++ b/src/pearshed/_internal/platform/headers.py
@@ -63,6 +63,7 @@
             signed=names.SIGNATURE in values,
             not_executed=names.NOT_EXECUTED in values or head.status == 421,
             load=_parse_load(values.get(names.LOAD, b"")),
+            leaving=values.get(names.LEAVING) == b"1",
         )
 
     def encode_refusal(self, request_id: str, retry_after_s: float) -> list[Header]:
--- a/src/pearshed/_internal/platform/names.py
+++ b/src/pearshed/_internal/platform/names.py
@@ -13,6 +13,7 @@
 # Running and waiting requests, and slots; despite its name, not a load factor.
 LOAD = b"pearshed-server-load"
 NOT_EXECUTED = b"pearshed-not-executed"
+LEAVING = b"server-leaving"
 LENGTH_HINT = b"pearshed-length-hint"
 RANK = b"pearshed-request-priority"
 FETCH_FROM = b"kv-fetch"
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -1,5 +1,6 @@
 """A gateway's policies: placement, lanes, retries, log sampling."""
 
+import dataclasses
 import random
 import unittest
 from collections import Counter
@@ -16,6 +17,7 @@
     MIN_REQUESTS,
     LaneAllocator,
 )
+from pearshed._internal.gateway.leaving_endpoints import MAX_RUNS, LeavingEndpoints
 from pearshed._internal.gateway.placement import (
     UNRESPONSIVE_AFTER_S,
     LeastLoadPlacement,
@@ -213,6 +215,46 @@
         self.assertEqual((), table.of_service("fleet"))
 
 
+class LeavingEndpointsTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("same_run", {}, True),
+            ("listed_as_draining", {"state": EndpointState.DRAINING}, True),
+            ("restarted", {"started_at_ms": 5}, False),
+            ("moved", {"address": Address("10.9.9.9", 80)}, False),
+            ("other_at_the_address", {"identity": "i-other"}, False),
+        ]
+    )
+    def test_an_announcement_concerns_one_run(
+        self, _: str, changes: dict[str, Any], leaving: bool
+    ) -> None:
+        endpoints = LeavingEndpoints()
+        self.assertTrue(endpoints.add(entry(1)))
+        self.assertFalse(endpoints.add(entry(1)))
+        self.assertEqual(leaving, endpoints.is_leaving(dataclasses.replace(entry(1), **changes)))
+        self.assertEqual(1, endpoints.announcements)
+
+    def test_the_oldest_runs_are_forgotten(self) -> None:
+        endpoints = LeavingEndpoints()
+        for number in range(MAX_RUNS + 1):
+            endpoints.add(entry(1, started_at_ms=number))
+        self.assertFalse(endpoints.is_leaving(entry(1, started_at_ms=0)))
+        self.assertTrue(endpoints.is_leaving(entry(1, started_at_ms=1)))
+
+    def test_no_listing_brings_a_leaving_run_back(self) -> None:
+        FakeClock(self)
+        table = EndpointTable()
+        table.update({"i-1": entry(1), "i-2": entry(2)})
+        first, second = table.of_service("fleet")
+        first.mark_leaving()
+        self.assertEqual((second,), table.of_service("fleet"))
+        for entries in ({"i-2": entry(2)}, {"i-1": entry(1), "i-2": entry(2)}):
+            table.update(entries)
+            self.assertEqual((second,), table.of_service("fleet"))
+        table.update({"i-1": entry(1, started_at_ms=5), "i-2": entry(2)})
+        self.assertEqual(2, len(table.of_service("fleet")))
+
+
 class LaneAllocatorTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = FakeClock(self)
--- a/tests/lib/gateway_platform.py
+++ b/tests/lib/gateway_platform.py
@@ -121,10 +121,16 @@
         lines = "".join(f"{name}: {value}\r\n" for name, value in all_headers.items() if value)
         self.send(f"HTTP/1.1 {status} Status\r\n{lines}\r\n".encode() + body)
 
-    def begin_stream(self, request: EngineRequest, chunked: bool = True) -> None:
+    def begin_stream(
+        self,
+        request: EngineRequest,
+        chunked: bool = True,
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
         """Send the head of a streamed response.
 
         :param chunked: whether the body is sent in chunks; otherwise it ends with the connection.
+        :param headers: added to the default headers.
         """
         self._chunked = chunked
         self.send_response(
@@ -134,6 +140,7 @@
                 "Content-Length": "",
                 "Transfer-Encoding": "chunked" if chunked else "",
                 "Content-Type": "text/event-stream",
+                **(headers or {}),
             },
         )
 
