Name the framing of an entry's response apart from that of an endpoint's

The entry's class had the name of the enumeration in http.messages, which says how an endpoint framed its response. No behaviour changes; the functional tests of response ends pass.

--- a/src/pearshed/_internal/entry/application.py
+++ b/src/pearshed/_internal/entry/application.py
@@ -23,10 +23,10 @@
 )
 from pearshed._internal.entry.dispatcher import Dispatcher
 from pearshed._internal.entry.http_server import (
-    BODY_FRAMING_KEY,
     READ_DONE_KEY,
+    RESPONSE_FRAMING_KEY,
     SOCKET_KEY,
-    BodyFraming,
+    ResponseFraming,
     caller_disconnected,
 )
 from pearshed._internal.entry.request_log import RequestLog
@@ -87,7 +87,9 @@
         if not is_successful(admitted):
             self._request_log.record_refusal(request, admitted.failure())
             return self._refuse(admitted.failure(), request_id, start_response)
-        return self._serve(request, environ[SOCKET_KEY], environ[BODY_FRAMING_KEY], start_response)
+        return self._serve(
+            request, environ[SOCKET_KEY], environ[RESPONSE_FRAMING_KEY], start_response
+        )
 
     def _read_call(self, environ: dict[str, Any]) -> Result[HttpCall, RequestFailure]:
         limit = self._max_body_bytes
@@ -130,7 +132,7 @@
         self,
         request: RoutedRequest,
         sock: socket.socket,
-        framing: BodyFraming,
+        framing: ResponseFraming,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         sink = ResponseSink()
@@ -184,7 +186,7 @@
         request: RoutedRequest,
         sink: ResponseSink,
         sock: socket.socket,
-        framing: BodyFraming,
+        framing: ResponseFraming,
         dispatch: "concurrent.futures.Future[None]",
         request_log: RequestLog,
         admission: EntryAdmission,
--- a/src/pearshed/_internal/entry/http_server.py
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -23,7 +23,7 @@
 from pearshed._internal.utils.sockets import set_reset_on_close
 
 SOCKET_KEY = "pearshed.socket"
-BODY_FRAMING_KEY = "pearshed.body_framing"
+RESPONSE_FRAMING_KEY = "pearshed.response_framing"
 READ_DONE_KEY = "pearshed.read_done"
 
 _LISTEN_BACKLOG = 1024
@@ -134,7 +134,7 @@
             self.server.read_monitor.finish_read(self.socket)
 
 
-class BodyFraming:
+class ResponseFraming:
     """What marks the end of a response's body: a length or chunks, or the end of its connection.
 
     :param request: whose response has not begun.
@@ -176,7 +176,7 @@
         environ: dict[str, Any] = super().get_environ()  # type: ignore[no-untyped-call]
         sock = self.req.conn.socket
         environ[SOCKET_KEY] = sock
-        environ[BODY_FRAMING_KEY] = BodyFraming(self.req)
+        environ[RESPONSE_FRAMING_KEY] = ResponseFraming(self.req)
         environ[READ_DONE_KEY] = lambda: self.req.server.read_monitor.finish_read(sock)
         return environ
 
