Fail a test whose connection ends early instead of waiting for ever

The test of a killed entry read until the first event and would have looped on an end of input. It asserts on the received bytes now; its check is unchanged and its file passes.

--- a/tests/functional/test_response_ends.py
+++ b/tests/functional/test_response_ends.py
@@ -92,7 +92,9 @@
             caller.sendall(head.encode() + content)
             received = b""
             while b"data: " not in received:
-                received += caller.recv(65536)
+                content = caller.recv(65536)
+                self.assertTrue(content, "the connection ended before the first event")
+                received += content
             entry.kill()
             with self.assertRaises(ConnectionResetError):
                 while caller.recv(65536):
