Log how far failed calls to the store and to other gateways got

Change: failed calls name their phase and the bytes received; configuration.in_force says size and time of decoding; peer.unreachable is logged; pearshed_gateway_store_calls_failed_total counts by phase.

--- a/src/pearshed/_internal/gateway/operator_pages.py
+++ b/src/pearshed/_internal/gateway/operator_pages.py
@@ -113,6 +113,15 @@
             "Time since the store confirmed the configuration",
             min(self._store_cache.age_s, _MAX_AGE_S),
         )
+        yield Metric(
+            "pearshed_gateway_store_calls_failed_total",
+            "Calls to the store without a complete response, by the phase in which they failed",
+            tuple(
+                Sample(count, {"phase": phase})
+                for phase, count in self._store_cache.failed_calls.items()
+            ),
+            counter=True,
+        )
         yield gauge("pearshed_gateway_connections", "Callers connected", len(self._connections))
         yield gauge("pearshed_gateway_gateways", "Gateways in all", self._admission.gateway_count)
         yield counter(
--- a/src/pearshed/_internal/gateway/peer_sync.py
+++ b/src/pearshed/_internal/gateway/peer_sync.py
@@ -149,6 +149,10 @@
         finally:
             client.close()
         if not is_successful(response):
+            logging.info(
+                "peer.unreachable",
+                extra={"fields": {"peer": str(peer), "reason": response.failure()}},
+            )
             return Outcome.UNREACHABLE
         status, raw = response.unwrap()
         if status != _OK:
--- a/src/pearshed/_internal/gateway/store.py
+++ b/src/pearshed/_internal/gateway/store.py
@@ -1,6 +1,7 @@
 """Interface to the platform's store: items by key, and changes since a revision."""
 
 import abc
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from returns.result import Result
@@ -69,6 +70,11 @@
         :returns: the changes; none when ``wait_s`` passed without one.
         """
 
+    @property
+    @abc.abstractmethod
+    def failures(self) -> Mapping[str, int]:
+        """Number of calls without a complete response, by the phase in which they failed."""
+
     @abc.abstractmethod
     def is_configuration(self, key: str) -> bool:
         """Return whether a key is the configuration's."""
--- a/src/pearshed/_internal/gateway/store_cache.py
+++ b/src/pearshed/_internal/gateway/store_cache.py
@@ -122,6 +122,11 @@
         """Whether the last call to the store succeeded."""
         return self._connected
 
+    @property
+    def failed_calls(self) -> Mapping[str, int]:
+        """Number of calls to the store that failed, by phase."""
+        return self._store.failures
+
     @property
     def has_peer_state(self) -> bool:
         """Whether some state came from other processes and the store hasn't confirmed it yet."""
@@ -296,7 +301,9 @@
         if item.value is None:
             _log("configuration.refused", reason="the item was deleted", revision=item.revision)
             return
+        started_at = clock.now()
         decoded = self._decoder.configuration(item.value)
+        decoding_s = clock.now() - started_at
         if not is_successful(decoded):
             _log("configuration.refused", reason=decoded.failure(), revision=item.revision)
             return
@@ -311,6 +318,8 @@
             version=configuration.version,
             before=current.version if current is not None else 0,
             revision=item.revision,
+            bytes=len(item.value),
+            decoding_ms=round(decoding_s * clock.MILLISECONDS_PER_SECOND),
         )
         for callback in self._configuration_callbacks:
             callback(configuration)
--- a/src/pearshed/_internal/http/json_client.py
+++ b/src/pearshed/_internal/http/json_client.py
@@ -1,6 +1,8 @@
 """HTTP client for calls with JSON responses, over one keep-alive connection."""
 
 import asyncio
+import collections
+import enum
 import urllib.parse
 from collections.abc import Mapping, Sequence
 from typing import Any
@@ -23,6 +25,14 @@
 _OK = 200
 
 
+class CallPhase(enum.StrEnum):
+    """Phase of a call, which tells how far a failed one got."""
+
+    CONNECTING = "connecting"
+    WAITING = "waiting"
+    RECEIVING = "receiving"
+
+
 class JsonClient:
     """Makes one call at a time.
 
@@ -35,12 +45,21 @@
         self._connect_timeout_s = connect_timeout_s
         self._connection: EndpointConnection | None = None
         self._calls = 0
+        self._phase = CallPhase.CONNECTING
+        self._received_bytes = 0
+        self._body_bytes: int | None = None
+        self._failures: collections.Counter[str] = collections.Counter()
 
     @property
     def calls(self) -> int:
         """Number of calls made."""
         return self._calls
 
+    @property
+    def failures(self) -> Mapping[str, int]:
+        """Number of failed calls by the phase in which they failed."""
+        return self._failures
+
     async def call(
         self,
         path: str,
@@ -55,13 +74,17 @@
             response with another status than 200 may have no body.
         """
         self._calls += 1
+        self._phase = CallPhase.CONNECTING
+        self._received_bytes = 0
+        self._body_bytes = None
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         try:
             async with asyncio.timeout(self._connect_timeout_s + timeout_s):
                 status, body = await self._exchange(target, headers)
         except (OSError, TimeoutError) as error:
             self.close()
-            return Failure(f"{path}: {error or 'no response in time'}")
+            self._failures[self._phase.value] += 1
+            return Failure(f"{path}: {str(error) or 'timed out'} {self._describe_progress()}")
         except asyncio.CancelledError:
             self.close()
             raise
@@ -85,6 +108,7 @@
         if self._connection is None or not self._connection.usable:
             self._connection = await connect(self._address, self._connect_timeout_s)
         connection = self._connection
+        self._phase = CallPhase.WAITING
         request = messages.encode_head(
             b"GET %s HTTP/1.1" % target.encode("ascii"),
             ((b"host", str(self._address).encode()), *headers),
@@ -96,10 +120,24 @@
             event = await connection.next_event()
             if isinstance(event, ResponseHead):
                 status = event.status
+                self._phase = CallPhase.RECEIVING
+                self._body_bytes = _content_length(event)
             elif isinstance(event, ResponseEnd):
                 connection.finish()
                 if event.kind not in (EndKind.COMPLETE, EndKind.CLOSED):
                     raise OSError(event.reason)
                 return status, b"".join(body)
             else:
+                self._received_bytes += len(event)
                 body.append(event)
+
+    def _describe_progress(self) -> str:
+        if self._phase is CallPhase.RECEIVING:
+            size = "unknown" if self._body_bytes is None else self._body_bytes
+            return f"after {self._received_bytes} of {size} bytes"
+        return f"while {self._phase}"
+
+
+def _content_length(head: ResponseHead) -> int | None:
+    value = messages.header_value(head.headers, b"content-length")
+    return int(value) if value is not None and value.isdigit() else None
--- a/src/pearshed/_internal/platform/store_client.py
+++ b/src/pearshed/_internal/platform/store_client.py
@@ -41,6 +41,11 @@
         """Number of calls made; a watch counts as one."""
         return self._client.calls
 
+    @property
+    def failures(self) -> Mapping[str, int]:
+        """Number of calls without a complete response, by the phase in which they failed."""
+        return self._client.failures
+
     async def read_configuration(self) -> StoreResult:
         """Read the operator's configuration."""
         response = await self._call(names.ITEM_PATH, {"key": names.CONFIGURATION_KEY})
