--- a/tests/lib/fault_proxy.py
+++ b/tests/lib/fault_proxy.py
@@ -3,6 +3,11 @@
 import contextlib
 import socket
 import threading
+import time
+
+_MAX_PIECE_BYTES = 65536
+#: Interval between pieces of a rate-limited direction, seconds.
+_PIECE_INTERVAL_S = 0.05
 
 
 class FaultProxy:
@@ -10,10 +15,13 @@
 
     A silenced connection stays open but drops all data, while new ones work: as when a device
     between the two ends has lost its connection state.
+
+    :param bytes_per_s: rate at which data of one direction is forwarded; 0 for no limit.
     """
 
-    def __init__(self, target_port: int) -> None:
+    def __init__(self, target_port: int, bytes_per_s: int = 0) -> None:
         self._target_port = target_port
+        self._bytes_per_s = bytes_per_s
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self._pairs: list[tuple[socket.socket, socket.socket]] = []
         self._silenced: set[socket.socket] = set()
@@ -61,9 +69,12 @@
                 threading.Thread(target=self._forward, args=(sender, receiver), daemon=True).start()
 
     def _forward(self, sender: socket.socket, receiver: socket.socket) -> None:
+        piece_bytes = int(self._bytes_per_s * _PIECE_INTERVAL_S) or _MAX_PIECE_BYTES
         with contextlib.suppress(OSError):
-            while content := sender.recv(65536):
+            while content := sender.recv(piece_bytes):
                 if sender not in self._silenced:
                     receiver.sendall(content)
+                if self._bytes_per_s:
+                    time.sleep(_PIECE_INTERVAL_S)
             if sender not in self._silenced:
                 receiver.shutdown(socket.SHUT_RDWR)
--- a/tests/lib/gateway_store.py
+++ b/tests/lib/gateway_store.py
@@ -10,6 +10,9 @@
 
 from pearshed._internal.utils.addresses import Address
 
+#: Interval between pieces of a rate-limited response, seconds.
+_PIECE_INTERVAL_S = 0.05
+
 
 @dataclass
 class _Item:
@@ -24,6 +27,8 @@
     :ivar refuse_with: error status of every response; 0 to serve requests.
     :ivar refuse_every: n, if every n-th call gets a 429; 0 for none.
     :ivar hang: requests get no response while it is set.
+    :ivar bytes_per_s: rate at which responses are sent; 0 for no limit.
+    :ivar stall_after_bytes: bytes of a response after which no more follow; 0 for all of them.
     :ivar page_size: maximum number of items in a range response.
     :ivar calls: targets of all requests.
     """
@@ -31,6 +36,8 @@
     refuse_with: int = 0
     refuse_every: int = 0
     hang: bool = False
+    bytes_per_s: int = 0
+    stall_after_bytes: int = 0
     page_size: int = 2
     calls: list[str] = field(default_factory=list)
 
@@ -95,8 +102,9 @@
                 status, document = await self._respond(target)
                 body = json.dumps(document).encode()
                 writer.write(
-                    b"HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body
+                    b"HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n" % (status, len(body))
                 )
+                await self._send_body(writer, body)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         except asyncio.CancelledError:
@@ -105,6 +113,18 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def _send_body(self, writer: asyncio.StreamWriter, body: bytes) -> None:
+        if self.stall_after_bytes and len(body) > self.stall_after_bytes:
+            writer.write(body[: self.stall_after_bytes])
+            await asyncio.Event().wait()
+        while self.bytes_per_s and body:
+            piece_bytes = max(1, int(self.bytes_per_s * _PIECE_INTERVAL_S))
+            writer.write(body[:piece_bytes])
+            body = body[piece_bytes:]
+            await writer.drain()
+            await asyncio.sleep(_PIECE_INTERVAL_S)
+        writer.write(body)
+
     async def _respond(self, target: str) -> tuple[int, dict[str, Any]]:
         if self.refuse_with:
             return self.refuse_with, {"error": "rejected"}
