Give up transfers that stall, not those that take long

What callers saw: at gateways behind slow links all requests with keys got 503 for as long as the output goes, those of urgent kinds too, while less urgent ones ran through other gateways (TIER).

Cause: a call to the store or to another gateway had one time limit for all of it: 0.9 s for a read, 2.4 s for a watch, 0.3 s for an answer of a gateway. A configuration of 1.1 MB takes 1.8 s and more at the 0.6 MB a second of these links. What exceeded the limit was dropped and asked for again from its first byte, three times over, so the link stayed full and nothing confirmed the keys. State from another gateway made it worse, as the configuration was then read again.

Change: the limit of a call holds for the start of its response; after that it is given up when it stalls for 1.5 s or takes 30 s. Where transfers of the configuration are slow, watches are shorter, so that two waits and a transfer take at most 4 s, and a slow transfer is followed by a watch that confirms at once. After state from another gateway only the entries are read again; the next watch covers the configuration. Gateways send each other configurations compressed if the asking one says that it can read that; older builds get them as before.

Ruled out: the store turning gateways away (its figures, and the logs), decoding (logs).

--- a/src/pearshed/_internal/gateway/peer_messages.py
+++ b/src/pearshed/_internal/gateway/peer_messages.py
@@ -2,7 +2,9 @@
 
 import base64
 import binascii
+import dataclasses
 import urllib.parse
+import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -14,6 +16,10 @@
 from pearshed._internal.gateway.store_cache import StoreUpdate
 from pearshed._internal.timers import clock
 
+#: Level of compression: the fastest, since it blocks the event loop.
+_COMPRESSION_LEVEL = 1
+#: Larger configurations are refused when they are decompressed, bytes.
+_MAX_CONFIGURATION_BYTES = 32 * 1024 * 1024
 #: Longest age that is sent, seconds: about a year.
 _MAX_AGE_S = 3e7
 
@@ -23,11 +29,13 @@
     """A request for newer state, with the state that the requesting gateway has.
 
     :ivar confirmed_ago_s: age of that state, seconds; infinite without any.
+    :ivar accepts_compressed: whether it can read a compressed configuration; older builds can't.
     """
 
     version: int
     endpoints_digest: str
     confirmed_ago_s: float
+    accepts_compressed: bool = True
 
     def query(self) -> Mapping[str, str]:
         """Encode the request as a query."""
@@ -36,6 +44,7 @@
             "version": str(self.version),
             "endpoints": self.endpoints_digest,
             "confirmed_ago_ms": str(int(age_ms)),
+            "compressed": "1" if self.accepts_compressed else "0",
         }
 
 
@@ -51,12 +60,22 @@
     except (KeyError, ValueError) as error:
         return Failure(f"the question is malformed: {error}")
     age_s = age_ms / clock.MILLISECONDS_PER_SECOND
-    return Success(SyncRequest(version, fields.get("endpoints", ""), age_s))
+    return Success(
+        SyncRequest(version, fields.get("endpoints", ""), age_s, fields.get("compressed") == "1")
+    )
+
+
+def compress_configuration(item: StoreItem) -> StoreItem:
+    """Compress the value of a configuration's item: routes are alike, and links may be slow."""
+    return dataclasses.replace(item, value=zlib.compress(item.value or b"", _COMPRESSION_LEVEL))
 
 
-def encode_update(update: StoreUpdate) -> bytes:
-    """Encode an update as JSON."""
-    configuration = update.configuration
+def encode_update(update: StoreUpdate, compressed: StoreItem | None = None) -> bytes:
+    """Encode an update as JSON.
+
+    :param compressed: the update's configuration, compressed; ``None`` to send it as it is.
+    """
+    configuration = update.configuration if compressed is None else None
     return orjson.dumps(
         {
             "revision": update.revision,
@@ -64,6 +83,7 @@
             # Rounded up: an age must not shrink in transit.
             "confirmed_ago_ms": int(update.confirmed_ago_s * clock.MILLISECONDS_PER_SECOND) + 1,
             "configuration": _encode_item(configuration) if configuration is not None else None,
+            "compressed_configuration": _encode_item(compressed) if compressed else None,
             "endpoints": (
                 [_encode_item(item) for item in update.endpoints]
                 if update.endpoints is not None
@@ -80,12 +100,17 @@
     """
     try:
         configuration, endpoints = raw["configuration"], raw["endpoints"]
+        compressed = raw.get("compressed_configuration")
         return Success(
             StoreUpdate(
                 int(raw["revision"]),
                 int(raw["version"]),
                 int(raw["confirmed_ago_ms"]) / clock.MILLISECONDS_PER_SECOND,
-                _decode_item(configuration) if configuration is not None else None,
+                (
+                    _decompress(_decode_item(compressed))
+                    if compressed is not None
+                    else _decode_item(configuration) if configuration is not None else None
+                ),
                 (
                     tuple(_decode_item(entry) for entry in endpoints)
                     if endpoints is not None
@@ -93,10 +118,22 @@
                 ),
             )
         )
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+    except (KeyError, TypeError, ValueError, binascii.Error, zlib.error) as error:
         return Failure(f"{type(error).__name__}: {error}")
 
 
+def _decompress(item: StoreItem) -> StoreItem:
+    """Decompress a configuration.
+
+    :raises ValueError: when it is incomplete or too large.
+    """
+    decompressor = zlib.decompressobj()
+    value = decompressor.decompress(item.value or b"", _MAX_CONFIGURATION_BYTES)
+    if not decompressor.eof:
+        raise ValueError("the compressed configuration is incomplete or too large")
+    return dataclasses.replace(item, value=value)
+
+
 def _encode_item(item: StoreItem) -> list[object]:
     return [item.key, item.revision, base64.b64encode(item.value or b"").decode()]
 
--- a/src/pearshed/_internal/gateway/peer_sync.py
+++ b/src/pearshed/_internal/gateway/peer_sync.py
@@ -19,10 +19,12 @@
 from pearshed._internal.gateway.peer_directory import PeerDirectory
 from pearshed._internal.gateway.peer_messages import (
     SyncRequest,
+    compress_configuration,
     decode_request,
     decode_update,
     encode_update,
 )
+from pearshed._internal.gateway.store import StoreItem
 from pearshed._internal.gateway.store_cache import WATCH_WAIT_S, StoreCache
 from pearshed._internal.http.json_client import JsonClient
 from pearshed._internal.telemetry.metrics import Metric, Sample
@@ -42,7 +44,7 @@
 MAX_ROUND_DELAY_S = 1.0
 #: Peers asked in one round.
 PEERS_PER_ROUND = 3
-#: Peers are some milliseconds away; one that is partitioned doesn't respond.
+#: Peers start to respond within milliseconds; one that is partitioned doesn't respond.
 RESPONSE_TIMEOUT_S = 0.3
 _OK = 200
 _NOTHING_NEWER = 204
@@ -71,6 +73,7 @@
         self._next_round_at = float("-inf")
         self._round_task: asyncio.Task[None] | None = None
         self._outcomes: collections.Counter[Outcome] = collections.Counter()
+        self._compressed: StoreItem | None = None
 
     @property
     def requests(self) -> int:
@@ -98,7 +101,15 @@
         update = self._store_cache.build_update(request.version, request.endpoints_digest)
         if update is None or update.confirmed_ago_s >= request.confirmed_ago_s:
             return _NOTHING_NEWER, b""
-        return _OK, encode_update(update)
+        if update.configuration is None or not request.accepts_compressed:
+            return _OK, encode_update(update)
+        return _OK, encode_update(update, self._compress(update.configuration))
+
+    def _compress(self, configuration: StoreItem) -> StoreItem:
+        """Compress a configuration once for all peers that ask for it."""
+        if self._compressed is None or self._compressed.revision != configuration.revision:
+            self._compressed = compress_configuration(configuration)
+        return self._compressed
 
     def close(self) -> None:
         """Cancel a running round."""
--- a/src/pearshed/_internal/gateway/store.py
+++ b/src/pearshed/_internal/gateway/store.py
@@ -27,12 +27,14 @@
     :ivar revision: revision of the whole store that the response covers.
     :ivar requested_at: clock reading when the request was sent: the response is no older.
     :ivar next_page_key: key after which more items follow; empty when all that match were read.
+    :ivar transfer_s: time from the response's head to its end, seconds.
     """
 
     items: tuple[StoreItem, ...]
     revision: int
     requested_at: float
     next_page_key: str = ""
+    transfer_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pearshed/_internal/gateway/store_cache.py
+++ b/src/pearshed/_internal/gateway/store_cache.py
@@ -23,6 +23,15 @@
 #: Wait of one watch, seconds. Each response confirms the configuration as of its request; when one
 #: is lost, there is still time to ask other gateways (``peer_sync``).
 WATCH_WAIT_S = 1.5
+#: Shortest wait of a watch for changes, where transfers of the configuration are slow, seconds.
+MIN_WATCH_WAIT_S = 0.4
+#: Wait of a watch that is to confirm the state at once, seconds.
+CONFIRMING_WAIT_S = 0.01
+#: Age that the state should not exceed while a changed configuration is received, seconds. API
+#: keys are trusted a little longer.
+MAX_AGE_IN_TRANSFER_S = 4.0
+#: Age in excess of a watch's wait from which the state is confirmed at once, seconds.
+MAX_CONFIRMATION_LAG_S = 0.3
 #: Delay after a response with changes: changes come in bursts, and each would end the next watch at
 #: once. Changes must be known within seconds, and calls are billed.
 CHANGES_DELAY_S = 0.25
@@ -73,7 +82,11 @@
 
     Versions of the configuration only rise. A deleted entry means that its endpoint has left; an
     entry that expired in an outage of the store gets a grace period to come back. While the store
-    can't be reached, updates from other processes replace it; afterwards everything is read again.
+    can't be reached, updates from other processes replace it; afterwards the entries are read
+    again.
+
+    A large configuration takes seconds over a slow link, in which nothing else confirms the state.
+    So where it is slow, watches are shorter, and a confirmation follows each slow transfer.
     """
 
     def __init__(self, store: Store, decoder: DocumentDecoder, rng: random.Random) -> None:
@@ -92,8 +105,10 @@
         self._last_response_at = clock.now()
         self._grace_until = float("-inf")
         self._connected = False
-        self._has_peer_state = False
+        self._has_peer_configuration = False
+        self._has_peer_endpoints = False
         self._last_watch_had_changes = False
+        self._configuration_transfer_s = 0.0
         self._configuration_callbacks: list[Callable[[RoutingConfiguration], None]] = []
         self._endpoint_callbacks: list[Callable[[Mapping[str, EndpointEntry]], None]] = []
 
@@ -130,7 +145,7 @@
     @property
     def has_peer_state(self) -> bool:
         """Whether some state came from other processes and the store hasn't confirmed it yet."""
-        return self._has_peer_state
+        return self._has_peer_configuration or self._has_peer_endpoints
 
     @property
     def endpoints_digest(self) -> str:
@@ -154,8 +169,7 @@
         """Follow the store until cancelled."""
         backoff = Backoff(INITIAL_RETRY_DELAY_S, MAX_RETRY_DELAY_S, self._rng)
         while True:
-            can_watch = self._revision and not self._has_peer_state
-            failure = await (self._watch() if can_watch else self._read_all())
+            failure = await self._read_next()
             if failure is None:
                 backoff.reset()
                 if self._last_watch_had_changes:
@@ -166,6 +180,13 @@
             self._record_failure(failure)
             await asyncio.sleep(backoff.next_delay())
 
+    async def _read_next(self) -> StoreFailure | None:
+        if not self._revision or self._configuration is None:
+            return await self._read_all()
+        if self._has_peer_endpoints:
+            return await self._read_endpoints_again()
+        return await self._watch()
+
     def drop_expired(self) -> None:
         """Drop entries that did not come back within the grace period."""
         now = clock.now()
@@ -214,7 +235,8 @@
             self._replace_endpoints(update.endpoints)
         self._revision = max(self._revision, update.revision)
         self._confirmed_at = confirmed_at
-        self._has_peer_state = True
+        self._has_peer_configuration = True
+        self._has_peer_endpoints = True
         return True
 
     async def _read_all(self) -> StoreFailure | None:
@@ -230,11 +252,25 @@
             self._apply_configuration(item)
         self._replace_endpoints(entries.items)
         self._revision = min(configuration.revision, entries.revision)
-        self._has_peer_state = False
+        self._has_peer_configuration = False
+        self._has_peer_endpoints = False
         self._last_watch_had_changes = False
+        self._record_transfer(configuration)
         self._confirm(configuration)
         return None
 
+    async def _read_endpoints_again(self) -> StoreFailure | None:
+        """Replace the entries of another process; the next watch confirms its configuration."""
+        entries = await self._read_endpoints()
+        if isinstance(entries, StoreFailure):
+            return entries
+        self._record_response()
+        self._replace_endpoints(entries.items)
+        self._revision = min(self._revision, entries.revision)
+        self._has_peer_endpoints = False
+        self._last_watch_had_changes = False
+        return None
+
     async def _read_endpoints(self) -> StoreResponse | StoreFailure:
         """Read the entries of all endpoints, page by page.
 
@@ -261,7 +297,7 @@
         return StoreResponse(items, pages[0].revision, pages[0].requested_at)
 
     async def _watch(self) -> StoreFailure | None:
-        result = await self._store.watch(self._revision, WATCH_WAIT_S)
+        result = await self._store.watch(self._revision, self._watch_wait_s())
         if not is_successful(result):
             return result.failure()
         response = result.unwrap()
@@ -270,15 +306,26 @@
         changed = False
         for item in response.items:
             if self._store.is_configuration(item.key):
+                self._record_transfer(response)
                 self._apply_configuration(item)
             elif self._store.endpoint_identity(item.key):
                 changed = self._apply_endpoint(item) or changed
         if changed:
             self._notify_endpoints()
         self._revision = max(self._revision, response.revision)
+        self._has_peer_configuration = False
         self._confirm(response)
         return None
 
+    def _watch_wait_s(self) -> float:
+        """Return the wait for changes that leaves time to receive a changed configuration."""
+        wait_s = (MAX_AGE_IN_TRANSFER_S - self._configuration_transfer_s) / 2.0
+        wait_s = min(WATCH_WAIT_S, max(MIN_WATCH_WAIT_S, wait_s))
+        return CONFIRMING_WAIT_S if self.age_s > wait_s + MAX_CONFIRMATION_LAG_S else wait_s
+
+    def _record_transfer(self, response: StoreResponse) -> None:
+        self._configuration_transfer_s = response.transfer_s
+
     def _confirm(self, response: StoreResponse) -> None:
         if self._configuration is not None:
             self._confirmed_at = max(self._confirmed_at, response.requested_at)
--- a/src/pearshed/_internal/http/json_client.py
+++ b/src/pearshed/_internal/http/json_client.py
@@ -22,6 +22,10 @@
 
 #: All servers are one network hop away.
 CONNECT_TIMEOUT_S = 0.8
+#: Longest pause within a response. How long all of it takes depends on its size and on the link.
+STALL_TIMEOUT_S = 1.5
+#: Longest time from the head of a response to its end.
+MAX_TRANSFER_S = 30.0
 _OK = 200
 
 
@@ -48,6 +52,7 @@
         self._phase = CallPhase.CONNECTING
         self._received_bytes = 0
         self._body_bytes: int | None = None
+        self._transfer_s = 0.0
         self._failures: collections.Counter[str] = collections.Counter()
 
     @property
@@ -60,6 +65,11 @@
         """Number of failed calls by the phase in which they failed."""
         return self._failures
 
+    @property
+    def transfer_s(self) -> float:
+        """Time from the head of the last response to its end, seconds."""
+        return self._transfer_s
+
     async def call(
         self,
         path: str,
@@ -69,7 +79,8 @@
     ) -> Result[tuple[int, Mapping[str, Any]], str]:
         """Send a GET request and decode the response.
 
-        :param timeout_s: timeout for the response, in addition to opening a connection, seconds.
+        :param timeout_s: timeout for the start of the response, in addition to opening a
+            connection, seconds.
         :returns: status and body, or an error message; a failed connection is closed. Only a
             response with another status than 200 may have no body.
         """
@@ -79,8 +90,8 @@
         self._body_bytes = None
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         try:
-            async with asyncio.timeout(self._connect_timeout_s + timeout_s):
-                status, body = await self._exchange(target, headers)
+            async with asyncio.timeout(self._connect_timeout_s + timeout_s) as timeout:
+                status, body = await self._exchange(target, headers, timeout)
         except (OSError, TimeoutError) as error:
             self.close()
             self._failures[self._phase.value] += 1
@@ -104,7 +115,9 @@
             self._connection.abort()
             self._connection = None
 
-    async def _exchange(self, target: str, headers: Sequence[Header]) -> tuple[int, bytes]:
+    async def _exchange(
+        self, target: str, headers: Sequence[Header], timeout: asyncio.Timeout
+    ) -> tuple[int, bytes]:
         if self._connection is None or not self._connection.usable:
             self._connection = await connect(self._address, self._connect_timeout_s)
         connection = self._connection
@@ -114,22 +127,28 @@
             ((b"host", str(self._address).encode()), *headers),
         )
         connection.send(request, lambda _: True)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         status = 0
         body: list[bytes] = []
         while True:
             event = await connection.next_event()
+            now = loop.time()
             if isinstance(event, ResponseHead):
+                started_at = now
                 status = event.status
                 self._phase = CallPhase.RECEIVING
                 self._body_bytes = _content_length(event)
             elif isinstance(event, ResponseEnd):
                 connection.finish()
+                self._transfer_s = now - started_at
                 if event.kind not in (EndKind.COMPLETE, EndKind.CLOSED):
                     raise OSError(event.reason)
                 return status, b"".join(body)
             else:
                 self._received_bytes += len(event)
                 body.append(event)
+            timeout.reschedule(min(now + STALL_TIMEOUT_S, started_at + MAX_TRANSFER_S))
 
     def _describe_progress(self) -> str:
         if self._phase is CallPhase.RECEIVING:
--- a/src/pearshed/_internal/platform/store_client.py
+++ b/src/pearshed/_internal/platform/store_client.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from returns.pipeline import is_successful
@@ -20,13 +21,26 @@
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
 
-#: Timeout beyond the requested wait: responses may take 100 times their usual 4 ms.
+#: Timeout of a response's start beyond the requested wait: it may take 100 times its usual 4 ms.
 RESPONSE_TIMEOUT_S = 0.9
 _GONE = 410
 _OK = 200
 _NOT_FOUND = 404
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """A response of the store.
+
+    :ivar transfer_s: time from its head to its end, seconds.
+    """
+
+    status: int
+    raw: Mapping[str, Any]
+    requested_at: float
+    transfer_s: float
+
+
 class PlatformStore(Store):
     """Client of the platform's store.
 
@@ -48,12 +62,11 @@
 
     async def read_configuration(self) -> StoreResult:
         """Read the operator's configuration."""
-        response = await self._call(names.ITEM_PATH, {"key": names.CONFIGURATION_KEY})
-        if isinstance(response, StoreFailure):
-            return Failure(response)
-        status, raw, requested_at = response
-        items = (_parse_item(raw),) if status == _OK else ()
-        return _build_response(items, raw, requested_at)
+        reply = await self._call(names.ITEM_PATH, {"key": names.CONFIGURATION_KEY})
+        if isinstance(reply, StoreFailure):
+            return Failure(reply)
+        items = (_parse_item(reply.raw),) if reply.status == _OK else ()
+        return _build_response(items, reply)
 
     async def read_endpoints(self, after: str) -> StoreResult:
         """Read one page of the entries of endpoints."""
@@ -61,30 +74,28 @@
         if after:
             # Despite its name, this parameter takes a key here, not a revision.
             query["sinceRev"] = after
-        response = await self._call(names.RANGE_PATH, query)
-        if isinstance(response, StoreFailure):
-            return Failure(response)
-        _, raw, requested_at = response
-        page = raw.get("items")
+        reply = await self._call(names.RANGE_PATH, query)
+        if isinstance(reply, StoreFailure):
+            return Failure(reply)
+        page = reply.raw.get("items")
         if not isinstance(page, list):
             return Failure(StoreFailure("the page of entries has no list of items"))
         last_key = page[-1].get("key") if page and isinstance(page[-1], dict) else None
-        more = raw.get("truncated") is True and isinstance(last_key, str)
+        more = reply.raw.get("truncated") is True and isinstance(last_key, str)
         items = tuple(_parse_item(entry) for entry in page)
-        return _build_response(items, raw, requested_at, str(last_key) if more else "")
+        return _build_response(items, reply, str(last_key) if more else "")
 
     async def watch(self, after: int, wait_s: float) -> StoreResult:
         """Wait for changes after a revision, of any key."""
         wait_ms = int(wait_s * clock.MILLISECONDS_PER_SECOND)
         query = {"pathPrefix": "", "sinceRev": str(after), "waitMs": str(wait_ms)}
-        response = await self._call(names.WATCH_PATH, query, wait_s)
-        if isinstance(response, StoreFailure):
-            return Failure(response)
-        _, raw, requested_at = response
-        events = raw.get("events")
+        reply = await self._call(names.WATCH_PATH, query, wait_s)
+        if isinstance(reply, StoreFailure):
+            return Failure(reply)
+        events = reply.raw.get("events")
         if not isinstance(events, list):
             return Failure(StoreFailure("the response to the watch has no list of events"))
-        return _build_response(tuple(_parse_item(event) for event in events), raw, requested_at)
+        return _build_response(tuple(_parse_item(event) for event in events), reply)
 
     def is_configuration(self, key: str) -> bool:
         """Return whether a key is the configuration's."""
@@ -102,7 +113,7 @@
 
     async def _call(
         self, path: str, query: Mapping[str, str], wait_s: float = 0.0
-    ) -> tuple[int, Mapping[str, Any], float] | StoreFailure:
+    ) -> _Reply | StoreFailure:
         requested_at = clock.now()
         response = await self._client.call(path, query, wait_s + RESPONSE_TIMEOUT_S)
         if not is_successful(response):
@@ -114,20 +125,19 @@
             )
         if status not in (_OK, _NOT_FOUND):
             return StoreFailure(f"{path} answered status {status}")
-        return status, raw, requested_at
+        return _Reply(status, raw, requested_at, self._client.transfer_s)
 
 
 def _build_response(
-    items: tuple[StoreItem | None, ...],
-    raw: Mapping[str, Any],
-    requested_at: float,
-    next_page_key: str = "",
+    items: tuple[StoreItem | None, ...], reply: _Reply, next_page_key: str = ""
 ) -> StoreResult:
-    revision = raw.get("storeRevision")
+    revision = reply.raw.get("storeRevision")
     if not isinstance(revision, int):
         return Failure(StoreFailure("the response has no store revision"))
     valid_items = tuple(item for item in items if item is not None)
-    return Success(StoreResponse(valid_items, revision, requested_at, next_page_key))
+    return Success(
+        StoreResponse(valid_items, revision, reply.requested_at, next_page_key, reply.transfer_s)
+    )
 
 
 def _parse_item(raw: Any) -> StoreItem | None:
--- a/tests/gateway/test_peer_sync.py
+++ b/tests/gateway/test_peer_sync.py
@@ -1,16 +1,24 @@
 """Gateways that the store rejects get its state, and the state's age, from other gateways."""
 
 import asyncio
+import dataclasses
 import json
 import random
 import unittest
 
 from parameterized import parameterized
+from returns.pipeline import is_successful
 
 from pearshed._internal.gateway.peer_directory import MAX_PEERS, PeerDirectory
+from pearshed._internal.gateway.peer_messages import (
+    compress_configuration,
+    decode_update,
+    encode_update,
+)
 from pearshed._internal.gateway.peer_sync import PeerSync
 from pearshed._internal.gateway.process import GatewayProcess
-from pearshed._internal.gateway.store_cache import StoreCache
+from pearshed._internal.gateway.store import StoreItem
+from pearshed._internal.gateway.store_cache import StoreCache, StoreUpdate
 from pearshed._internal.platform.documents import PlatformDocuments
 from pearshed._internal.platform.store_client import PlatformStore
 from pearshed._internal.utils.addresses import Address
@@ -177,6 +185,29 @@
         sent = json.loads(body)["configuration"] if body else None
         self.assertEqual(with_configuration, sent is not None)
 
+    @parameterized.expand([("older_build", "", False), ("this_build", "&compressed=1", True)])
+    async def test_a_configuration_is_compressed_for_those_that_can_read_it(
+        self, _: str, flag: str, compressed: bool
+    ) -> None:
+        await self.read_store()
+        query = f"version=1&endpoints=&confirmed_ago_ms=9000000{flag}"
+        raw = json.loads(self.sync.respond(f"/peer-news?{query}")[1])
+        self.assertEqual(compressed, raw["configuration"] is None)
+        update = decode_update(raw).unwrap()
+        assert update.configuration is not None
+        assert update.configuration.value is not None
+        self.assertEqual(configuration(5), json.loads(update.configuration.value))
+
+    @parameterized.expand([("cut", slice(0, -4)), ("no_data", slice(0, 0))])
+    async def test_an_incomplete_compressed_configuration_is_refused(
+        self, _: str, part: slice
+    ) -> None:
+        item = compress_configuration(StoreItem("op/config", 3, b"{}" * 100))
+        damaged = dataclasses.replace(item, value=(item.value or b"")[part])
+        update = StoreUpdate(3, 5, 0.0, None, None)
+        raw = json.loads(encode_update(update, damaged))
+        self.assertFalse(is_successful(decode_update(raw)))
+
     async def test_nothing_is_sent_before_the_first_configuration(self) -> None:
         query = "version=0&endpoints=&confirmed_ago_ms=9000000"
         self.assertEqual(204, self.sync.respond(f"/peer-news?{query}")[0])
--- a/tests/gateway/test_store_cache.py
+++ b/tests/gateway/test_store_cache.py
@@ -1,15 +1,27 @@
 """The cached state of the store while the store fails in various ways."""
 
 import asyncio
+import json
 import random
 import unittest
+from collections.abc import Mapping
 from typing import Any
 
 from parameterized import parameterized
-
-from pearshed._internal.gateway.store_cache import EXPIRY_GRACE_S, StoreCache
+from returns.result import Success
+
+from pearshed._internal.gateway.store import Store, StoreItem, StoreResponse, StoreResult
+from pearshed._internal.gateway.store_cache import (
+    CONFIRMING_WAIT_S,
+    EXPIRY_GRACE_S,
+    MIN_WATCH_WAIT_S,
+    WATCH_WAIT_S,
+    StoreCache,
+)
 from pearshed._internal.platform.documents import PlatformDocuments
 from pearshed._internal.platform.store_client import PlatformStore
+from pearshed._internal.timers import clock
+from tests.lib.fakes import FakeClock
 from tests.lib.gateway_fixture import until
 from tests.lib.gateway_platform import configuration
 from tests.lib.gateway_store import StoreStandIn
@@ -134,6 +146,66 @@
         self.assertGreater(self.store_cache.age_s, first)
 
 
+class ScriptedStore(Store):
+    """Responds once with a configuration; watches wait for ever."""
+
+    def __init__(self, transfer_s: float, age_s: float) -> None:
+        self.waits_s: list[float] = []
+        self._transfer_s = transfer_s
+        self._age_s = age_s
+
+    @property
+    def failures(self) -> Mapping[str, int]:
+        return {}
+
+    async def read_configuration(self) -> StoreResult:
+        item = StoreItem("op/config", 1, json.dumps(configuration(1)).encode())
+        requested_at = clock.now() - self._age_s
+        return Success(StoreResponse((item,), 1, requested_at, "", self._transfer_s))
+
+    async def read_endpoints(self, after: str) -> StoreResult:
+        return Success(StoreResponse((), 1, clock.now()))
+
+    async def watch(self, after: int, wait_s: float) -> StoreResult:
+        self.waits_s.append(wait_s)
+        await asyncio.Event().wait()
+        raise AssertionError("unreachable")
+
+    def is_configuration(self, key: str) -> bool:
+        return True
+
+    def endpoint_identity(self, key: str) -> str:
+        return ""
+
+    def close(self) -> None:
+        pass
+
+
+class WatchWaitTest(unittest.IsolatedAsyncioTestCase):
+    @parameterized.expand(
+        [
+            ("fast_link", 0.1, 0.1, WATCH_WAIT_S),
+            # Two waits and a transfer take no longer than MAX_AGE_IN_TRANSFER_S.
+            ("slow_link", 1.8, 0.0, 1.1),
+            ("slower_link", 2.6, 0.0, 0.7),
+            ("slowest_link", 9.0, 0.0, MIN_WATCH_WAIT_S),
+            ("after_a_slow_transfer", 1.8, 1.8, CONFIRMING_WAIT_S),
+            ("after_an_outage", 0.1, 4.0, CONFIRMING_WAIT_S),
+        ]
+    )
+    async def test_watches_leave_time_for_slow_transfers(
+        self, _: str, transfer_s: float, age_s: float, wait_s: float
+    ) -> None:
+        FakeClock(self)
+        store = ScriptedStore(transfer_s, age_s)
+        cache = StoreCache(store, PlatformDocuments(), random.Random(1))
+        task = asyncio.get_running_loop().create_task(cache.run())
+        await until(lambda: bool(store.waits_s))
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertAlmostEqual(wait_s, store.waits_s[0])
+
+
 async def _stop_cache(task: "asyncio.Task[None]", client: PlatformStore) -> None:
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
