Log the prompt parts of unanswered requests

Change: request.attempt of what wasn't answered has parts and generating_ms, engine.lost of a side has the number of admitted requests. No decision changes.

Conclusion: a common part, repeats, or neither can now be read from the lines of one crash.

--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -193,7 +193,8 @@
                 reachable = is_successful(report)
                 reason = "" if reachable else report.failure()
                 event = "engine.reached" if reachable else "engine.lost"
-                logging.info(event, extra={"fields": {"reason": reason}})
+                fields = {"reason": reason, "admitted": self._queue.granted_count}
+                logging.info(event, extra={"fields": fields})
             await asyncio.sleep(REPORT_INTERVAL_S if reachable else _RETRY_INTERVAL_S)
 
     async def _poll_cache_updates(self) -> None:
--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -66,6 +66,12 @@
         self._framing: BodyFraming | None = None
         self._body_bytes = 0
         self._unfinished_event_bytes = 0
+        self._first_event_at: float | None = None
+
+    @property
+    def generating_s(self) -> float:
+        """Time since the first event of the response, seconds; 0 before it."""
+        return clock.now() - self._first_event_at if self._first_event_at is not None else 0.0
 
     @property
     def framing(self) -> BodyFraming | None:
@@ -217,6 +223,7 @@
             for event in buffer.feed(chunk):
                 if not prefilled:
                     prefilled = True
+                    self._first_event_at = now
                     self._endpoint.mark_prefilled(self._request_handle)
                     self._on_prefilled()
                 if not self._writer.started:
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -354,6 +354,14 @@
         if isinstance(outcome, Answered):
             self._metrics.record_response(call, outcome.status)
         endpoint = decision.endpoint
+        unanswered_fields = (
+            {}
+            if isinstance(outcome, Answered)
+            else {
+                "parts": ",".join(call.shared_parts),
+                "generating_ms": _milliseconds(attempt.generating_s),
+            }
+        )
         self._request_logger.write(
             "request.attempt",
             call.request_id,
@@ -375,6 +383,7 @@
             failure_share=round(endpoint.failure_share, 2),
             elapsed_ms=_elapsed_ms(call),
             routed_by_version=call.version,
+            **unanswered_fields,
         )
 
 
--- a/src/pearshed/_internal/gateway/routed_call.py
+++ b/src/pearshed/_internal/gateway/routed_call.py
@@ -46,6 +46,11 @@
             return prompt[-2].part_id
         return ""
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts of the prompt that other requests may share, in order."""
+        return tuple(part.part_id for part in self.metadata.prompt[:-1])
+
     @property
     def shared_prefix_tokens(self) -> int:
         """Tokens of the prompt's shared prefix."""
