Add failing tests of a prompt part that crashes engines

Change: tests only. Two gateways, a side and four engines; an engine that has sent the first event of a prompt with the part resets its connections and stops, and another starts. The bound is the operators': five crashes, and three requests after those. Sound requests with the same first part and key have to be served.

--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -39,6 +39,18 @@
         """Do nothing."""
 
 
+async def start_side(
+    test: GatewayTestCase, address: Address, engine: Address, monitor: EngineMonitor
+) -> EngineSideProcess:
+    """Run the side of an engine until the test ends."""
+    settings = EngineSideSettings("side-1", "olympia", address, engine)
+    side = EngineSideProcess(settings, monitor, QuietLogStream())  # type: ignore[arg-type]
+    task = asyncio.get_running_loop().create_task(side.run())
+    test.addAsyncCleanup(_stop_side, task, side)
+    await until(lambda: side.serving)
+    return side
+
+
 class AdmissionTest(GatewayTestCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -56,14 +68,8 @@
         connection.end_stream()
 
     async def start_side(self, port: int) -> EngineSideProcess:
-        settings = EngineSideSettings(
-            "side-1", "olympia", Address("127.0.0.1", port), self.engines[0].address
-        )
-        side = EngineSideProcess(settings, IdleMonitor(), QuietLogStream())  # type: ignore[arg-type]
-        task = asyncio.get_running_loop().create_task(side.run())
-        self.addAsyncCleanup(_stop_side, task, side)
-        await until(lambda: side.serving)
-        return side
+        address = Address("127.0.0.1", port)
+        return await start_side(self, address, self.engines[0].address, IdleMonitor())
 
     async def start_all(self) -> EngineSideProcess:
         await self.add_engine("fleet", self.stream)
--- /dev/null
+++ b/tests/gateway/test_crashing_prompts.py
@@ -0,0 +1,125 @@
+"""Requests with a prompt part that crashes each engine that begins to respond to them."""
+
+import asyncio
+
+from pearshed._internal.engine_side.process import EngineSideProcess
+from pearshed._internal.gateway.process import GatewayProcess
+from pearshed._internal.utils.addresses import Address
+from tests.gateway.test_admission import IdleMonitor, start_side
+from tests.lib.gateway_caller import Caller, CallerResponse
+from tests.lib.gateway_fixture import GatewayTestCase, free_address, gateway_settings, until
+from tests.lib.gateway_platform import (
+    API_KEY,
+    EngineConnection,
+    EngineRequest,
+    EngineStandIn,
+    configuration,
+    route,
+)
+
+FIRST_PART = "aa:200"
+CRASHING = f"{FIRST_PART},dead:100,{{}}:50"
+SOUND = f"{FIRST_PART},beef:100,{{}}:50"
+#: The operators allow five crashes, and three requests with the part after those.
+MAX_REQUESTS_THAT_REACH_ENGINES = 5 + 3
+_ENGINES = 4
+
+
+class CrashingPromptTest(GatewayTestCase):
+    """Gateways on several VMs; the engines share one VM and its side."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        routes = [route("brief", "streaming", "fleet", sticky=True, resumable=True)]
+        self.store.put("op/config", configuration(2, routes=routes))
+        self.peer_port = free_address().port
+        self.callers: list[Address] = []
+        self.gateways: list[GatewayProcess] = []
+        self.arrivals: list[EngineRequest] = []
+        self.started = 0
+        self.sent = 0
+        for _ in range(_ENGINES):
+            await self.start_engine()
+        await self.start_side()
+        for _ in range(2):
+            await self.add_gateway()
+
+    async def start_side(self) -> EngineSideProcess:
+        address = Address("127.0.0.1", self.peer_port)
+        return await start_side(self, address, self.engines[0].address, IdleMonitor())
+
+    async def add_gateway(self) -> GatewayProcess:
+        host = f"127.0.0.{len(self.gateways) + 2}"
+        settings = gateway_settings(
+            self.store.address, name=f"edge-{host}", peers=Address(host, self.peer_port)
+        )
+        gateway, _ = self.run_gateway(lambda: settings)
+        await until(lambda: not gateway.not_ready_reasons())
+        self.callers.append(settings.callers)
+        self.gateways.append(gateway)
+        return gateway
+
+    async def respond(self, connection: EngineConnection, request: EngineRequest) -> None:
+        connection.begin_stream(request)
+        connection.send_event(1)
+        await connection.drain()
+        if "dead" in request.headers["pearshed-prefix-hash"]:
+            await self.crash(request)
+            await asyncio.Event().wait()
+        connection.send_event(2)
+        connection.end_stream()
+
+    async def start_engine(self) -> None:
+        self.started += 1
+        engine = EngineStandIn(f"i-{self.started}", "fleet", self.respond)
+        await engine.start()
+        self.addAsyncCleanup(engine.stop)
+        self.engines.append(engine)
+        self.store.put(f"servers/{engine.identity}", engine.entry())
+
+    async def crash(self, request: EngineRequest) -> None:
+        """Stop the engine that runs a request; another takes its place."""
+        crashed = next(engine for engine in self.engines if request in engine.requests)
+        self.engines.remove(crashed)
+        self.arrivals.extend(crashed.requests)
+        self.store.delete(f"servers/{crashed.identity}")
+        await self.start_engine()
+        await crashed.stop()
+
+    async def send(self, number: int, prompt: str) -> CallerResponse | None:
+        """Send a request with a prompt of its own to one of the gateways once engines are back."""
+        self.sent += 1
+        running = {engine.identity for engine in self.engines}
+        await until(lambda: all(self.listed(gateway) == running for gateway in self.gateways))
+        caller = await Caller.connect(self.callers[number % len(self.callers)])
+        try:
+            headers = {
+                "Authorization": f"Token {API_KEY}",
+                "Pearshed-Token-Usage": "350,20",
+                "Pearshed-Prefix-Hash": prompt.format(f"{self.sent:x}"),
+            }
+            caller.send("/brief/a", method="POST", headers=headers)
+            return await caller.read_response()
+        finally:
+            caller.close()
+
+    def listed(self, gateway: GatewayProcess) -> set[str]:
+        return {item.entry.identity for item in gateway.endpoints.of_service("fleet")}
+
+    def crashing_arrivals(self) -> int:
+        arrivals = [*self.arrivals, *(item for engine in self.engines for item in engine.requests)]
+        return sum("dead" in item.headers["pearshed-prefix-hash"] for item in arrivals)
+
+    async def test_a_prompt_part_that_crashes_engines_stops_reaching_them(self) -> None:
+        for number in range(24):
+            await self.send(number, CRASHING)
+        self.assertLessEqual(self.crashing_arrivals(), MAX_REQUESTS_THAT_REACH_ENGINES)
+
+    async def test_sound_requests_with_the_same_first_part_are_served_meanwhile(self) -> None:
+        statuses = []
+        for number in range(24):
+            await self.send(number, CRASHING)
+            response = await self.send(number, SOUND)
+            statuses.append(response.status if response is not None else None)
+        self.assertEqual([200] * 24, statuses)
+        self.assertLessEqual(self.crashing_arrivals(), MAX_REQUESTS_THAT_REACH_ENGINES)
