Block prompt parts that crash engine after engine

What callers saw: engines ended one after the other under requests of one route (BUDGET); each took up to ten streams of others with it, and for seconds no engine was left.

Cause: an engine's end was only ever a failure of one attempt at one endpoint. Nothing related it to the prompt in progress, so the same prompt went to the next engine, sent on by the gateway itself (43 of 79 attempts of the incident's route were second and later ones) and, as another request, by any other gateway.

Evidence: test_crashing_prompts on the code before: 24 requests are sent to engines 48 times.

Change: gateways record which prompts were in progress when an engine ended its connection, and merge these records through two sides that all choose alike (crash_records, crash_exchange). prompt_quarantine decides from the records alone: a part with three crashes and no success is blocked for two minutes after its latest crash, the one with most crashes first; others are blamed only for what that leaves. Requests with a blocked part get 503 with the time of the block; no request with a part of two crashes is sent to a second engine.

--- /dev/null
+++ b/src/pearshed/_internal/engine_side/crash_records.py
@@ -0,0 +1,138 @@
+"""Records of engine crashes, which gateways and sides exchange by merging them.
+
+Merging is commutative and idempotent, so lost and repeated datagrams are harmless.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+from pearshed._internal.models.routing import EndpointEntry
+from pearshed._internal.timers import clock
+
+#: Time for which a crash is remembered, seconds.
+CRASH_MEMORY_S = 600.0
+#: Crashes that are remembered, the latest ones.
+MAX_RECORDS = 64
+#: Prompts that are listed for one crash; an engine runs about as many requests at once.
+MAX_SUSPECTS = 64
+#: Parts whose latest success is remembered.
+MAX_SUCCESSES = 20_000
+
+#: Ids of the shared parts of a prompt, in order.
+SharedParts = tuple[str, ...]
+
+
+def run_id(entry: EndpointEntry) -> str:
+    """Identify one run of an engine, which ends with a crash or a stop."""
+    return f"{entry.identity}/{entry.started_at_ms}"
+
+
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """The end of an engine's run while it processed requests.
+
+    :ivar run: id of the engine's run.
+    :ivar crashed_at: clock reading of the end, seconds.
+    :ivar suspects: shared parts of the prompts that the engine processed or had just begun to
+        respond to.
+    :ivar refuted: the same run of the engine has responded to a later request.
+    """
+
+    run: str
+    crashed_at: float
+    suspects: frozenset[SharedParts]
+    refuted: bool = False
+
+
+class CrashTable:
+    """Crashes, and the latest success of each prompt part."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, CrashRecord] = {}
+        self._successes: collections.OrderedDict[str, float] = collections.OrderedDict()
+
+    @property
+    def records(self) -> tuple[CrashRecord, ...]:
+        """The remembered crashes, the latest first."""
+        self._drop_expired()
+        return tuple(
+            sorted(self._records.values(), key=lambda record: record.crashed_at, reverse=True)
+        )
+
+    @property
+    def successes(self) -> Mapping[str, float]:
+        """Clock readings of the latest success by part, seconds."""
+        return self._successes
+
+    def record_crash(self, run: str, suspects: Iterable[SharedParts]) -> None:
+        """Record that a run ended while it processed prompts."""
+        key = run
+        while key in self._records and self._records[key].refuted:
+            # The run continued after the earlier record.
+            key += "+"
+        self._merge_record(CrashRecord(key, clock.now(), frozenset(suspects)))
+
+    def refute(self, run: str, requested_at: float) -> bool:
+        """Record that a run has responded.
+
+        :param requested_at: clock reading when the request was sent, seconds.
+        :returns: whether this refutes a crash.
+        """
+        record = self._records.get(run)
+        if record is None or record.refuted or record.crashed_at >= requested_at:
+            return False
+        self._records[run] = dataclasses.replace(record, refuted=True)
+        return True
+
+    def record_success(self, parts: Iterable[str]) -> None:
+        """Record that an engine has responded completely to a prompt with these parts."""
+        now = clock.now()
+        for part in parts:
+            self._set_success(part, now)
+
+    def merge(self, records: Iterable[CrashRecord], successes: Mapping[str, float]) -> None:
+        """Merge the records of another process.
+
+        :param successes: clock readings of successes by part, seconds.
+        """
+        for record in records:
+            self._merge_record(record)
+        for part, succeeded_at in successes.items():
+            if succeeded_at > self._successes.get(part, float("-inf")):
+                self._set_success(part, succeeded_at)
+
+    def suspect_successes(self, records: Sequence[CrashRecord]) -> Mapping[str, float]:
+        """Return the latest successes of the parts that are suspects in some records."""
+        parts = {part for record in records for chain in record.suspects for part in chain}
+        return {part: self._successes[part] for part in parts if part in self._successes}
+
+    def _merge_record(self, record: CrashRecord) -> None:
+        current = self._records.get(record.run)
+        if current is not None:
+            record = CrashRecord(
+                record.run,
+                min(record.crashed_at, current.crashed_at),
+                current.suspects | record.suspects,
+                current.refuted or record.refuted,
+            )
+        if len(record.suspects) > MAX_SUSPECTS:
+            suspects = frozenset(sorted(record.suspects)[:MAX_SUSPECTS])
+            record = dataclasses.replace(record, suspects=suspects)
+        self._records[record.run] = record
+        if len(self._records) > MAX_RECORDS:
+            oldest = min(self._records.values(), key=lambda item: item.crashed_at)
+            del self._records[oldest.run]
+
+    def _set_success(self, part: str, succeeded_at: float) -> None:
+        self._successes[part] = succeeded_at
+        self._successes.move_to_end(part)
+        if len(self._successes) > MAX_SUCCESSES:
+            self._successes.popitem(last=False)
+
+    def _drop_expired(self) -> None:
+        oldest = clock.now() - CRASH_MEMORY_S
+        expired = [run for run, record in self._records.items() if record.crashed_at < oldest]
+        for run in expired:
+            del self._records[run]
--- a/src/pearshed/_internal/engine_side/messages.py
+++ b/src/pearshed/_internal/engine_side/messages.py
@@ -5,18 +5,22 @@
 processing of a prompt before its first output token.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 import orjson
 from returns.result import Failure, Result, Success
 
+from pearshed._internal.engine_side.crash_records import CrashRecord
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.models.routing import PromptPart
+from pearshed._internal.timers import clock
 
 #: Larger datagrams are rejected, bytes; prompts have a few parts, services a few routes.
 MAX_DATAGRAM_BYTES = 4096
+#: Added to the age of a success, which must not seem later with each exchange.
+_SUCCESS_AGE_MARGIN_MS = 50
 
 
 def reservation_id(request_id: str, attempt: int) -> str:
@@ -120,6 +124,21 @@
     hosts: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Crashes of engines that the sender knows of.
+
+    A side responds to each report with its own; builds that don't know this kind refuse it.
+
+    :ivar records: ages are sent, so the clocks of sender and receiver need not agree.
+    :ivar successes: clock readings of the latest successes of the records' suspects, seconds.
+    """
+
+    reservation: str
+    records: tuple[CrashRecord, ...]
+    successes: Mapping[str, float]
+
+
 Message = (
     AdmissionRequest
     | PromptPrefilled
@@ -129,6 +148,7 @@
     | AdmissionRefused
     | TrafficReport
     | FleetTraffic
+    | CrashReport
 )
 
 _KINDS: dict[str, type[PromptPrefilled | AdmissionQueued]] = {
@@ -166,6 +186,8 @@
         return orjson.dumps(
             ["f", message.reservation, message.gateways, routes, list(message.hosts)]
         )
+    if isinstance(message, CrashReport):
+        return _encode_crash_report(message)
     kind = next(kind for kind, cls in _KINDS.items() if isinstance(message, cls))
     return orjson.dumps([kind, message.reservation])
 
@@ -206,6 +228,8 @@
             return Success(
                 FleetTraffic(reservation, int(fields[0]), _decode_routes(fields[1]), hosts)
             )
+        if kind == "c":
+            return Success(_decode_crash_report(reservation, fields[0], fields[1]))
         if kind in _KINDS:
             return Success(_KINDS[kind](reservation))
     except (orjson.JSONDecodeError, TypeError, ValueError, IndexError) as error:
@@ -213,6 +237,58 @@
     return Failure(f"unknown datagram kind {kind!r}")
 
 
+def _encode_crash_report(message: CrashReport) -> bytes:
+    """Encode a report with as many of its records as fit into a datagram."""
+    now = clock.now()
+    records: list[object] = []
+    successes: list[object] = []
+    size = 64 + len(message.reservation)
+    listed: set[str] = set()
+    for record in message.records:
+        suspects = [list(chain) for chain in sorted(record.suspects)]
+        age_ms = round((now - record.crashed_at) * clock.MILLISECONDS_PER_SECOND)
+        row = [record.run, age_ms, int(record.refuted), suspects]
+        parts = {part for chain in record.suspects for part in chain} - listed
+        times = [
+            [
+                part,
+                round((now - message.successes[part]) * clock.MILLISECONDS_PER_SECOND)
+                + _SUCCESS_AGE_MARGIN_MS,
+            ]
+            for part in sorted(parts)
+            if part in message.successes
+        ]
+        size += len(orjson.dumps(row)) + len(orjson.dumps(times))
+        if size > MAX_DATAGRAM_BYTES:
+            break
+        records.append(row)
+        successes.extend(times)
+        listed |= parts
+    return orjson.dumps(["c", message.reservation, records, successes])
+
+
+def _decode_crash_report(
+    reservation: str, raw_records: Sequence[Any], raw_successes: Sequence[Any]
+) -> CrashReport:
+    now = clock.now()
+    return CrashReport(
+        reservation,
+        tuple(
+            CrashRecord(
+                str(run),
+                now - int(age_ms) / clock.MILLISECONDS_PER_SECOND,
+                frozenset(tuple(str(part) for part in chain) for chain in suspects),
+                bool(refuted),
+            )
+            for run, age_ms, refuted, suspects in raw_records
+        ),
+        {
+            str(part): now - int(age_ms) / clock.MILLISECONDS_PER_SECOND
+            for part, age_ms in raw_successes
+        },
+    )
+
+
 def _encode_routes(routes: tuple[RouteTraffic, ...]) -> list[list[object]]:
     return [
         [
--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -12,11 +12,13 @@
 import pearshed
 from pearshed._internal.engine_side import messages
 from pearshed._internal.engine_side.admission_queue import AdmissionQueue, Reservation
+from pearshed._internal.engine_side.crash_records import CrashTable
 from pearshed._internal.engine_side.messages import (
     AdmissionGranted,
     AdmissionQueued,
     AdmissionRefused,
     AdmissionRequest,
+    CrashReport,
     FleetTraffic,
     Message,
     PromptPrefilled,
@@ -60,6 +62,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._stop_requested = asyncio.Event()
         self._traffic = TrafficTable()
+        self._crashes = CrashTable()
         self._malformed_datagrams = 0
         self._rng = random.Random()
         self._pages = SidePages(self._queue, log_stream, self.dump)
@@ -113,6 +116,7 @@
             "tokens_per_s": round(self._queue.tokens_per_s),
             "tokens_unread": self._queue.pending_prefill_tokens,
             "pace_share": round(self._queue.prefill_share, 3),
+            "crashes": len(self._crashes.records),
             "gateways": self._traffic.gateway_count,
             "datagrams_malformed": self._malformed_datagrams,
             "log_lines_dropped": self._log_stream.dropped,
@@ -141,6 +145,11 @@
             hosts = self._traffic.sample_gateways(self._rng)
             total = FleetTraffic("", self._traffic.gateway_count, self._traffic.total(), hosts)
             self._send(total, addr)
+        elif isinstance(message, CrashReport):
+            self._crashes.merge(message.records, message.successes)
+            records = self._crashes.records
+            successes = self._crashes.suspect_successes(records)
+            self._send(CrashReport("", records, successes), addr)
 
     def _handle_request(self, request: AdmissionRequest, peer: _Peer) -> None:
         if self._queue.is_granted(request.reservation):
--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -15,6 +15,7 @@
     AdmissionQueued,
     AdmissionRefused,
     AdmissionRequest,
+    CrashReport,
     FleetTraffic,
     Message,
     PromptPrefilled,
@@ -99,11 +100,18 @@
 
     :param port: UDP port of the sides, the same on all VMs.
     :param on_fleet_traffic: called with a side's host and its report of all gateways' traffic.
+    :param on_crash_report: called with a side's host and its report of crashes.
     """
 
-    def __init__(self, port: int, on_fleet_traffic: Callable[[str, FleetTraffic], None]) -> None:
+    def __init__(
+        self,
+        port: int,
+        on_fleet_traffic: Callable[[str, FleetTraffic], None],
+        on_crash_report: Callable[[str, CrashReport], None],
+    ) -> None:
         self._port = port
         self._on_fleet_traffic = on_fleet_traffic
+        self._on_crash_report = on_crash_report
         self._transport: asyncio.DatagramTransport | None = None
         self._responses: dict[str, asyncio.Queue[Message]] = {}
         self._skipped_until: dict[str, float] = {}
@@ -132,6 +140,9 @@
             self._gateway_count = message.gateways
             self._on_fleet_traffic(addr[0], message)
             return
+        if isinstance(message, CrashReport):
+            self._on_crash_report(addr[0], message)
+            return
         responses = self._responses.get(message.reservation)
         if responses is not None:
             responses.put_nowait(message)
@@ -171,6 +182,10 @@
         for host in responsive[:TRAFFIC_SIDES]:
             self._send(TrafficReport("", routes), host)
 
+    def report_crashes(self, report: CrashReport, host: str) -> None:
+        """Send a report of crashes to a side."""
+        self._send(report, host)
+
     def close(self) -> None:
         """Close the socket."""
         if self._transport is not None:
--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -31,6 +31,8 @@
 #: Added to the deadline that is sent to the endpoint, so that the gateway times out first.
 _ENDPOINT_DEADLINE_MARGIN_MS = 20
 _MISDIRECTED = 421
+#: A request that has generated events for this long is not what crashes its engine, seconds.
+_SUSPECT_RUN_S = 1.0
 _POSSIBLY_COMPLETE = (EndKind.COMPLETE, EndKind.CLOSED)
 
 
@@ -66,13 +68,30 @@
         self._framing: BodyFraming | None = None
         self._body_bytes = 0
         self._unfinished_event_bytes = 0
+        self._sent_at = 0.0
         self._first_event_at: float | None = None
+        self._cut_off = False
+
+    @property
+    def sent_at(self) -> float:
+        """Clock reading when the request was sent, seconds."""
+        return self._sent_at
 
     @property
     def generating_s(self) -> float:
         """Time since the first event of the response, seconds; 0 before it."""
         return clock.now() - self._first_event_at if self._first_event_at is not None else 0.0
 
+    @property
+    def may_have_crashed_engine(self) -> bool:
+        """Whether the connection ended before the response, soon after its first event."""
+        return self._cut_off and self.generating_s < _SUSPECT_RUN_S
+
+    @property
+    def complete(self) -> bool:
+        """Whether the response was received to an end that its framing proves."""
+        return self._complete and self._framing is not None
+
     @property
     def framing(self) -> BodyFraming | None:
         """What marks the end of the endpoint's response; ``None`` without a response."""
@@ -119,7 +138,8 @@
         if remaining_s <= 0:
             self._complete = True
             return OutOfTime(sent=False)
-        idle_s = clock.now() - connection.idle_since
+        self._sent_at = clock.now()
+        idle_s = self._sent_at - connection.idle_since
         self._request_handle = self._endpoint.start_request(self._call.metadata.prompt_tokens)
         connection.send(
             self._encode(remaining_s),
@@ -135,6 +155,7 @@
             return self._timeout_outcome(remaining_s)
         if isinstance(first_event, ResponseEnd):
             self._endpoint.record_failure()
+            self._cut_off = first_event.kind is EndKind.TRUNCATED
             if connection.has_served and first_event.kind is EndKind.TRUNCATED:
                 self._endpoint.record_idle_drop(idle_s)
             return Failed(first_event.reason)
@@ -253,6 +274,7 @@
             self._writer.end_stream(buffer.remainder)
             self._endpoint.record_success()
             return Answered(head.status)
+        self._cut_off = end.kind in (EndKind.TRUNCATED, EndKind.CLOSED)
         self._endpoint.record_failure()
         if self._writer.started:
             return Interrupted(problem)
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -14,6 +14,7 @@
     NotAdmitted,
 )
 from pearshed._internal.gateway.attempt import Attempt
+from pearshed._internal.gateway.crash_exchange import CrashExchange
 from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
 from pearshed._internal.gateway.header_codec import HeaderCodec, RequestMetadata
 from pearshed._internal.gateway.placement import Placement, PlacementDecision
@@ -95,6 +96,7 @@
         prompt_placement: Placement,
         admission: AdmissionClient,
         retry_budget: Callable[[str], ServiceRetryBudget],
+        crashes: CrashExchange,
         request_logger: RequestLogger,
         metrics: RequestMetrics,
         rng: random.Random,
@@ -106,6 +108,7 @@
         self._prompt_placement = prompt_placement
         self._admission = admission
         self._retry_budget = retry_budget
+        self._crashes = crashes
         self._request_logger = request_logger
         self._metrics = metrics
         self._rng = rng
@@ -152,6 +155,8 @@
         """Try endpoints until one responds or no further attempt is allowed."""
         progress = _Progress()
         while not writer.caller_disconnected:
+            if self._finish_blocked(call, writer, progress):
+                return
             decision = self._placement(call).choose(
                 call,
                 self._candidates(call, progress.tried),
@@ -173,6 +178,9 @@
                     self._finish_failed(call, writer, progress, "the engines are busy")
                     return
                 continue
+            if self._finish_blocked(call, writer, progress):
+                self._admission.notify_finished(admission, decision.endpoint)
+                return
             outcome = await self._attempt(call, decision, writer, progress, admission)
             if isinstance(outcome, Answered):
                 return
@@ -180,6 +188,17 @@
                 self._finish_failed(call, writer, progress, "no other attempt is allowed")
                 return
 
+    def _finish_blocked(
+        self, call: RoutedCall, writer: ResponseWriter, progress: _Progress
+    ) -> bool:
+        """End a request if a part of its prompt crashes engines; return whether it does."""
+        blocked_s = self._crashes.blocked_s(call)
+        if not blocked_s:
+            return False
+        progress.wait_s = blocked_s
+        self._finish_failed(call, writer, progress, "a part of the prompt crashes engines")
+        return True
+
     def _may_retry(
         self, call: RoutedCall, endpoint: Endpoint, outcome: AttemptOutcome, progress: "_Progress"
     ) -> bool:
@@ -202,6 +221,7 @@
             and call.route.retryable
             and progress.endpoints_run < call.route.max_endpoints
             and call.remaining_s > _MIN_REMAINING_S
+            and self._crashes.may_retry(call)
             and retry_budget.try_spend()
         )
 
@@ -268,6 +288,7 @@
         def record_prefill() -> None:
             self._placement(call).record_prefill(call, decision.endpoint)
             self._admission.notify_prefilled(admitted, decision.endpoint)
+            self._crashes.record_response(decision.endpoint.entry, attempt.sent_at)
 
         attempt = Attempt(
             call, decision, self._codec, writer, timeout_s, record_prefill, self._metrics
@@ -277,6 +298,10 @@
         finally:
             self._admission.notify_finished(admitted, decision.endpoint, attempt.longest_gap_ms)
         self._record_attempt(call, decision, attempt, outcome, len(progress.tried), writer)
+        if attempt.may_have_crashed_engine:
+            self._crashes.record_crash(decision.endpoint.entry, call)
+        elif isinstance(outcome, Answered) and attempt.complete:
+            self._crashes.record_success(call)
         return outcome
 
     def _finish_failed(
--- a/src/pearshed/_internal/gateway/operator_pages.py
+++ b/src/pearshed/_internal/gateway/operator_pages.py
@@ -7,12 +7,14 @@
 
 import pearshed
 from pearshed._internal.gateway.admission import SideAdmissionClient
+from pearshed._internal.gateway.crash_exchange import CrashExchange
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.gateway.store_cache import StoreCache
 from pearshed._internal.http.page_server import page_name
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
 from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
+from pearshed._internal.timers import clock
 
 #: Upper bound of reported ages, seconds; they are infinite until the store has first responded.
 _MAX_AGE_S = 1e9
@@ -33,6 +35,7 @@
         admission: SideAdmissionClient,
         connections: Collection[object],
         retry_budgets: Mapping[str, ServiceRetryBudget],
+        crashes: CrashExchange,
         log_stream: BoundedLogStream,
         not_ready_reasons: Callable[[], list[str]],
     ) -> None:
@@ -42,6 +45,7 @@
         self._admission = admission
         self._connections = connections
         self._retry_budgets = retry_budgets
+        self._crashes = crashes
         self._log_stream = log_stream
         self._not_ready_reasons = not_ready_reasons
         self._metrics = MetricsPage()
@@ -87,6 +91,14 @@
             "known_from_peers": self._store_cache.has_peer_state,
             "connections": len(self._connections),
             "log_lines_dropped": self._log_stream.dropped,
+            "blocked_parts": [
+                {
+                    "part": part.part_id,
+                    "crashes": part.crashes,
+                    "remaining_s": round(part.blocked_until - clock.now(), 1),
+                }
+                for part in self._crashes.blocked_parts.values()
+            ],
             "endpoints": [
                 {
                     "identity": endpoint.entry.identity,
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -11,9 +11,10 @@
 from absl import logging
 
 import pearshed
-from pearshed._internal.engine_side.messages import FleetTraffic
+from pearshed._internal.engine_side.messages import CrashReport, FleetTraffic
 from pearshed._internal.errors import InvariantBrokenError
 from pearshed._internal.gateway.admission import SideAdmissionClient
+from pearshed._internal.gateway.crash_exchange import EXCHANGE_INTERVAL_S, CrashExchange
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.forwarder import Forwarder
 from pearshed._internal.gateway.header_codec import HeaderCodec
@@ -91,7 +92,12 @@
         self._store_task_error: BaseException | None = None
         self._stop_requested = asyncio.Event()
         self._request_metrics = RequestMetrics()
-        self._admission = SideAdmissionClient(settings.peers.port, self._apply_fleet_traffic)
+        self._admission = SideAdmissionClient(
+            settings.peers.port,
+            self._apply_fleet_traffic,
+            self._apply_crash_report,
+        )
+        self._crashes = CrashExchange(self._admission.report_crashes)
         self._prompt_placement = PromptPlacement(settings.data_centre, self._rng)
         self._forwarder = Forwarder(
             codec,
@@ -101,6 +107,7 @@
             self._prompt_placement,
             self._admission,
             self._retry_budget,
+            self._crashes,
             RequestLogger(self._log_context),
             self._request_metrics,
             self._rng,
@@ -112,11 +119,13 @@
             self._admission,
             self._connections,
             self._retry_budgets,
+            self._crashes,
             log_stream,
             self.not_ready_reasons,
         )
         self._pages.metrics.add(self._request_metrics.collect)
         self._pages.metrics.add(self._peer_sync.collect)
+        self._pages.metrics.add(self._crashes.collect)
         self._page_server = PageServer(self._find_page, self._timers)
 
     async def run(self) -> None:
@@ -127,6 +136,7 @@
         self._timers.start()
         self._timers.every(_EXPIRY_CHECK_INTERVAL_S, self._drop_expired)
         self._timers.every(TRAFFIC_REPORT_INTERVAL_S, self._report_traffic)
+        self._timers.every(EXCHANGE_INTERVAL_S, self._exchange_crashes)
         self._timers.every(SETTINGS_CHECK_INTERVAL_S, self._reload_settings)
         self._timers.every(_LOG_DRAIN_INTERVAL_S, self._log_stream.drain)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
@@ -168,6 +178,11 @@
         """The exchange of store state with other gateways."""
         return self._peer_sync
 
+    @property
+    def crashes(self) -> CrashExchange:
+        """The exchange of crash records with other gateways."""
+        return self._crashes
+
     @property
     def pages(self) -> OperatorPages:
         """The pages for operators and the load balancer."""
@@ -297,6 +312,17 @@
                 self._endpoints.of_service(service), allocator.own_traffic()
             )
 
+    def _apply_crash_report(self, host: str, report: CrashReport) -> None:
+        self._crashes.merge(host, report)
+
+    def _exchange_crashes(self) -> None:
+        configuration = self._store_cache.configuration
+        self._crashes.exchange(
+            endpoint.entry.address.host
+            for service in (configuration.prompt_services if configuration is not None else ())
+            for endpoint in self._endpoints.of_service(service)
+        )
+
     def _apply_fleet_traffic(self, host: str, traffic: FleetTraffic) -> None:
         self._directory.add_hosts(traffic.hosts)
         for service, allocator in self._prompt_placement.lane_allocators.items():
--- a/src/pearshed/_internal/models/routing.py
+++ b/src/pearshed/_internal/models/routing.py
@@ -125,6 +125,7 @@
     :ivar keys_required: whether routes that are not public require an API key.
     :ivar route_rank_count: number of ranks of routes.
     :ivar customer_rank_count: number of ranks of customers, compared before the routes' ranks.
+    :ivar prompt_services: names of the services to which routes send prompts.
     """
 
     version: int
@@ -135,6 +136,7 @@
     limits: CallerLimits
     route_rank_count: int
     customer_rank_count: int
+    prompt_services: frozenset[str] = frozenset()
 
     def rank(self, route: Route, holder: KeyHolder | None) -> int:
         """Return the rank of a request: by its customer first, then by its route."""
--- a/src/pearshed/_internal/platform/documents.py
+++ b/src/pearshed/_internal/platform/documents.py
@@ -94,6 +94,13 @@
         + max((route.rank for host_routes in routes.values() for route in host_routes), default=0),
         customer_rank_count=1
         + max((holder.rank or 0 for holder in (key_holders or {}).values()), default=0),
+        prompt_services=frozenset(
+            share.service
+            for host_routes in routes.values()
+            for route in host_routes
+            if route.has_prompt
+            for share in route.shares
+        ),
     )
 
 
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -4,6 +4,7 @@
 
 from pearshed._internal.engine_side.process import EngineSideProcess
 from pearshed._internal.gateway.process import GatewayProcess
+from pearshed._internal.gateway.prompt_quarantine import BLOCK_S, MIN_CRASHES
 from pearshed._internal.utils.addresses import Address
 from tests.gateway.test_admission import IdleMonitor, start_side
 from tests.lib.gateway_caller import Caller, CallerResponse
@@ -40,7 +41,7 @@
         self.sent = 0
         for _ in range(_ENGINES):
             await self.start_engine()
-        await self.start_side()
+        self.side = await self.start_side()
         for _ in range(2):
             await self.add_gateway()
 
@@ -123,3 +124,40 @@
             statuses.append(response.status if response is not None else None)
         self.assertEqual([200] * 24, statuses)
         self.assertLessEqual(self.crashing_arrivals(), MAX_REQUESTS_THAT_REACH_ENGINES)
+
+    async def crash_until_blocked(self) -> None:
+        for _ in range(MIN_CRASHES):
+            await self.send(0, CRASHING)
+        await until(lambda: all(gateway.crashes.blocked_parts for gateway in self.gateways))
+
+    async def test_a_blocked_request_is_refused_as_not_run_with_the_time_of_the_block(self) -> None:
+        await self.crash_until_blocked()
+        arrivals = self.crashing_arrivals()
+        response = await self.send(1, CRASHING)
+        assert response is not None
+        self.assertEqual(503, response.status)
+        self.assertGreater(float(response.headers["retry-after"]), BLOCK_S / 2)
+        self.assertEqual(arrivals, self.crashing_arrivals())
+
+    async def test_a_gateway_that_starts_later_blocks_the_part_too(self) -> None:
+        await self.crash_until_blocked()
+        gateway = await self.add_gateway()
+        await until(lambda: "dead" in gateway.crashes.blocked_parts)
+
+    async def test_a_side_that_restarts_gets_the_records_back(self) -> None:
+        await self.crash_until_blocked()
+        self.side.request_stop()
+        await until(lambda: not self.side.serving)
+        self.side = await self.start_side()
+        await until(lambda: self.side.dump()["crashes"] >= MIN_CRASHES)
+
+    async def test_the_part_is_free_again_after_the_block(self) -> None:
+        await self.crash_until_blocked()
+        self.clock_offset += BLOCK_S
+        await until(lambda: not any(gateway.crashes.blocked_parts for gateway in self.gateways))
+        await until(lambda: not any(gateway.not_ready_reasons() for gateway in self.gateways))
+        arrivals = self.crashing_arrivals()
+        await self.send(0, CRASHING)
+        await until(lambda: all(gateway.crashes.blocked_parts for gateway in self.gateways))
+        # One crash blocks it again.
+        self.assertEqual(arrivals + 1, self.crashing_arrivals())
