Cut off responses without end

What callers would see: an engine that sends bytes without end, in a head or a body, makes gateways and sides hold all of them in memory until the process is killed.

Cause: nothing bounded a response by its size. The parser keeps an unfinished header, the gateway a body that isn't a stream and an unfinished event, calls to the store, engines and other gateways their documents.

Change: a connection is reset after 256 KiB without progress (head, interim responses, chunk headers, responses to no request), a body that isn't a stream after 16 MiB, an event after 1 MiB, a document after 32 MiB; each with a log line (response.unbounded, or the reason of the failed call). Calls to the engine on the same VM have a second for the transfer, as before. A side also logs once when it can't read its engine's cache events.

Open: the product's own side reads by urllib3, which bounds neither a chunk's header nor trailers.

--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -209,11 +209,17 @@
     async def _poll_cache_updates(self) -> None:
         since = 0
         epoch = ""
+        reachable = True
         while True:
             result = await self._monitor.next_cache_update(since, CACHE_WAIT_S)
             if not is_successful(result):
+                if reachable:
+                    fields = {"reason": result.failure()}
+                    logging.info("engine.cache_events_failed", extra={"fields": fields})
+                reachable = False
                 await asyncio.sleep(_RETRY_INTERVAL_S)
                 continue
+            reachable = True
             update = result.unwrap()
             if update.epoch != epoch and epoch:
                 logging.info("engine.started_anew", extra={"fields": {"epoch": update.epoch}})
--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from absl import logging
+
 from pearshed._internal.gateway.header_codec import (
     ForwardingMetadata,
     HeaderCodec,
@@ -30,6 +32,8 @@
 _SERVER_ERRORS = range(500, 600)
 #: Added to the deadline that is sent to the endpoint, so that the gateway times out first.
 _ENDPOINT_DEADLINE_MARGIN_MS = 20
+#: Larger responses that aren't streams are refused, bytes; they are held in memory.
+MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
 _MISDIRECTED = 421
 #: A request that has generated events for this long is not what crashes its engine, seconds.
 _SUSPECT_RUN_S = 1.0
@@ -222,6 +226,22 @@
             if isinstance(event, bytes):
                 self._body_bytes += len(event)
                 chunks.append(event)
+            if self._body_bytes > MAX_BUFFERED_RESPONSE_BYTES:
+                return b"", self._refuse_unbounded(f"a body of over {self._body_bytes} bytes")
+
+    def _refuse_unbounded(self, reason: str) -> ResponseEnd:
+        """Log a response that has grown too large; its connection is reset after the attempt."""
+        logging.warning(
+            "response.unbounded",
+            extra={
+                "fields": {
+                    "request": self._call.request_id,
+                    "endpoint": self._endpoint.entry.identity,
+                    "reason": reason,
+                }
+            },
+        )
+        return ResponseEnd(EndKind.MALFORMED, reason)
 
     async def _relay_stream(
         self, connection: EndpointConnection, head: ResponseHead
@@ -252,6 +272,9 @@
                     self._metrics.record_response_start(self._call)
                 if not self._is_duplicate(event.event_id):
                     await self._writer.write_event(event)
+            if buffer.too_large:
+                reason = f"an event of over {buffer.unfinished_event_bytes} bytes"
+                return self._end_stream(head, buffer, self._refuse_unbounded(reason))
 
     def _record_chunk(self, now: float, last_received_at: float) -> None:
         """Record a chunk of a stream and the gap before it."""
--- a/src/pearshed/_internal/http/endpoint_connection.py
+++ b/src/pearshed/_internal/http/endpoint_connection.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 import httptools
+from absl import logging
 
 from pearshed._internal.http import messages
 from pearshed._internal.http.messages import BodyFraming, Header, ResponseHead
@@ -18,6 +19,9 @@
 TCP_USER_TIMEOUT_MS = 3000
 #: Buffered bytes of a response at which reading pauses.
 READ_BUFFER_BYTES = 256 * 1024
+#: Bytes that may arrive while a response makes no progress: without an end of its head or of a
+#: chunk's header, or in responses that match no request.
+MAX_UNDELIVERED_BYTES = 256 * 1024
 _FIRST_FINAL_STATUS = 200
 
 
@@ -74,6 +78,7 @@
         self._buffered_bytes = 0
         self._reading_paused = False
         self._response_count = 0
+        self._undelivered_bytes = 0
 
     @property
     def usable(self) -> bool:
@@ -128,11 +133,17 @@
             self._unmatched_responses += 1
             self._discard()
             return
+        self._undelivered_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._not_reusable = True
             self._push(ResponseEnd(EndKind.MALFORMED, f"malformed answer: {error}"))
+        if self._undelivered_bytes > MAX_UNDELIVERED_BYTES and not self._ended():
+            reason = f"{self._undelivered_bytes} bytes without an answer"
+            _log_unbounded(self._transport, reason)
+            self._push(ResponseEnd(EndKind.MALFORMED, reason))
+            self._discard()
 
     def send(self, content: bytes, matches: ResponseMatcher, *, expects_body: bool = True) -> None:
         """Send a request.
@@ -146,6 +157,7 @@
         self._events.clear()
         self._buffered_bytes = 0
         self._delivering = False
+        self._undelivered_bytes = 0
         self._transport.write(content)
 
     async def next_event(self) -> ResponseEvent:
@@ -255,6 +267,7 @@
     def _push(self, event: ResponseEvent) -> None:
         if self._ended():
             return
+        self._undelivered_bytes = 0
         self._events.append(event)
         if self._event_queued is not None and not self._event_queued.done():
             self._event_queued.set_result(None)
@@ -265,6 +278,11 @@
             self._transport.abort()
 
 
+def _log_unbounded(transport: asyncio.Transport | None, reason: str) -> None:
+    peer = transport.get_extra_info("peername") if transport is not None else None
+    logging.warning("response.unbounded", extra={"fields": {"peer": peer, "reason": reason}})
+
+
 def _keep_alive_timeout(headers: tuple[Header, ...]) -> float | None:
     value = messages.header_value(headers, b"keep-alive")
     if value is None:
--- a/src/pearshed/_internal/http/event_stream.py
+++ b/src/pearshed/_internal/http/event_stream.py
@@ -7,6 +7,8 @@
 _EVENT_END = re.compile(_LINE_END * 2)
 _LINE_END_BYTES = b"\r\n"
 
+#: Larger events are refused, bytes.
+MAX_EVENT_BYTES = 1024 * 1024
 MEDIA_TYPE = "text/event-stream"
 
 
@@ -37,6 +39,11 @@
         """Bytes of an event whose end has not arrived; more blank lines belong to no event."""
         return len(self._remainder.lstrip(_LINE_END_BYTES))
 
+    @property
+    def too_large(self) -> bool:
+        """Whether the unfinished event is larger than any event may be."""
+        return len(self._remainder) > MAX_EVENT_BYTES
+
     def feed(self, content: bytes) -> list[StreamEvent]:
         """Add bytes.
 
--- a/src/pearshed/_internal/http/json_client.py
+++ b/src/pearshed/_internal/http/json_client.py
@@ -26,6 +26,8 @@
 STALL_TIMEOUT_S = 1.5
 #: Longest time from the head of a response to its end.
 MAX_TRANSFER_S = 30.0
+#: Larger responses are refused, bytes; a store's response may hold several large items.
+MAX_BODY_BYTES = 32 * 1024 * 1024
 _OK = 200
 
 
@@ -42,11 +44,18 @@
 
     :param address: IP address and port of the server.
     :param connect_timeout_s: timeout for opening a connection, seconds.
+    :param max_transfer_s: longest time from the head of a response to its end, seconds.
     """
 
-    def __init__(self, address: Address, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        address: Address,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        max_transfer_s: float = MAX_TRANSFER_S,
+    ) -> None:
         self._address = address
         self._connect_timeout_s = connect_timeout_s
+        self._max_transfer_s = max_transfer_s
         self._connection: EndpointConnection | None = None
         self._calls = 0
         self._phase = CallPhase.CONNECTING
@@ -148,7 +157,9 @@
             else:
                 self._received_bytes += len(event)
                 body.append(event)
-            timeout.reschedule(min(now + STALL_TIMEOUT_S, started_at + MAX_TRANSFER_S))
+                if self._received_bytes > MAX_BODY_BYTES:
+                    raise OSError("the response is too large")
+            timeout.reschedule(min(now + STALL_TIMEOUT_S, started_at + self._max_transfer_s))
 
     def _describe_progress(self) -> str:
         if self._phase is CallPhase.RECEIVING:
--- a/src/pearshed/_internal/platform/engine_client.py
+++ b/src/pearshed/_internal/platform/engine_client.py
@@ -25,8 +25,8 @@
     """Reads an engine over two connections, since a wait for changes occupies one."""
 
     def __init__(self, address: Address) -> None:
-        self._report_client = JsonClient(address)
-        self._cache_event_client = JsonClient(address)
+        self._report_client = JsonClient(address, max_transfer_s=RESPONSE_TIMEOUT_S)
+        self._cache_event_client = JsonClient(address, max_transfer_s=RESPONSE_TIMEOUT_S)
 
     async def report(self) -> Result[EngineReport, str]:
         """Read the engine's load."""
--- a/tests/lib/gateway_platform.py
+++ b/tests/lib/gateway_platform.py
@@ -81,6 +81,11 @@
         self._writer = writer
         self._chunked = True
 
+    @property
+    def writer(self) -> asyncio.StreamWriter:
+        """The writer of the connection."""
+        return self._writer
+
     async def read_request(self) -> EngineRequest | None:
         """Read one request; return None at the end of the connection."""
         try:
