Scale a gateway's own traffic when it stands for the fleet's

The need of a lane is absolute, in tokens a second. Without a fresh report the gateway put its own traffic in place of the fleet's.

Change: the ratio between the two at the last report is applied to its own traffic.

Evidence: the new test with a twentieth of the fleet's traffic: on the code before, the lane shrinks from 4 of 10 engines to 1; now it stays at 4.

--- a/src/pearshed/_internal/gateway/lane_allocator.py
+++ b/src/pearshed/_internal/gateway/lane_allocator.py
@@ -3,7 +3,8 @@
 An engine prefills prompts in chunks between the tokens of the requests that it runs. A long prompt
 therefore slows every stream on its engine, and those with short prompts and short gaps suffer most.
 All gateways compute the same lanes from the traffic of the whole fleet, which sides merge; a
-gateway that gets no traffic reports from sides uses its own traffic.
+gateway that gets no traffic reports from sides uses its own traffic, multiplied by the ratio
+between the two at the last report.
 """
 
 import dataclasses
@@ -57,6 +58,7 @@
         self._updated_at: dict[str, float] = {}
         self._fleet_traffic: Sequence[RouteTraffic] = ()
         self._fleet_reported_at = float("-inf")
+        self._fleet_ratio = 1.0
         self._lane_sizes: dict[int, int] = {}
 
     def record_request(self, route: Route, tokens: int, work: float) -> None:
@@ -93,6 +95,8 @@
         """Set the traffic of all gateways."""
         self._fleet_traffic = routes
         self._fleet_reported_at = clock.now()
+        own_weight = _total_weight(self.own_traffic())
+        self._fleet_ratio = max(1.0, _total_weight(routes) / max(1.0, own_weight))
 
     def select(
         self, route: Route, tokens: int, endpoints: Sequence[Endpoint], *, overflow: bool = False
@@ -106,7 +110,7 @@
             return endpoints
         ordered = sorted(endpoints, key=stable_order)
         traffic = self._current_traffic()
-        if sum(item.request_weight for item in traffic) < MIN_REQUESTS:
+        if _total_weight(traffic) < MIN_REQUESTS:
             short_count = max(1, round(len(ordered) * ASSUMED_SHORT_SHARE))
             return ordered[:short_count] if tokens < ASSUMED_SHORT_TOKENS else ordered[short_count:]
         lanes = _group(traffic)
@@ -118,10 +122,13 @@
         return ordered[start:] if overflow else ordered[start : start + sizes[index]]
 
     def _current_traffic(self) -> Sequence[RouteTraffic]:
-        """Return the fleet's traffic while it is fresh, else the traffic of this process."""
+        """Return the fleet's traffic while it is fresh, else an estimate from this process's."""
         if clock.now() - self._fleet_reported_at < FLEET_TRAFFIC_TTL_S and self._fleet_traffic:
             return self._fleet_traffic
-        return self.own_traffic()
+        return [
+            dataclasses.replace(item, request_weight=item.request_weight * self._fleet_ratio)
+            for item in self.own_traffic()
+        ]
 
     def _compute_sizes(
         self, lanes: Sequence[Sequence[RouteTraffic]], engine_count: int
@@ -181,6 +188,10 @@
     return lanes
 
 
+def _total_weight(traffic: Sequence[RouteTraffic]) -> float:
+    return sum(item.request_weight for item in traffic)
+
+
 def _contains(lane: Sequence[RouteTraffic], route: Route) -> bool:
     return any(item.route == route.name for item in lane)
 
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -335,6 +335,22 @@
         self.clock.advance(FLEET_TRAFFIC_TTL_S + 0.1)
         self.assertEqual(2, len(self.select_lanes()[0]))
 
+    def test_a_gateway_without_fresh_reports_does_not_shrink_the_lane_of_short_prompts(
+        self,
+    ) -> None:
+        fleet = (
+            RouteTraffic("short", 400.0, 1_400.0, 1_400.0),
+            RouteTraffic("long", 870.0, 17_000.0, 4_000.0),
+        )
+        for _ in range(30):
+            # A twentieth of the fleet's traffic.
+            self.record_second(14, 30)
+            self.allocator.set_fleet_traffic(fleet)
+        before = self.select_lanes()
+        for _ in range(int(FLEET_TRAFFIC_TTL_S) + 2):
+            self.record_second(14, 30)
+        self.assertEqual(before, self.select_lanes())
+
     def test_gateways_with_different_traffic_compute_the_same_lanes(self) -> None:
         fleet = (
             RouteTraffic("short", 100.0, 1_400.0, 1_400.0),
