Report crashes that a gateway sees at once together

What callers would see: after an engine's end with four or more requests of one gateway, this gateway exchanged crash records with other sides than the rest for 5 s, so that a part could be blocked later there.

Cause: each lost request sent a report of its own at once, and each counted as unanswered until the side had answered the first; after three the side was left out.

Change: what is new is reported every 0.1 s, in one report; only the regular reports, every 0.5 s, count as unanswered. Blame is computed again only when records changed. A second crash of a run that had refuted the first can be refuted too. The log line says what is known, engine.crash_suspected.

Evidence: found while reading the code; the new test has 9 losses within 0.1 s, and with the immediate reports the exchange goes on with other sides.

--- a/src/pearshed/_internal/engine_side/crash_records.py
+++ b/src/pearshed/_internal/engine_side/crash_records.py
@@ -51,6 +51,7 @@
 
     def __init__(self) -> None:
         self._records: dict[str, CrashRecord] = {}
+        self._changes = 0
         self._successes: collections.OrderedDict[str, float] = collections.OrderedDict()
 
     @property
@@ -61,6 +62,11 @@
             sorted(self._records.values(), key=lambda record: record.crashed_at, reverse=True)
         )
 
+    @property
+    def changes(self) -> int:
+        """Number of changes so far that may change what is blamed."""
+        return self._changes
+
     @property
     def successes(self) -> Mapping[str, float]:
         """Clock readings of the latest success by part, seconds."""
@@ -68,8 +74,8 @@
 
     def record_crash(self, run: str, suspects: Iterable[SharedParts]) -> None:
         """Record that a run ended while it processed prompts."""
-        key = run
-        while key in self._records and self._records[key].refuted:
+        key = self._latest_key(run)
+        if key in self._records and self._records[key].refuted:
             # The run continued after the earlier record.
             key += "+"
         self._merge_record(CrashRecord(key, clock.now(), frozenset(suspects)))
@@ -80,10 +86,12 @@
         :param requested_at: clock reading when the request was sent, seconds.
         :returns: whether this refutes a crash.
         """
-        record = self._records.get(run)
+        key = self._latest_key(run)
+        record = self._records.get(key)
         if record is None or record.refuted or record.crashed_at >= requested_at:
             return False
-        self._records[run] = dataclasses.replace(record, refuted=True)
+        self._records[key] = dataclasses.replace(record, refuted=True)
+        self._changes += 1
         return True
 
     def record_success(self, parts: Iterable[str]) -> None:
@@ -101,6 +109,7 @@
             self._merge_record(record)
         for part, succeeded_at in successes.items():
             if succeeded_at > self._successes.get(part, float("-inf")):
+                self._changes += 1
                 self._set_success(part, succeeded_at)
 
     def suspect_successes(self, records: Sequence[CrashRecord]) -> Mapping[str, float]:
@@ -108,6 +117,13 @@
         parts = {part for record in records for chain in record.suspects for part in chain}
         return {part: self._successes[part] for part in parts if part in self._successes}
 
+    def _latest_key(self, run: str) -> str:
+        """Return the key of a run's latest record, or of its first."""
+        key = run
+        while f"{key}+" in self._records:
+            key += "+"
+        return key
+
     def _merge_record(self, record: CrashRecord) -> None:
         current = self._records.get(record.run)
         if current is not None:
@@ -120,6 +136,9 @@
         if len(record.suspects) > MAX_SUSPECTS:
             suspects = frozenset(sorted(record.suspects)[:MAX_SUSPECTS])
             record = dataclasses.replace(record, suspects=suspects)
+        if record == current:
+            return
+        self._changes += 1
         self._records[record.run] = record
         if len(self._records) > MAX_RECORDS:
             oldest = min(self._records.values(), key=lambda item: item.crashed_at)
--- a/src/pearshed/_internal/gateway/crash_exchange.py
+++ b/src/pearshed/_internal/gateway/crash_exchange.py
@@ -19,7 +19,9 @@
 from pearshed._internal.telemetry.metrics import Metric, counter, gauge
 from pearshed._internal.timers import clock
 
-#: Interval between exchanges, seconds.
+#: Interval at which a crash that this gateway has seen is reported, seconds.
+REPORT_INTERVAL_S = 0.1
+#: Interval between exchanges without one, seconds.
 EXCHANGE_INTERVAL_S = 0.5
 #: Sides with which records are exchanged; the others go on when one is lost.
 EXCHANGE_SIDES = 2
@@ -44,7 +46,10 @@
         self._hosts: dict[str, float] = {}
         self._unanswered: collections.Counter[str] = collections.Counter()
         self._skipped_until: dict[str, float] = {}
-        self._crash_count = 0
+        self._suspect_count = 0
+        self._unreported = False
+        self._next_exchange_at = float("-inf")
+        self._assessed_changes = 0
 
     @property
     def blocked_parts(self) -> Mapping[str, BlockedPart]:
@@ -70,10 +75,10 @@
         """Record that an engine ended its connection while it processed a request."""
         if not call.shared_parts:
             return
-        self._crash_count += 1
+        self._suspect_count += 1
         self._table.record_crash(run_id(entry), (call.shared_parts,))
         logging.info(
-            "engine.crashed",
+            "engine.crash_suspected",
             extra={
                 "fields": {
                     "endpoint": entry.identity,
@@ -83,7 +88,7 @@
             },
         )
         self._update()
-        self._report()
+        self._unreported = True
 
     def record_response(self, entry: EndpointEntry, requested_at: float) -> None:
         """Record that an engine has begun to respond.
@@ -100,22 +105,30 @@
     def merge(self, host: str, report: CrashReport) -> None:
         """Merge the records of a side."""
         self._unanswered.pop(host, None)
-        if report.records or report.successes:
-            self._table.merge(report.records, report.successes)
+        self._table.merge(report.records, report.successes)
+        if self._table.changes != self._assessed_changes:
             self._update()
 
     def exchange(self, hosts: Iterable[str]) -> None:
-        """Report to the chosen sides, whose responses bring what others have seen.
+        """Report to the chosen sides if it is time, or if there is something new.
+
+        The responses bring what others have seen. Called every ``REPORT_INTERVAL_S``.
 
         :param hosts: of the sides of engines that are listed now.
         """
         now = clock.now()
+        is_due = now >= self._next_exchange_at
+        if not is_due and not self._unreported:
+            return
+        self._unreported = False
         self._hosts.update(dict.fromkeys(hosts, now))
         expired = [host for host, seen_at in self._hosts.items() if now - seen_at > HOST_MEMORY_S]
         for host in expired:
             del self._hosts[host]
-        self._update()
-        self._report()
+        self._report(is_due)
+        if is_due:
+            self._next_exchange_at = now + EXCHANGE_INTERVAL_S
+            self._update()
 
     def collect(self) -> Iterable[Metric]:
         """Report the metrics."""
@@ -125,19 +138,24 @@
             len(self._assessment.blocked),
         )
         yield counter(
-            "pearshed_gateway_engine_crashes_total",
+            "pearshed_gateway_crash_suspects_total",
             "Requests with a prompt during which their engine ended the connection",
-            self._crash_count,
+            self._suspect_count,
         )
 
-    def _report(self) -> None:
+    def _report(self, expects_response: bool) -> None:
+        """Send what is known to the chosen sides.
+
+        :param expects_response: count the report as unanswered until a response arrives. Reports
+            in quick succession are not counted, since responses take some time.
+        """
         records = self._table.records
         report = CrashReport("", records, self._table.suspect_successes(records))
         now = clock.now()
         ranked = sorted(self._hosts, key=lambda host: rendezvous.score("crashes", host))
         usable = [host for host in ranked if now >= self._skipped_until.get(host, 0.0)]
         for host in usable[:EXCHANGE_SIDES]:
-            self._unanswered[host] += 1
+            self._unanswered[host] += expects_response
             if self._unanswered[host] > MAX_UNANSWERED:
                 del self._unanswered[host]
                 self._skipped_until[host] = now + SIDE_SKIP_S
@@ -145,6 +163,7 @@
 
     def _update(self) -> None:
         before = self._assessment.blocked
+        self._assessed_changes = self._table.changes
         records = self._table.records
         self._assessment = assess(records, self._table.successes, clock.now())
         blocked = self._assessment.blocked
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -14,7 +14,7 @@
 from pearshed._internal.engine_side.messages import CrashReport, FleetTraffic
 from pearshed._internal.errors import InvariantBrokenError
 from pearshed._internal.gateway.admission import SideAdmissionClient
-from pearshed._internal.gateway.crash_exchange import EXCHANGE_INTERVAL_S, CrashExchange
+from pearshed._internal.gateway.crash_exchange import REPORT_INTERVAL_S, CrashExchange
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.forwarder import Forwarder
 from pearshed._internal.gateway.header_codec import HeaderCodec
@@ -136,7 +136,7 @@
         self._timers.start()
         self._timers.every(_EXPIRY_CHECK_INTERVAL_S, self._drop_expired)
         self._timers.every(TRAFFIC_REPORT_INTERVAL_S, self._report_traffic)
-        self._timers.every(EXCHANGE_INTERVAL_S, self._exchange_crashes)
+        self._timers.every(REPORT_INTERVAL_S, self._exchange_crashes)
         self._timers.every(SETTINGS_CHECK_INTERVAL_S, self._reload_settings)
         self._timers.every(_LOG_DRAIN_INTERVAL_S, self._log_stream.drain)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_prompt_quarantine.py
@@ -27,6 +27,7 @@
     SUCCESS_LOOKBACK_S,
     assess,
 )
+from tests.gateway.test_policies import call, entry
 from tests.lib.fakes import START_S, FakeClock
 
 _NOW = 1000.0
@@ -172,6 +173,10 @@
         self.table.record_crash("r", [("a",)])
         self.assertEqual([False, True], [record.refuted for record in self.table.records])
 
+        self.clock.advance(1.0)
+        self.assertTrue(self.table.refute("r", self.clock.now - 0.5))
+        self.assertEqual([True, True], [record.refuted for record in self.table.records])
+
     def test_crashes_are_forgotten(self) -> None:
         self.table.record_crash("r", [("a",)])
         self.clock.advance(CRASH_MEMORY_S + 1.0)
@@ -248,6 +253,17 @@
         self.hosts = []
         self.assertEqual(first, self.chosen(answered=True))
 
+    def test_many_crashes_at_once_are_one_report_and_replace_no_side(self) -> None:
+        first = self.chosen(answered=True)
+        self.sent.clear()
+        for number in range(MAX_UNANSWERED * 3):
+            self.exchange.record_crash(entry(number), call(number, "a", 500))
+            self.clock.advance(0.01)
+        self.exchange.exchange(self.hosts)
+        self.exchange.exchange(self.hosts)
+        self.assertEqual(sorted(first), sorted(self.sent))
+        self.assertEqual(first, self.chosen(answered=True))
+
     def test_sides_that_dont_respond_are_replaced_for_a_while(self) -> None:
         first = self.chosen(answered=False)
         for _ in range(MAX_UNANSWERED):
