Send crash reports in a form that older sides ignore

What operators would see: beside sides of an older build, gateways of this one cause two datagram.malformed lines a second each, as long as both run.

Cause: crash reports had a kind of their own, which older builds refuse and log.

Change: a report has the form of a request's end, of no request, with two lists more. Older sides read the first three members and ignore the rest.

A test reads what an older build reads of a report.

--- a/src/pearshed/_internal/engine_side/messages.py
+++ b/src/pearshed/_internal/engine_side/messages.py
@@ -128,7 +128,8 @@
 class CrashReport:
     """Crashes of engines that the sender knows of.
 
-    A side responds to each report with its own; builds that don't know this kind refuse it.
+    A side responds to each report with its own. It is sent as the end of no request, which older
+    builds ignore.
 
     :ivar records: ages are sent, so the clocks of sender and receiver need not agree.
     :ivar successes: clock readings of the latest successes of the records' suspects, seconds.
@@ -214,6 +215,8 @@
                     reservation, *rank_and_budget, parts, int(output_tokens), slots, gap_ms
                 )
             )
+        if kind == "d" and len(fields) > 2:
+            return Success(_decode_crash_report(reservation, fields[1], fields[2]))
         if kind == "d":
             return Success(RequestFinished(reservation, int(fields[0]) if fields else 0))
         if kind == "r":
@@ -228,8 +231,6 @@
             return Success(
                 FleetTraffic(reservation, int(fields[0]), _decode_routes(fields[1]), hosts)
             )
-        if kind == "c":
-            return Success(_decode_crash_report(reservation, fields[0], fields[1]))
         if kind in _KINDS:
             return Success(_KINDS[kind](reservation))
     except (orjson.JSONDecodeError, TypeError, ValueError, IndexError) as error:
@@ -264,7 +265,7 @@
         records.append(row)
         successes.extend(times)
         listed |= parts
-    return orjson.dumps(["c", message.reservation, records, successes])
+    return orjson.dumps(["d", message.reservation, 0, records, successes])
 
 
 def _decode_crash_report(
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_prompt_quarantine.py
@@ -1,6 +1,7 @@
 """Which prompt parts are blamed for crashes, and how records of crashes are exchanged."""
 
 import dataclasses
+import json
 import random
 import unittest
 from collections.abc import Mapping, Sequence
@@ -15,7 +16,11 @@
     CrashRecord,
     CrashTable,
 )
-from pearshed._internal.engine_side.messages import MAX_DATAGRAM_BYTES, CrashReport
+from pearshed._internal.engine_side.messages import (
+    MAX_DATAGRAM_BYTES,
+    CrashReport,
+    RequestFinished,
+)
 from pearshed._internal.gateway.crash_exchange import (
     EXCHANGE_SIDES,
     MAX_UNANSWERED,
@@ -220,12 +225,19 @@
         self.assertEqual(records[: len(decoded.records)], decoded.records)
         self.assertGreater(len(decoded.records), 2)
 
+    def test_builds_without_crash_reports_read_the_end_of_no_request(self) -> None:
+        record = CrashRecord("i-1/5", START_S, frozenset([("a",)]))
+        datagram = messages.encode(CrashReport("", (record,), {}))
+        kind, reservation, longest_gap_ms, *_ = json.loads(datagram)
+        ended = messages.decode(json.dumps([kind, reservation, longest_gap_ms]).encode())
+        self.assertEqual(RequestFinished("", 0), ended.unwrap())
+
     @parameterized.expand(
         [
-            ("no_records", b'["c",""]'),
-            ("no_list", b'["c","",5,[]]'),
-            ("age_no_number", b'["c","",[["r","soon",0,[]]],[]]'),
-            ("success_without_age", b'["c","",[],[["a"]]]'),
+            ("no_list", b'["d","",0,5,[]]'),
+            ("age_no_number", b'["d","",0,[["r","soon",0,[]]],[]]'),
+            ("suspects_no_list", b'["d","",0,[["r",1,0,5]],[]]'),
+            ("success_without_age", b'["d","",0,[],[["a"]]]'),
         ]
     )
     def test_malformed_reports_are_refused(self, _: str, datagram: bytes) -> None:
