Move what several test modules use into tests/lib

Change: the side in the test's process and its idle monitor, and the entries, routes and calls of placement tests, move unchanged; one doc comment of json_client is reworded.

--- a/src/pearshed/_internal/http/json_client.py
+++ b/src/pearshed/_internal/http/json_client.py
@@ -32,7 +32,7 @@
 
 
 class CallPhase(enum.StrEnum):
-    """Phase of a call, which tells how far a failed one got."""
+    """Phase of a call; failures are counted by the phase in which they occurred."""
 
     CONNECTING = "connecting"
     WAITING = "waiting"
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -4,15 +4,13 @@
 from typing import Any
 
 from parameterized import parameterized
-from returns.result import Failure, Result, Success
 
-from pearshed._internal.engine_side.monitor import CacheUpdate, EngineMonitor, EngineReport
 from pearshed._internal.engine_side.process import EngineSideProcess
-from pearshed._internal.engine_side.settings import EngineSideSettings
 from pearshed._internal.gateway.process import GatewayProcess
 from pearshed._internal.utils.addresses import Address
+from tests.lib.engine_side import IdleMonitor, start_side
 from tests.lib.gateway_caller import Caller
-from tests.lib.gateway_fixture import GatewayTestCase, QuietLogStream, free_address, until
+from tests.lib.gateway_fixture import GatewayTestCase, free_address, until
 from tests.lib.gateway_platform import (
     EngineConnection,
     EngineRequest,
@@ -23,34 +21,6 @@
 PROMPT = {"Pearshed-Token-Usage": "30000,100", "Pearshed-Prefix-Hash": "aa:20000,bb:10000"}
 
 
-class IdleMonitor(EngineMonitor):
-    """Reports an engine with an empty cache, and no cache updates."""
-
-    async def report(self) -> Result[EngineReport, str]:
-        """Report nothing running."""
-        return Success(EngineReport(1, 1, 0, 1_000_000, ()))
-
-    async def next_cache_update(self, since: int, wait_s: float) -> Result[CacheUpdate, str]:
-        """Return no update after the wait."""
-        await asyncio.sleep(wait_s)
-        return Failure("no update")
-
-    def close(self) -> None:
-        """Do nothing."""
-
-
-async def start_side(
-    test: GatewayTestCase, address: Address, engine: Address, monitor: EngineMonitor
-) -> EngineSideProcess:
-    """Run the side of an engine until the test ends."""
-    settings = EngineSideSettings("side-1", "olympia", address, engine)
-    side = EngineSideProcess(settings, monitor, QuietLogStream())  # type: ignore[arg-type]
-    task = asyncio.get_running_loop().create_task(side.run())
-    test.addAsyncCleanup(_stop_side, task, side)
-    await until(lambda: side.serving)
-    return side
-
-
 class AdmissionTest(GatewayTestCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
@@ -237,8 +207,3 @@
         await until(lambda: "pearshed_gateway_gateways 1\n" in self.gateway.pages.metrics_page())
         page = self.gateway.pages.metrics_page()
         self.assertIn('pearshed_gateway_attempts_total{outcome="Answered"} 1', page)
-
-
-async def _stop_side(task: "asyncio.Task[None]", side: EngineSideProcess) -> None:
-    side.request_stop()
-    await asyncio.wait_for(asyncio.gather(task, return_exceptions=True), 10)
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -6,7 +6,7 @@
 from pearshed._internal.gateway.process import GatewayProcess
 from pearshed._internal.gateway.prompt_quarantine import BLOCK_S, MIN_CRASHES
 from pearshed._internal.utils.addresses import Address
-from tests.gateway.test_admission import IdleMonitor, start_side
+from tests.lib.engine_side import IdleMonitor, start_side
 from tests.lib.gateway_caller import Caller, CallerResponse
 from tests.lib.gateway_fixture import GatewayTestCase, free_address, gateway_settings, until
 from tests.lib.gateway_platform import (
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -10,7 +10,7 @@
 
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
-from pearshed._internal.gateway.header_codec import EndpointLoadReport, RequestMetadata
+from pearshed._internal.gateway.header_codec import EndpointLoadReport
 from pearshed._internal.gateway.lane_allocator import (
     FLEET_TRAFFIC_TTL_S,
     MAX_SHORT_LANE_SHARE,
@@ -26,52 +26,12 @@
 from pearshed._internal.gateway.request_logger import MAX_LINES_PER_S, RequestLogger
 from pearshed._internal.gateway.routed_call import RoutedCall
 from pearshed._internal.gateway.service_retry_budget import USED_SHARE, ServiceRetryBudget
-from pearshed._internal.http.messages import HttpRequest
 from pearshed._internal.models.routing import (
-    EndpointEntry,
     EndpointState,
-    PromptPart,
-    Route,
-    RouteKind,
-    ServiceShare,
 )
 from pearshed._internal.utils.addresses import Address
 from tests.lib.fakes import FakeClock
-
-
-def entry(number: int, data_centre: str = "olympia", **overrides: Any) -> EndpointEntry:
-    """Create an endpoint's entry."""
-    values: dict[str, Any] = {
-        "identity": f"i-{number}",
-        "service": "fleet",
-        "address": Address("10.0.0.1", 1000 + number),
-        "data_centre": data_centre,
-        "slots": 64,
-        "state": EndpointState.READY,
-        "warmup_remaining_s": 0.0,
-        "started_at_ms": 0,
-        **overrides,
-    }
-    return EndpointEntry(**values)
-
-
-def route(name: str) -> Route:
-    """Create a streaming route."""
-    shares = (ServiceShare("fleet", 1.0),)
-    return Route(
-        name, "h", "/", RouteKind.STREAMING, shares, 5000, 1000, 300, 2, 0, True, True, False
-    )
-
-
-def call(number: int, shared: str = "", shared_tokens: int = 0, name: str = "draft") -> RoutedCall:
-    """Create a routed request with a prompt."""
-    prompt: tuple[PromptPart, ...] = (PromptPart(f"own-{number}", 500),)
-    if shared:
-        prompt = (PromptPart(shared, shared_tokens), *prompt)
-    tokens = sum(part.tokens for part in prompt)
-    metadata = RequestMetadata(str(number), None, "", "", prompt, tokens, 100, 0, ())
-    request = HttpRequest(b"POST", b"/", (), b"", True, True, 0.0)
-    return RoutedCall(request, metadata, route(name), "fleet", "", 0, 1e12, 1)
+from tests.lib.routed_calls import call, entry, route
 
 
 class PlacementTest(unittest.TestCase):
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_prompt_quarantine.py
@@ -32,8 +32,8 @@
     SUCCESS_LOOKBACK_S,
     assess,
 )
-from tests.gateway.test_policies import call, entry
 from tests.lib.fakes import START_S, FakeClock
+from tests.lib.routed_calls import call, entry
 
 _NOW = 1000.0
 _Crash = tuple[float, Sequence[str]]
