Log the request rates that engines name

Cause: gateways ignored the header, so nothing in their output said that an engine had a limit, when it named it, or which gateway knew it when it sent a request.

Change: the header is decoded; engine.rate_limit is logged when an engine names, changes or withdraws a limit, request.attempt carries the limit known, a counter the requests sent to such engines. What is sent where doesn't change.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -44,6 +44,8 @@
     """Sends a request to an endpoint and relays its response to the caller.
 
     :param timeout_s: longest time to wait for the response head, seconds.
+    :param on_sent: called when the request is sent.
+    :param on_response: called with the response's metadata, unless another endpoint responded.
     :param on_prefilled: called when the endpoint has prefilled the request's prompt.
     """
 
@@ -54,6 +56,8 @@
         codec: HeaderCodec,
         writer: ResponseWriter,
         timeout_s: float,
+        on_sent: Callable[[], None],
+        on_response: Callable[[ResponseMetadata], None],
         on_prefilled: Callable[[], None],
         metrics: RequestMetrics,
     ) -> None:
@@ -61,6 +65,8 @@
         self._call = call
         self._endpoint = decision.endpoint
         self._fetch_from = decision.fetch_from
+        self._on_sent = on_sent
+        self._on_response = on_response
         self._on_prefilled = on_prefilled
         self._codec = codec
         self._writer = writer
@@ -144,6 +150,7 @@
             return OutOfTime(sent=False)
         self._sent_at = clock.now()
         idle_s = self._sent_at - connection.idle_since
+        self._on_sent()
         self._request_handle = self._endpoint.start_request(self._call.metadata.prompt_tokens)
         connection.send(
             self._encode(remaining_s),
@@ -167,9 +174,11 @@
         self._framing = first_event.framing
         metadata = self._codec.decode_response(first_event)
         self._endpoint.record_data(metadata.load)
-        if metadata.leaving and first_event.status != _MISDIRECTED:
+        if first_event.status != _MISDIRECTED:
             # A misdirected request was answered by another endpoint.
-            self._endpoint.mark_leaving()
+            self._on_response(metadata)
+            if metadata.leaving:
+                self._endpoint.mark_leaving()
         try:
             async with asyncio.timeout(max(0.0, self._call.remaining_s)):
                 return await self._relay_response(connection, first_event, metadata)
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -16,8 +16,13 @@
 from pearshed._internal.gateway.attempt import Attempt
 from pearshed._internal.gateway.crash_exchange import CrashExchange
 from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
-from pearshed._internal.gateway.header_codec import HeaderCodec, RequestMetadata
+from pearshed._internal.gateway.header_codec import (
+    HeaderCodec,
+    RequestMetadata,
+    ResponseMetadata,
+)
 from pearshed._internal.gateway.placement import Placement, PlacementDecision
+from pearshed._internal.gateway.rate_limited_engines import RateLimitedEngines
 from pearshed._internal.gateway.request_logger import RequestLogger
 from pearshed._internal.gateway.request_metrics import RequestMetrics
 from pearshed._internal.gateway.request_router import RequestRouter
@@ -97,6 +102,7 @@
         admission: AdmissionClient,
         retry_budget: Callable[[str], ServiceRetryBudget],
         crashes: CrashExchange,
+        rate_limited: RateLimitedEngines,
         request_logger: RequestLogger,
         metrics: RequestMetrics,
         rng: random.Random,
@@ -109,6 +115,7 @@
         self._admission = admission
         self._retry_budget = retry_budget
         self._crashes = crashes
+        self._rate_limited = rate_limited
         self._request_logger = request_logger
         self._metrics = metrics
         self._rng = rng
@@ -285,21 +292,42 @@
         if self._has_alternative(call, progress):
             timeout_s *= _ATTEMPT_TIMEOUT_SHARE
 
+        entry = decision.endpoint.entry
+        rate_limit = self._rate_limited.per_s(entry)
+
+        def record_send() -> None:
+            self._rate_limited.record_send(entry)
+
+        def record_response(metadata: ResponseMetadata) -> None:
+            # Only the engine itself can say that it no longer has a limit.
+            if metadata.rate_limit is not None or metadata.signed:
+                self._rate_limited.record_response(entry, metadata.rate_limit)
+
         def record_prefill() -> None:
             self._placement(call).record_prefill(call, decision.endpoint)
             self._admission.notify_prefilled(admitted, decision.endpoint)
-            self._crashes.record_response(decision.endpoint.entry, attempt.sent_at)
+            self._crashes.record_response(entry, attempt.sent_at)
 
         attempt = Attempt(
-            call, decision, self._codec, writer, timeout_s, record_prefill, self._metrics
+            call,
+            decision,
+            self._codec,
+            writer,
+            timeout_s,
+            record_send,
+            record_response,
+            record_prefill,
+            self._metrics,
         )
         try:
             outcome = await attempt.run()
         finally:
             self._admission.notify_finished(admitted, decision.endpoint, attempt.longest_gap_ms)
-        self._record_attempt(call, decision, attempt, outcome, len(progress.tried), writer)
+        self._record_attempt(
+            call, decision, attempt, outcome, len(progress.tried), writer, rate_limit
+        )
         if attempt.may_have_crashed_engine:
-            self._crashes.record_crash(decision.endpoint.entry, call)
+            self._crashes.record_crash(entry, call)
         elif isinstance(outcome, Answered) and attempt.complete:
             self._crashes.record_success(call)
         return outcome
@@ -374,6 +402,7 @@
         outcome: AttemptOutcome,
         number: int,
         writer: ResponseWriter,
+        rate_limit: float | None,
     ) -> None:
         self._metrics.record_attempt(outcome, attempt.framing)
         if isinstance(outcome, Answered):
@@ -403,6 +432,7 @@
             unfinished_event_bytes=attempt.unfinished_event_bytes,
             last_event_id=writer.last_event_id,
             in_flight=endpoint.in_flight,
+            rate_limit=rate_limit,
             first_ms=attempt.first_ms,
             longest_gap_ms=attempt.longest_gap_ms,
             failure_share=round(endpoint.failure_share, 2),
--- a/src/pearshed/_internal/gateway/header_codec.py
+++ b/src/pearshed/_internal/gateway/header_codec.py
@@ -79,6 +79,8 @@
     :ivar not_executed: the endpoint guarantees that the request was not run and won't be.
     :ivar load: the endpoint's load, if reported.
     :ivar leaving: the endpoint announces that it leaves.
+    :ivar rate_limit: requests per second that the endpoint takes from all gateways together;
+        ``None`` if it names no limit.
     """
 
     request_id: str
@@ -86,6 +88,7 @@
     not_executed: bool
     load: EndpointLoadReport | None
     leaving: bool = False
+    rate_limit: float | None = None
 
 
 class HeaderCodec(abc.ABC):
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -22,6 +22,7 @@
 from pearshed._internal.gateway.peer_directory import PeerDirectory
 from pearshed._internal.gateway.peer_sync import CHECK_INTERVAL_S, SYNC_PATH, PeerSync
 from pearshed._internal.gateway.placement import LeastLoadPlacement, PromptPlacement
+from pearshed._internal.gateway.rate_limited_engines import RateLimitedEngines
 from pearshed._internal.gateway.request_logger import RequestLogger
 from pearshed._internal.gateway.request_metrics import RequestMetrics
 from pearshed._internal.gateway.request_router import RequestRouter
@@ -98,6 +99,7 @@
             self._apply_crash_report,
         )
         self._crashes = CrashExchange(self._admission.report_crashes)
+        self._rate_limited = RateLimitedEngines()
         self._prompt_placement = PromptPlacement(settings.data_centre, self._rng)
         self._forwarder = Forwarder(
             codec,
@@ -108,6 +110,7 @@
             self._admission,
             self._retry_budget,
             self._crashes,
+            self._rate_limited,
             RequestLogger(self._log_context),
             self._request_metrics,
             self._rng,
@@ -126,6 +129,7 @@
         self._pages.metrics.add(self._request_metrics.collect)
         self._pages.metrics.add(self._peer_sync.collect)
         self._pages.metrics.add(self._crashes.collect)
+        self._pages.metrics.add(self._rate_limited.collect)
         self._page_server = PageServer(self._find_page, self._timers)
 
     async def run(self) -> None:
--- a/src/pearshed/_internal/platform/headers.py
+++ b/src/pearshed/_internal/platform/headers.py
@@ -1,5 +1,7 @@
 """Converts between the platform's headers and the gateway's metadata types."""
 
+import math
+
 from pearshed._internal.gateway.header_codec import (
     EndpointLoadReport,
     ForwardingMetadata,
@@ -64,6 +66,7 @@
             not_executed=names.NOT_EXECUTED in values or head.status == 421,
             load=_parse_load(values.get(names.LOAD, b"")),
             leaving=values.get(names.LEAVING) == b"1",
+            rate_limit=_parse_rate(values.get(names.RATE_LIMIT, b"")),
         )
 
     def encode_refusal(self, request_id: str, retry_after_s: float) -> list[Header]:
@@ -111,6 +114,14 @@
     return tuple(parts)
 
 
+def _parse_rate(value: bytes) -> float | None:
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if 0.0 <= rate < math.inf else None
+
+
 def _parse_load(value: bytes) -> EndpointLoadReport | None:
     numbers = value.split(b",")
     if len(numbers) != 3 or not all(number.strip().isdigit() for number in numbers):
--- a/src/pearshed/_internal/platform/names.py
+++ b/src/pearshed/_internal/platform/names.py
@@ -14,6 +14,8 @@
 LOAD = b"pearshed-server-load"
 NOT_EXECUTED = b"pearshed-not-executed"
 LEAVING = b"server-leaving"
+# Requests per second from all gateways together, while the engine is in need.
+RATE_LIMIT = b"server-limit"
 LENGTH_HINT = b"pearshed-length-hint"
 RANK = b"pearshed-request-priority"
 FETCH_FROM = b"kv-fetch"
