Move what tests with several gateways share into tests/lib

Cause: tests of limits over several gateways need the same fixture as those of crashing prompts.

Change: GatewayFleetTestCase holds it; no check changes.

--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -2,15 +2,11 @@
 
 import asyncio
 
-from pearshed._internal.engine_side.process import EngineSideProcess
-from pearshed._internal.gateway.process import GatewayProcess
 from pearshed._internal.gateway.prompt_quarantine import BLOCK_S, MIN_CRASHES
-from pearshed._internal.utils.addresses import Address
-from tests.lib.engine_side import IdleMonitor, start_side
-from tests.lib.gateway_caller import Caller, CallerResponse
-from tests.lib.gateway_fixture import GatewayTestCase, free_address, gateway_settings, until
+from tests.lib.gateway_caller import CallerResponse
+from tests.lib.gateway_fixture import until
+from tests.lib.gateway_fleet import GatewayFleetTestCase
 from tests.lib.gateway_platform import (
-    API_KEY,
     EngineConnection,
     EngineRequest,
     EngineStandIn,
@@ -26,17 +22,14 @@
 _ENGINES = 4
 
 
-class CrashingPromptTest(GatewayTestCase):
-    """Gateways on several VMs; the engines share one VM and its side."""
+class CrashingPromptTest(GatewayFleetTestCase):
+    """Requests with a crashing part and with sound ones, at two gateways."""
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         routes = [route("brief", "streaming", "fleet", sticky=True, resumable=True)]
         self.store.put("op/config", configuration(2, routes=routes))
-        self.peer_port = free_address().port
-        self.callers: list[Address] = []
-        self.gateways: list[GatewayProcess] = []
-        self.arrivals: list[EngineRequest] = []
+        self.arrivals_before_crashes: list[EngineRequest] = []
         self.started = 0
         self.sent = 0
         for _ in range(_ENGINES):
@@ -45,21 +38,6 @@
         for _ in range(2):
             await self.add_gateway()
 
-    async def start_side(self) -> EngineSideProcess:
-        address = Address("127.0.0.1", self.peer_port)
-        return await start_side(self, address, self.engines[0].address, IdleMonitor())
-
-    async def add_gateway(self) -> GatewayProcess:
-        host = f"127.0.0.{len(self.gateways) + 2}"
-        settings = gateway_settings(
-            self.store.address, name=f"edge-{host}", peers=Address(host, self.peer_port)
-        )
-        gateway, _ = self.run_gateway(lambda: settings)
-        await until(lambda: not gateway.not_ready_reasons())
-        self.callers.append(settings.callers)
-        self.gateways.append(gateway)
-        return gateway
-
     async def respond(self, connection: EngineConnection, request: EngineRequest) -> None:
         connection.begin_stream(request)
         connection.send_event(1)
@@ -82,7 +60,7 @@
         """Stop the engine that runs a request; another takes its place."""
         crashed = next(engine for engine in self.engines if request in engine.requests)
         self.engines.remove(crashed)
-        self.arrivals.extend(crashed.requests)
+        self.arrivals_before_crashes.extend(crashed.requests)
         self.store.delete(f"servers/{crashed.identity}")
         await self.start_engine()
         await crashed.stop()
@@ -90,25 +68,15 @@
     async def send(self, number: int, prompt: str) -> CallerResponse | None:
         """Send a request with a prompt of its own to one of the gateways once engines are back."""
         self.sent += 1
-        running = {engine.identity for engine in self.engines}
-        await until(lambda: all(self.listed(gateway) == running for gateway in self.gateways))
-        caller = await Caller.connect(self.callers[number % len(self.callers)])
-        try:
-            headers = {
-                "Authorization": f"Token {API_KEY}",
-                "Pearshed-Token-Usage": "350,20",
-                "Pearshed-Prefix-Hash": prompt.format(f"{self.sent:x}"),
-            }
-            caller.send("/brief/a", method="POST", headers=headers)
-            return await caller.read_response()
-        finally:
-            caller.close()
-
-    def listed(self, gateway: GatewayProcess) -> set[str]:
-        return {item.entry.identity for item in gateway.endpoints.of_service("fleet")}
+        await self.all_listed()
+        headers = {
+            "Pearshed-Token-Usage": "350,20",
+            "Pearshed-Prefix-Hash": prompt.format(f"{self.sent:x}"),
+        }
+        return await self.send_to(number % len(self.callers), "/brief/a", headers=headers)
 
     def crashing_arrivals(self) -> int:
-        arrivals = [*self.arrivals, *(item for engine in self.engines for item in engine.requests)]
+        arrivals = [*self.arrivals_before_crashes, *self.arrivals()]
         return sum("dead" in item.headers["pearshed-prefix-hash"] for item in arrivals)
 
     async def test_a_prompt_part_that_crashes_engines_stops_reaching_them(self) -> None:
--- /dev/null
+++ b/tests/lib/gateway_fleet.py
@@ -0,0 +1,62 @@
+"""Runs gateways on several VMs in the test's process; the engines share one VM and its side."""
+
+from typing import Any
+
+from pearshed._internal.engine_side.process import EngineSideProcess
+from pearshed._internal.gateway.process import GatewayProcess
+from pearshed._internal.utils.addresses import Address
+from tests.lib.engine_side import IdleMonitor, start_side
+from tests.lib.gateway_caller import Caller, CallerResponse
+from tests.lib.gateway_fixture import GatewayTestCase, free_address, gateway_settings, until
+from tests.lib.gateway_platform import EngineRequest
+
+
+class GatewayFleetTestCase(GatewayTestCase):
+    """Starts a store; tests add engines, a side and gateways."""
+
+    async def asyncSetUp(self) -> None:
+        """Choose the port at which gateways and the side exchange datagrams."""
+        await super().asyncSetUp()
+        self.peer_port = free_address().port
+        self.callers: list[Address] = []
+        self.gateways: list[GatewayProcess] = []
+
+    async def start_side(self) -> EngineSideProcess:
+        """Run the side of the engines."""
+        address = Address("127.0.0.1", self.peer_port)
+        return await start_side(self, address, self.engines[0].address, IdleMonitor())
+
+    async def add_gateway(self) -> GatewayProcess:
+        """Start one more gateway, on a VM of its own."""
+        host = f"127.0.0.{len(self.gateways) + 2}"
+        settings = gateway_settings(
+            self.store.address, name=f"edge-{host}", peers=Address(host, self.peer_port)
+        )
+        gateway, _ = self.run_gateway(lambda: settings)
+        await until(lambda: not gateway.not_ready_reasons())
+        self.callers.append(settings.callers)
+        self.gateways.append(gateway)
+        return gateway
+
+    async def send_to(self, gateway: int, path: str, **fields: Any) -> CallerResponse | None:
+        """Send a request to one of the gateways and read the response."""
+        caller = await Caller.connect(self.callers[gateway])
+        try:
+            caller.send(path, **fields)
+            return await caller.read_response()
+        finally:
+            caller.close()
+
+    async def all_listed(self, service: str = "fleet") -> None:
+        """Wait until all gateways list just the running engines of a service."""
+        await until(lambda: all(self._lists_running(gateway, service) for gateway in self.gateways))
+
+    def arrivals(self) -> list[EngineRequest]:
+        """List the requests that the running engines have received."""
+        return [request for engine in self.engines for request in engine.requests]
+
+    def _lists_running(self, gateway: GatewayProcess, service: str) -> bool:
+        running = {engine.identity for engine in self.engines if engine.service == service}
+        return running == {
+            endpoint.entry.identity for endpoint in gateway.endpoints.of_service(service)
+        }
