Separate the exchange with sides from the records of crashes

Cause: rate limits have to reach all gateways in the same way as crash records, and the choice of sides, their silence and the intervals were part of the crash records.

Change: SideExchange reports records of any kind to the chosen sides; CrashDetector keeps the records of crashes and what they block. No message changes. Tests of the exchange call the same two parts.

--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -148,7 +148,7 @@
             responses.put_nowait(message)
         elif isinstance(message, AdmissionGranted):
             # This gateway no longer needs the reservation.
-            self._send(RequestFinished(message.reservation), addr[0])
+            self.send(RequestFinished(message.reservation), addr[0])
 
     async def admit(
         self, call: RoutedCall, endpoint: Endpoint, attempt: int, budget_s: float
@@ -168,7 +168,7 @@
         finally:
             del self._responses[reservation]
             if not granted:
-                self._send(RequestFinished(reservation), host)
+                self.send(RequestFinished(reservation), host)
 
     def report_traffic(
         self, endpoints: Sequence[Endpoint], routes: tuple[RouteTraffic, ...]
@@ -180,11 +180,12 @@
         )
         responsive = [host for host in hosts if now >= self._skipped_until.get(host, 0.0)]
         for host in responsive[:TRAFFIC_SIDES]:
-            self._send(TrafficReport("", routes), host)
+            self.send(TrafficReport("", routes), host)
 
-    def report_crashes(self, report: CrashReport, host: str) -> None:
-        """Send a report of crashes to a side."""
-        self._send(report, host)
+    def send(self, message: Message, host: str) -> None:
+        """Send a message to the side at a host."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(messages.encode(message), (host, self._port))
 
     def close(self) -> None:
         """Close the socket."""
@@ -194,14 +195,14 @@
     def notify_prefilled(self, admitted: Admitted, endpoint: Endpoint) -> None:
         """Notify the side that the engine has prefilled the prompt."""
         if admitted.reservation:
-            self._send(PromptPrefilled(admitted.reservation), endpoint.entry.address.host)
+            self.send(PromptPrefilled(admitted.reservation), endpoint.entry.address.host)
 
     def notify_finished(
         self, admitted: Admitted, endpoint: Endpoint, longest_gap_ms: int = 0
     ) -> None:
         """Notify the side that the request has ended."""
         if admitted.reservation:
-            self._send(
+            self.send(
                 RequestFinished(admitted.reservation, longest_gap_ms), endpoint.entry.address.host
             )
 
@@ -221,7 +222,7 @@
             remaining_s = deadline - clock.now()
             if remaining_s < -_RESPONSE_GRACE_S:
                 return NotAdmitted(budget_s)
-            self._send(_build_request(call, endpoint, reservation, remaining_s), host)
+            self.send(_build_request(call, endpoint, reservation, remaining_s), host)
             try:
                 async with asyncio.timeout(interval_s):
                     response = await responses.get()
@@ -257,10 +258,6 @@
         self._skipped_until[host] = clock.now() + SIDE_SKIP_S
         logging.info("side.silent", extra={"fields": {"host": host, "for_s": SIDE_SKIP_S}})
 
-    def _send(self, message: Message, host: str) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(messages.encode(message), (host, self._port))
-
 
 def _build_request(
     call: RoutedCall, endpoint: Endpoint, reservation: str, remaining_s: float
--- a/src/pearshed/_internal/gateway/crash_exchange.py
+++ b/src/pearshed/_internal/gateway/crash_detector.py
@@ -1,12 +1,6 @@
-"""Exchanges records of engine crashes with other gateways, through sides of engines.
+"""Records crashes of engines, and blocks the prompt parts that cause them."""
 
-All gateways choose the same few sides by their hosts, which stay the same when engines restart. A
-side merges what it gets and responds with all that it has. So each gateway learns of a crash within
-two exchanges, whoever saw it, and a process that has restarted gets the records back.
-"""
-
-import collections
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 
 from absl import logging
 
@@ -14,41 +8,20 @@
 from pearshed._internal.engine_side.messages import CrashReport
 from pearshed._internal.gateway.prompt_quarantine import Assessment, BlockedPart, assess
 from pearshed._internal.gateway.routed_call import RoutedCall
-from pearshed._internal.membership import rendezvous
+from pearshed._internal.gateway.side_exchange import ExchangedRecords
 from pearshed._internal.models.routing import EndpointEntry
 from pearshed._internal.telemetry.metrics import Metric, counter, gauge
 from pearshed._internal.timers import clock
 
-#: Interval at which a crash that this gateway has seen is reported, seconds.
-REPORT_INTERVAL_S = 0.1
-#: Interval between exchanges without one, seconds.
-EXCHANGE_INTERVAL_S = 0.5
-#: Sides with which records are exchanged; the others go on when one is lost.
-EXCHANGE_SIDES = 2
-#: Reports without a response after which another side is chosen.
-MAX_UNANSWERED = 3
-#: Time for which a side that doesn't respond is left out, seconds.
-SIDE_SKIP_S = 5.0
-#: Time for which the side of an engine that is gone is still used, seconds.
-HOST_MEMORY_S = 60.0
-
 
-class CrashExchange:
-    """Records what this gateway sees of crashes, and blocks the prompt parts that cause them.
+class CrashDetector(ExchangedRecords):
+    """Records what all gateways see of crashes, and blocks the prompt parts that cause them."""
 
-    :param send: sends a report to the side at a host.
-    """
-
-    def __init__(self, send: Callable[[CrashReport, str], None]) -> None:
-        self._send = send
+    def __init__(self) -> None:
         self._table = CrashTable()
         self._assessment = Assessment()
-        self._hosts: dict[str, float] = {}
-        self._unanswered: collections.Counter[str] = collections.Counter()
-        self._skipped_until: dict[str, float] = {}
         self._suspect_count = 0
         self._unreported = False
-        self._next_exchange_at = float("-inf")
         self._assessed_changes = 0
 
     @property
@@ -102,33 +75,22 @@
         """Record that an engine has responded completely."""
         self._table.record_success(call.shared_parts)
 
-    def merge(self, host: str, report: CrashReport) -> None:
+    def merge(self, report: CrashReport) -> None:
         """Merge the records of a side."""
-        self._unanswered.pop(host, None)
         self._table.merge(report.records, report.successes)
         if self._table.changes != self._assessed_changes:
             self._update()
 
-    def exchange(self, hosts: Iterable[str]) -> None:
-        """Report to the chosen sides if it is time, or if there is something new.
-
-        The responses bring what others have seen. Called every ``REPORT_INTERVAL_S``.
+    def take_news(self) -> bool:
+        """Return whether this gateway has seen a crash since the last call."""
+        has_news, self._unreported = self._unreported, False
+        return has_news
 
-        :param hosts: of the sides of engines that are listed now.
-        """
-        now = clock.now()
-        is_due = now >= self._next_exchange_at
-        if not is_due and not self._unreported:
-            return
-        self._unreported = False
-        self._hosts.update(dict.fromkeys(hosts, now))
-        expired = [host for host, seen_at in self._hosts.items() if now - seen_at > HOST_MEMORY_S]
-        for host in expired:
-            del self._hosts[host]
-        self._report(is_due)
-        if is_due:
-            self._next_exchange_at = now + EXCHANGE_INTERVAL_S
-            self._update()
+    def report(self) -> CrashReport:
+        """Return the known crashes, after dropping what has expired."""
+        self._update()
+        records = self._table.records
+        return CrashReport("", records, self._table.suspect_successes(records))
 
     def collect(self) -> Iterable[Metric]:
         """Report the metrics."""
@@ -143,24 +105,6 @@
             self._suspect_count,
         )
 
-    def _report(self, expects_response: bool) -> None:
-        """Send what is known to the chosen sides.
-
-        :param expects_response: count the report as unanswered until a response arrives. Reports
-            in quick succession are not counted, since responses take some time.
-        """
-        records = self._table.records
-        report = CrashReport("", records, self._table.suspect_successes(records))
-        now = clock.now()
-        ranked = sorted(self._hosts, key=lambda host: rendezvous.score("crashes", host))
-        usable = [host for host in ranked if now >= self._skipped_until.get(host, 0.0)]
-        for host in usable[:EXCHANGE_SIDES]:
-            self._unanswered[host] += expects_response
-            if self._unanswered[host] > MAX_UNANSWERED:
-                del self._unanswered[host]
-                self._skipped_until[host] = now + SIDE_SKIP_S
-            self._send(report, host)
-
     def _update(self) -> None:
         before = self._assessment.blocked
         self._assessed_changes = self._table.changes
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -14,7 +14,7 @@
     NotAdmitted,
 )
 from pearshed._internal.gateway.attempt import Attempt
-from pearshed._internal.gateway.crash_exchange import CrashExchange
+from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
 from pearshed._internal.gateway.header_codec import (
     HeaderCodec,
@@ -101,7 +101,7 @@
         prompt_placement: Placement,
         admission: AdmissionClient,
         retry_budget: Callable[[str], ServiceRetryBudget],
-        crashes: CrashExchange,
+        crashes: CrashDetector,
         rate_limited: RateLimitedEngines,
         request_logger: RequestLogger,
         metrics: RequestMetrics,
--- a/src/pearshed/_internal/gateway/operator_pages.py
+++ b/src/pearshed/_internal/gateway/operator_pages.py
@@ -7,7 +7,7 @@
 
 import pearshed
 from pearshed._internal.gateway.admission import SideAdmissionClient
-from pearshed._internal.gateway.crash_exchange import CrashExchange
+from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.gateway.store_cache import StoreCache
@@ -35,7 +35,7 @@
         admission: SideAdmissionClient,
         connections: Collection[object],
         retry_budgets: Mapping[str, ServiceRetryBudget],
-        crashes: CrashExchange,
+        crashes: CrashDetector,
         log_stream: BoundedLogStream,
         not_ready_reasons: Callable[[], list[str]],
     ) -> None:
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -14,7 +14,7 @@
 from pearshed._internal.engine_side.messages import CrashReport, FleetTraffic
 from pearshed._internal.errors import InvariantBrokenError
 from pearshed._internal.gateway.admission import SideAdmissionClient
-from pearshed._internal.gateway.crash_exchange import REPORT_INTERVAL_S, CrashExchange
+from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.forwarder import Forwarder
 from pearshed._internal.gateway.header_codec import HeaderCodec
@@ -28,6 +28,7 @@
 from pearshed._internal.gateway.request_router import RequestRouter
 from pearshed._internal.gateway.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.gateway.settings import GatewaySettings
+from pearshed._internal.gateway.side_exchange import REPORT_INTERVAL_S, SideExchange
 from pearshed._internal.gateway.store import Store
 from pearshed._internal.gateway.store_cache import DocumentDecoder, StoreCache
 from pearshed._internal.http.caller_connection import CallerConnection, ConnectionState
@@ -98,7 +99,9 @@
             self._apply_fleet_traffic,
             self._apply_crash_report,
         )
-        self._crashes = CrashExchange(self._admission.report_crashes)
+        self._crashes = CrashDetector()
+        self._side_exchange = SideExchange(self._admission.send)
+        self._side_exchange.add(self._crashes)
         self._rate_limited = RateLimitedEngines()
         self._prompt_placement = PromptPlacement(settings.data_centre, self._rng)
         self._forwarder = Forwarder(
@@ -140,7 +143,7 @@
         self._timers.start()
         self._timers.every(_EXPIRY_CHECK_INTERVAL_S, self._drop_expired)
         self._timers.every(TRAFFIC_REPORT_INTERVAL_S, self._report_traffic)
-        self._timers.every(REPORT_INTERVAL_S, self._exchange_crashes)
+        self._timers.every(REPORT_INTERVAL_S, self._exchange_records)
         self._timers.every(SETTINGS_CHECK_INTERVAL_S, self._reload_settings)
         self._timers.every(_LOG_DRAIN_INTERVAL_S, self._log_stream.drain)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
@@ -183,8 +186,8 @@
         return self._peer_sync
 
     @property
-    def crashes(self) -> CrashExchange:
-        """The exchange of crash records with other gateways."""
+    def crashes(self) -> CrashDetector:
+        """What is known of crashes of engines."""
         return self._crashes
 
     @property
@@ -317,11 +320,12 @@
             )
 
     def _apply_crash_report(self, host: str, report: CrashReport) -> None:
-        self._crashes.merge(host, report)
+        self._side_exchange.record_response(host)
+        self._crashes.merge(report)
 
-    def _exchange_crashes(self) -> None:
+    def _exchange_records(self) -> None:
         configuration = self._store_cache.configuration
-        self._crashes.exchange(
+        self._side_exchange.exchange(
             endpoint.entry.address.host
             for service in (configuration.prompt_services if configuration is not None else ())
             for endpoint in self._endpoints.of_service(service)
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_prompt_quarantine.py
@@ -21,17 +21,18 @@
     CrashReport,
     RequestFinished,
 )
-from pearshed._internal.gateway.crash_exchange import (
-    EXCHANGE_SIDES,
-    MAX_UNANSWERED,
-    SIDE_SKIP_S,
-    CrashExchange,
-)
+from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.prompt_quarantine import (
     BLOCK_S,
     SUCCESS_LOOKBACK_S,
     assess,
 )
+from pearshed._internal.gateway.side_exchange import (
+    EXCHANGE_SIDES,
+    MAX_UNANSWERED,
+    SIDE_SKIP_S,
+    SideExchange,
+)
 from tests.lib.fakes import START_S, FakeClock
 from tests.lib.routed_calls import call, entry
 
@@ -248,7 +249,9 @@
     def setUp(self) -> None:
         self.clock = FakeClock(self)
         self.sent: list[str] = []
-        self.exchange = CrashExchange(lambda report, host: self.sent.append(host))
+        self.crashes = CrashDetector()
+        self.exchange = SideExchange(lambda report, host: self.sent.append(host))
+        self.exchange.add(self.crashes)
         self.hosts = [f"10.0.0.{number}" for number in range(5)]
 
     def chosen(self, *, answered: bool) -> set[str]:
@@ -256,7 +259,7 @@
         self.clock.advance(0.5)
         self.exchange.exchange(self.hosts)
         for host in self.sent if answered else ():
-            self.exchange.merge(host, CrashReport("", (), {}))
+            self.exchange.record_response(host)
         return set(self.sent)
 
     def test_the_same_sides_are_chosen_while_engines_are_gone(self) -> None:
@@ -269,7 +272,7 @@
         first = self.chosen(answered=True)
         self.sent.clear()
         for number in range(MAX_UNANSWERED * 3):
-            self.exchange.record_crash(entry(number), call(number, "a", 500))
+            self.crashes.record_crash(entry(number), call(number, "a", 500))
             self.clock.advance(0.01)
         self.exchange.exchange(self.hosts)
         self.exchange.exchange(self.hosts)
