Keep to the limits that engines name, over all gateways

What callers and engines saw: an engine that named a limit on its requests (LIMIT) got as many as before.

Cause: no process read the limit, and the system had no place where the requests of all gateways to one engine are counted: placement, admission and the retry budget each know one gateway's requests, or those that a responsive side admits.

Change: gateways read the limit, report it through the exchange of crash records, and take a place before each send to such an engine. One side counts for each run of an engine, chosen by all gateways alike, with a token bucket that starts empty; if it is silent the next one, then each gateway's own share.

Why this works: whatever the traffic of a gateway, a place is granted by one counter, and a counter that is new or in doubt grants less.

--- a/src/pearshed/_internal/engine_side/messages.py
+++ b/src/pearshed/_internal/engine_side/messages.py
@@ -5,6 +5,7 @@
 processing of a prompt before its first output token.
 """
 
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -13,12 +14,15 @@
 from returns.result import Failure, Result, Success
 
 from pearshed._internal.engine_side.crash_records import CrashRecord
+from pearshed._internal.engine_side.rate_limits import RateLimit
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.models.routing import PromptPart
 from pearshed._internal.timers import clock
 
 #: Larger datagrams are rejected, bytes; prompts have a few parts, services a few routes.
 MAX_DATAGRAM_BYTES = 4096
+#: Limits in one report, those that were named last; an identity may have 30 characters.
+MAX_REPORTED_LIMITS = 56
 #: Added to the age of a success, which must not seem later with each exchange.
 _SUCCESS_AGE_MARGIN_MS = 50
 
@@ -28,6 +32,15 @@
     return f"{request_id}/{attempt}"
 
 
+def place_id(request_id: str, number: int) -> str:
+    """Create the id of a request for a place.
+
+    :param number: counts the gateway's requests for places, so that a late response isn't taken
+        for that to another one.
+    """
+    return f"{request_id}/place-{number}"
+
+
 def request_id_of(reservation: str) -> str:
     """Return the request id in a reservation's id; it may contain slashes itself."""
     return reservation.rpartition("/")[0]
@@ -140,6 +153,50 @@
     successes: Mapping[str, float]
 
 
+@dataclass(frozen=True, slots=True)
+class PlaceRequest:
+    """A gateway asks whether it may send a request to an engine that has a limit.
+
+    The response is the same as to a request for admission. Like the messages below, it is sent as
+    the end of no request, which older builds ignore.
+
+    :ivar reservation: see ``place_id``.
+    :ivar run: id of the engine's run.
+    :ivar per_s: limit that the gateway knows, requests per second.
+    :ivar named_ms: time since the engine named it, milliseconds.
+    :ivar rank: priority, 0 is the highest.
+    :ivar budget_ms: time for which it may wait, milliseconds; 0 for an immediate decision.
+    """
+
+    reservation: str
+    run: str
+    per_s: float
+    named_ms: int
+    rank: int
+    budget_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceReleased:
+    """A gateway no longer asks for a place at an engine, or doesn't use the one that it got."""
+
+    reservation: str
+    run: str
+
+
+@dataclass(frozen=True, slots=True)
+class LimitReport:
+    """Limits of engines that the sender knows of.
+
+    A side responds to each report with its own.
+
+    :ivar limits: the latest first; ages are sent, so clocks need not agree.
+    """
+
+    reservation: str
+    limits: tuple[RateLimit, ...]
+
+
 Message = (
     AdmissionRequest
     | PromptPrefilled
@@ -150,6 +207,9 @@
     | TrafficReport
     | FleetTraffic
     | CrashReport
+    | PlaceRequest
+    | PlaceReleased
+    | LimitReport
 )
 
 _KINDS: dict[str, type[PromptPrefilled | AdmissionQueued]] = {
@@ -189,6 +249,8 @@
         )
     if isinstance(message, CrashReport):
         return _encode_crash_report(message)
+    if isinstance(message, PlaceRequest | PlaceReleased | LimitReport):
+        return orjson.dumps(["d", message.reservation, 0, _encode_extension(message)])
     kind = next(kind for kind, cls in _KINDS.items() if isinstance(message, cls))
     return orjson.dumps([kind, message.reservation])
 
@@ -217,6 +279,8 @@
             )
         if kind == "d" and len(fields) > 2:
             return Success(_decode_crash_report(reservation, fields[1], fields[2]))
+        if kind == "d" and len(fields) == 2:
+            return _decode_extension(reservation, fields[1])
         if kind == "d":
             return Success(RequestFinished(reservation, int(fields[0]) if fields else 0))
         if kind == "r":
@@ -233,29 +297,77 @@
             )
         if kind in _KINDS:
             return Success(_KINDS[kind](reservation))
-    except (orjson.JSONDecodeError, TypeError, ValueError, IndexError) as error:
+    except (orjson.JSONDecodeError, AttributeError, TypeError, ValueError, IndexError) as error:
         return Failure(f"malformed datagram: {error}")
     return Failure(f"unknown datagram kind {kind!r}")
 
 
+def _encode_extension(message: PlaceRequest | PlaceReleased | LimitReport) -> dict[str, object]:
+    if isinstance(message, PlaceRequest):
+        fields = [message.run, message.per_s, message.named_ms, message.rank, message.budget_ms]
+        return {"place": fields}
+    if isinstance(message, PlaceReleased):
+        return {"unused": message.run}
+    return {
+        "limits": [
+            [limit.run, limit.per_s, _age_ms(limit.named_at)]
+            for limit in message.limits[:MAX_REPORTED_LIMITS]
+        ]
+    }
+
+
+def _decode_extension(reservation: str, extension: Mapping[str, Any]) -> Result[Message, str]:
+    if "place" in extension:
+        run, per_s, named_ms, rank, budget_ms = extension["place"]
+        numbers = (int(named_ms), int(rank), int(budget_ms))
+        return Success(PlaceRequest(reservation, str(run), _rate_of(per_s), *numbers))
+    if "unused" in extension:
+        return Success(PlaceReleased(reservation, str(extension["unused"])))
+    if "limits" in extension:
+        limits = tuple(
+            RateLimit(str(run), _rate_of(per_s) if per_s is not None else None, _time_of(age_ms))
+            for run, per_s, age_ms in extension["limits"]
+        )
+        return Success(LimitReport(reservation, limits))
+    return Failure(f"unknown extension {next(iter(extension), '')!r}")
+
+
+def _rate_of(raw: Any) -> float:
+    """Return a rate, requests per second.
+
+    :raises ValueError: when it is no rate.
+    """
+    rate = float(raw)
+    if not 0.0 <= rate < math.inf:
+        raise ValueError(f"{rate} requests per second")
+    return rate
+
+
+def _age_ms(time: float) -> int:
+    """Return the age of a clock reading, milliseconds."""
+    return round((clock.now() - time) * clock.MILLISECONDS_PER_SECOND)
+
+
+def _time_of(age_ms: Any) -> float:
+    """Return the clock reading that has an age, seconds.
+
+    :raises ValueError: when the age is not a number.
+    """
+    return clock.now() - int(age_ms) / clock.MILLISECONDS_PER_SECOND
+
+
 def _encode_crash_report(message: CrashReport) -> bytes:
     """Encode a report with as many of its records as fit into a datagram."""
-    now = clock.now()
     records: list[object] = []
     successes: list[object] = []
     size = 64 + len(message.reservation)
     listed: set[str] = set()
     for record in message.records:
         suspects = [list(chain) for chain in sorted(record.suspects)]
-        age_ms = round((now - record.crashed_at) * clock.MILLISECONDS_PER_SECOND)
-        row = [record.run, age_ms, int(record.refuted), suspects]
+        row = [record.run, _age_ms(record.crashed_at), int(record.refuted), suspects]
         parts = {part for chain in record.suspects for part in chain} - listed
         times = [
-            [
-                part,
-                round((now - message.successes[part]) * clock.MILLISECONDS_PER_SECOND)
-                + _SUCCESS_AGE_MARGIN_MS,
-            ]
+            [part, _age_ms(message.successes[part]) + _SUCCESS_AGE_MARGIN_MS]
             for part in sorted(parts)
             if part in message.successes
         ]
@@ -271,22 +383,18 @@
 def _decode_crash_report(
     reservation: str, raw_records: Sequence[Any], raw_successes: Sequence[Any]
 ) -> CrashReport:
-    now = clock.now()
     return CrashReport(
         reservation,
         tuple(
             CrashRecord(
                 str(run),
-                now - int(age_ms) / clock.MILLISECONDS_PER_SECOND,
+                _time_of(age_ms),
                 frozenset(tuple(str(part) for part in chain) for chain in suspects),
                 bool(refuted),
             )
             for run, age_ms, refuted, suspects in raw_records
         ),
-        {
-            str(part): now - int(age_ms) / clock.MILLISECONDS_PER_SECOND
-            for part, age_ms in raw_successes
-        },
+        {str(part): _time_of(age_ms) for part, age_ms in raw_successes},
     )
 
 
--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -20,13 +20,18 @@
     AdmissionRequest,
     CrashReport,
     FleetTraffic,
+    LimitReport,
     Message,
+    PlaceReleased,
+    PlaceRequest,
     PromptPrefilled,
     RequestFinished,
     TrafficReport,
 )
 from pearshed._internal.engine_side.monitor import EngineMonitor
+from pearshed._internal.engine_side.place_queue import PlaceKeeper
 from pearshed._internal.engine_side.prompt_cache import PromptCache
+from pearshed._internal.engine_side.rate_limits import RateLimit, RateLimitTable
 from pearshed._internal.engine_side.settings import EngineSideSettings
 from pearshed._internal.engine_side.side_pages import SidePages
 from pearshed._internal.engine_side.traffic_table import TrafficTable
@@ -63,9 +68,11 @@
         self._stop_requested = asyncio.Event()
         self._traffic = TrafficTable()
         self._crashes = CrashTable()
+        self._limits = RateLimitTable()
+        self._places = PlaceKeeper(self._limits.per_s)
         self._malformed_datagrams = 0
         self._rng = random.Random()
-        self._pages = SidePages(self._queue, log_stream, self.dump)
+        self._pages = SidePages(self._queue, self._places, log_stream, self.dump)
         self._page_server = PageServer(self._pages.page, self._timers)
 
     @property
@@ -85,6 +92,7 @@
         loop.add_signal_handler(signal.SIGHUP, _log_reload_ignored)
         self._timers.start()
         self._timers.every(_QUEUE_INTERVAL_S, self._queue.process)
+        self._timers.every(_QUEUE_INTERVAL_S, self._places.process)
         self._timers.every(_LOG_DRAIN_INTERVAL_S, self._log_stream.drain)
         address = self._settings.listen
         await loop.create_datagram_endpoint(lambda: self, local_addr=(address.host, address.port))
@@ -117,6 +125,8 @@
             "tokens_unread": self._queue.pending_prefill_tokens,
             "pace_share": round(self._queue.prefill_share, 3),
             "crashes": len(self._crashes.records),
+            "rate_limits": len(self._limits.limits),
+            "counts_places_for": self._places.run_count,
             "gateways": self._traffic.gateway_count,
             "datagrams_malformed": self._malformed_datagrams,
             "log_lines_dropped": self._log_stream.dropped,
@@ -150,6 +160,13 @@
             records = self._crashes.records
             successes = self._crashes.suspect_successes(records)
             self._send(CrashReport("", records, successes), addr)
+        elif isinstance(message, LimitReport):
+            self._limits.merge(message.limits)
+            self._send(LimitReport("", self._limits.limits), addr)
+        elif isinstance(message, PlaceRequest):
+            self._handle_place_request(message, addr)
+        elif isinstance(message, PlaceReleased):
+            self._places.release(message.run, message.reservation)
 
     def _handle_request(self, request: AdmissionRequest, peer: _Peer) -> None:
         if self._queue.is_granted(request.reservation):
@@ -163,6 +180,22 @@
         if accepted and not self._queue.is_granted(request.reservation):
             self._send(AdmissionQueued(request.reservation), peer)
 
+    def _handle_place_request(self, request: PlaceRequest, peer: _Peer) -> None:
+        named_at = clock.now() - request.named_ms / clock.MILLISECONDS_PER_SECOND
+        self._limits.merge((RateLimit(request.run, request.per_s, named_at),))
+
+        def grant() -> None:
+            self._pages.record_place("granted", request.rank)
+            self._send(AdmissionGranted(request.reservation, 0), peer)
+
+        def refuse(wait_s: float) -> None:
+            self._pages.record_place("refused", request.rank)
+            wait_ms = int(wait_s * clock.MILLISECONDS_PER_SECOND)
+            self._send(AdmissionRefused(request.reservation, wait_ms), peer)
+
+        if self._places.queue(request.run).submit(request, grant, refuse):
+            self._send(AdmissionQueued(request.reservation), peer)
+
     def _grant(self, reservation: Reservation) -> None:
         waited_s = clock.now() - reservation.submitted_at
         self._pages.record_granted(reservation.request.rank, waited_s)
--- a/src/pearshed/_internal/engine_side/rate_limits.py
+++ b/src/pearshed/_internal/engine_side/rate_limits.py
@@ -41,6 +41,10 @@
         self._drop_expired()
         return tuple(sorted(self._limits.values(), key=lambda limit: limit.named_at, reverse=True))
 
+    def limit(self, run: str) -> RateLimit | None:
+        """Return what a run has said last; ``None`` if it has never named a limit."""
+        return self._limits.get(run)
+
     def per_s(self, run: str) -> float | None:
         """Return the requests per second that a run takes; ``None`` without a limit."""
         limit = self._limits.get(run)
--- a/src/pearshed/_internal/engine_side/side_pages.py
+++ b/src/pearshed/_internal/engine_side/side_pages.py
@@ -7,6 +7,7 @@
 import orjson
 
 from pearshed._internal.engine_side.admission_queue import AdmissionQueue
+from pearshed._internal.engine_side.place_queue import PlaceKeeper
 from pearshed._internal.http.page_server import page_name
 from pearshed._internal.telemetry.histogram import latency_histogram
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
@@ -22,13 +23,16 @@
     def __init__(
         self,
         queue: AdmissionQueue,
+        places: PlaceKeeper,
         log_stream: BoundedLogStream,
         dump: Callable[[], Mapping[str, Any]],
     ) -> None:
         self._queue = queue
+        self._places = places
         self._log_stream = log_stream
         self._dump = dump
         self._decisions: Counter[tuple[str, int]] = Counter()
+        self._place_decisions: Counter[tuple[str, int]] = Counter()
         self._wait_histogram = latency_histogram()
         self._metrics = MetricsPage()
         self._metrics.add(self._collect)
@@ -42,6 +46,10 @@
         """Count a refused request."""
         self._decisions[("refused", rank)] += 1
 
+    def record_place(self, decision: str, rank: int) -> None:
+        """Count a decision on a place at an engine with a limit."""
+        self._place_decisions[(decision, rank)] += 1
+
     def page(self, target: str) -> tuple[int, bytes]:
         """Return a page.
 
@@ -67,6 +75,20 @@
             ),
             counter=True,
         )
+        yield Metric(
+            "pearshed_side_places_total",
+            "Places at engines with a limit by decision and rank",
+            tuple(
+                Sample(count, {"decision": decision, "rank": str(rank)})
+                for (decision, rank), count in self._place_decisions.items()
+            ),
+            counter=True,
+        )
+        yield gauge(
+            "pearshed_side_places_waiting",
+            "Requests that wait for a place",
+            self._places.waiting_count,
+        )
         yield Metric(
             "pearshed_side_wait_seconds_bucket",
             "Admitted requests by their wait, cumulative",
--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import dataclasses
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import cast
@@ -17,7 +18,10 @@
     AdmissionRequest,
     CrashReport,
     FleetTraffic,
+    LimitReport,
     Message,
+    PlaceReleased,
+    PlaceRequest,
     PromptPrefilled,
     RequestFinished,
     TrafficReport,
@@ -66,6 +70,7 @@
 
 
 Admission = Admitted | NotAdmitted
+_Decision = AdmissionGranted | AdmissionRefused
 
 
 class AdmissionClient(abc.ABC):
@@ -100,18 +105,18 @@
 
     :param port: UDP port of the sides, the same on all VMs.
     :param on_fleet_traffic: called with a side's host and its report of all gateways' traffic.
-    :param on_crash_report: called with a side's host and its report of crashes.
+    :param on_records: called with a side's host and its report of crashes or limits.
     """
 
     def __init__(
         self,
         port: int,
         on_fleet_traffic: Callable[[str, FleetTraffic], None],
-        on_crash_report: Callable[[str, CrashReport], None],
+        on_records: Callable[[str, CrashReport | LimitReport], None],
     ) -> None:
         self._port = port
         self._on_fleet_traffic = on_fleet_traffic
-        self._on_crash_report = on_crash_report
+        self._on_records = on_records
         self._transport: asyncio.DatagramTransport | None = None
         self._responses: dict[str, asyncio.Queue[Message]] = {}
         self._skipped_until: dict[str, float] = {}
@@ -140,8 +145,8 @@
             self._gateway_count = message.gateways
             self._on_fleet_traffic(addr[0], message)
             return
-        if isinstance(message, CrashReport):
-            self._on_crash_report(addr[0], message)
+        if isinstance(message, CrashReport | LimitReport):
+            self._on_records(addr[0], message)
             return
         responses = self._responses.get(message.reservation)
         if responses is not None:
@@ -158,17 +163,38 @@
         if clock.now() < self._skipped_until.get(host, 0.0):
             return Admitted("")
         reservation = messages.reservation_id(call.request_id, attempt)
-        responses: asyncio.Queue[Message] = asyncio.Queue()
-        self._responses[reservation] = responses
-        granted = False
-        try:
-            outcome = await self._negotiate(call, endpoint, reservation, responses, budget_s)
-            granted = isinstance(outcome, Admitted)
-            return outcome
-        finally:
-            del self._responses[reservation]
-            if not granted:
-                self.send(RequestFinished(reservation), host)
+
+        def build(remaining_s: float) -> Message:
+            return _build_request(call, endpoint, reservation, remaining_s)
+
+        decision = await self._ask(host, build, RequestFinished(reservation), budget_s)
+        if decision is None:
+            self._mark_unresponsive(host)
+            return Admitted("")
+        if isinstance(decision, AdmissionRefused):
+            return NotAdmitted(decision.wait_ms / clock.MILLISECONDS_PER_SECOND)
+        endpoint.record_load(EndpointLoadReport(decision.admitted, 0, 0))
+        return Admitted(reservation)
+
+    async def request_place(self, request: PlaceRequest, host: str) -> Admission | None:
+        """Request a place at an engine with a limit from the side that counts for it.
+
+        :returns: the decision, or ``None`` if the side doesn't respond.
+        """
+
+        def build(remaining_s: float) -> Message:
+            budget_ms = max(0, int(remaining_s * clock.MILLISECONDS_PER_SECOND))
+            return dataclasses.replace(request, budget_ms=budget_ms)
+
+        released = PlaceReleased(request.reservation, request.run)
+        budget_s = request.budget_ms / clock.MILLISECONDS_PER_SECOND
+        decision = await self._ask(host, build, released, budget_s)
+        if decision is None:
+            self.send(released, host)
+            return None
+        if isinstance(decision, AdmissionRefused):
+            return NotAdmitted(decision.wait_ms / clock.MILLISECONDS_PER_SECOND)
+        return Admitted(request.reservation)
 
     def report_traffic(
         self, endpoints: Sequence[Endpoint], routes: tuple[RouteTraffic, ...]
@@ -206,54 +232,60 @@
                 RequestFinished(admitted.reservation, longest_gap_ms), endpoint.entry.address.host
             )
 
+    async def _ask(
+        self, host: str, build: Callable[[float], Message], cancel: Message, budget_s: float
+    ) -> _Decision | None:
+        """Ask a side until it decides.
+
+        :param build: builds the request from the remaining time to wait, seconds.
+        :param cancel: sent if the request is no longer needed, or was refused.
+        :returns: the decision, or ``None`` if the side doesn't respond.
+        """
+        reservation = cancel.reservation
+        responses: asyncio.Queue[Message] = asyncio.Queue()
+        self._responses[reservation] = responses
+        needed = False
+        try:
+            decision = await self._negotiate(host, build, responses, budget_s)
+            needed = not isinstance(decision, AdmissionRefused)
+            return decision
+        finally:
+            del self._responses[reservation]
+            if not needed:
+                self.send(cancel, host)
+
     async def _negotiate(
         self,
-        call: RoutedCall,
-        endpoint: Endpoint,
-        reservation: str,
+        host: str,
+        build: Callable[[float], Message],
         responses: "asyncio.Queue[Message]",
         budget_s: float,
-    ) -> Admission:
-        host = endpoint.entry.address.host
+    ) -> _Decision | None:
         deadline = clock.now() + budget_s
         unanswered = 0
         interval_s = RESEND_AFTER_S
         while True:
             remaining_s = deadline - clock.now()
             if remaining_s < -_RESPONSE_GRACE_S:
-                return NotAdmitted(budget_s)
-            self.send(_build_request(call, endpoint, reservation, remaining_s), host)
+                wait_ms = int(budget_s * clock.MILLISECONDS_PER_SECOND)
+                return AdmissionRefused(build(0.0).reservation, wait_ms)
+            self.send(build(remaining_s), host)
             try:
                 async with asyncio.timeout(interval_s):
                     response = await responses.get()
             except TimeoutError:
                 unanswered += 1
                 if unanswered >= MAX_UNANSWERED and interval_s == RESEND_AFTER_S:
-                    self._mark_unresponsive(host)
-                    return Admitted("")
+                    return None
                 continue
-            decision = _read_decision(response, endpoint)
-            if decision is not None:
-                return decision
+            if isinstance(response, AdmissionGranted | AdmissionRefused):
+                return response
             if isinstance(response, AdmissionQueued):
-                decision = await self._wait_queued(responses, endpoint)
+                decision = await _wait_queued(responses)
                 if decision is not None:
                     return decision
                 interval_s = RENEWAL_INTERVAL_S
 
-    async def _wait_queued(
-        self, responses: "asyncio.Queue[Message]", endpoint: Endpoint
-    ) -> Admission | None:
-        """Wait for a decision on a queued reservation until it must be renewed."""
-        try:
-            async with asyncio.timeout(RENEWAL_INTERVAL_S):
-                while True:
-                    decision = _read_decision(await responses.get(), endpoint)
-                    if decision is not None:
-                        return decision
-        except TimeoutError:
-            return None
-
     def _mark_unresponsive(self, host: str) -> None:
         self._skipped_until[host] = clock.now() + SIDE_SKIP_S
         logging.info("side.silent", extra={"fields": {"host": host, "for_s": SIDE_SKIP_S}})
@@ -273,11 +305,13 @@
     )
 
 
-def _read_decision(response: Message, endpoint: Endpoint) -> Admission | None:
-    """Return the decision in a response, if any, and record the engine's load."""
-    if isinstance(response, AdmissionGranted):
-        endpoint.record_load(EndpointLoadReport(response.admitted, 0, 0))
-        return Admitted(response.reservation)
-    if isinstance(response, AdmissionRefused):
-        return NotAdmitted(response.wait_ms / clock.MILLISECONDS_PER_SECOND)
-    return None
+async def _wait_queued(responses: "asyncio.Queue[Message]") -> _Decision | None:
+    """Wait for a decision on a queued request until it must be renewed."""
+    try:
+        async with asyncio.timeout(RENEWAL_INTERVAL_S):
+            while True:
+                response = await responses.get()
+                if isinstance(response, AdmissionGranted | AdmissionRefused):
+                    return response
+    except TimeoutError:
+        return None
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from returns.pipeline import is_successful
@@ -22,7 +22,12 @@
     ResponseMetadata,
 )
 from pearshed._internal.gateway.placement import Placement, PlacementDecision
-from pearshed._internal.gateway.rate_limited_engines import RateLimitedEngines
+from pearshed._internal.gateway.rate_limited_engines import (
+    NoPlace,
+    Place,
+    RateLimitedEngines,
+    decision_name,
+)
 from pearshed._internal.gateway.request_logger import RequestLogger
 from pearshed._internal.gateway.request_metrics import RequestMetrics
 from pearshed._internal.gateway.request_router import RequestRouter
@@ -75,6 +80,9 @@
     :ivar connect_failures: endpoints to which no connection could be opened.
     :ivar admission_refusals: endpoints that refused admission.
     :ivar wait_s: shortest expected time until an engine can start it, seconds.
+    :ivar without_place: endpoints that took no more requests when they were chosen.
+    :ivar waits_for_place: no other endpoint is left, so it waits for a place at the chosen one.
+    :ivar unused_place: the place at the endpoint chosen last, until the request is sent there.
     """
 
     tried: list[Endpoint] = field(default_factory=list)
@@ -83,6 +91,9 @@
     connect_failures: int = 0
     admission_refusals: int = 0
     wait_s: float = 0.0
+    without_place: list[Endpoint] = field(default_factory=list)
+    waits_for_place: bool = False
+    unused_place: Place | None = None
     last_outcome: AttemptOutcome | None = None
 
 
@@ -164,36 +175,90 @@
         while not writer.caller_disconnected:
             if self._finish_blocked(call, writer, progress):
                 return
-            decision = self._placement(call).choose(
-                call,
-                self._candidates(call, progress.tried),
-                overflow=progress.admission_refusals >= _OVERFLOW_AFTER_REFUSALS,
-            )
+            decision = self._choose(call, progress)
             if decision is None:
                 self._finish_failed(call, writer, progress, "no endpoint is available")
                 return
-            progress.tried.append(decision.endpoint)
-            admission = await self._admit(call, decision.endpoint, progress)
-            if isinstance(admission, Admitted) and not decision.endpoint.accepting:
-                # The endpoint started to drain while the request waited for admission.
-                self._admission.notify_finished(admission, decision.endpoint)
-                continue
-            if isinstance(admission, NotAdmitted):
-                progress.admission_refusals += 1
-                progress.wait_s = min(progress.wait_s or admission.wait_s, admission.wait_s)
-                if progress.admission_refusals >= _MAX_ADMISSION_REFUSALS:
-                    self._finish_failed(call, writer, progress, "the engines are busy")
+            place = await self._take_place(call, decision.endpoint, progress)
+            if isinstance(place, NoPlace):
+                progress.wait_s = _shorter_wait(progress.wait_s, place.wait_s)
+                if progress.waits_for_place:
+                    self._finish_failed(call, writer, progress, "the engines are at their limits")
                     return
+                progress.without_place.append(decision.endpoint)
                 continue
-            if self._finish_blocked(call, writer, progress):
-                self._admission.notify_finished(admission, decision.endpoint)
-                return
-            outcome = await self._attempt(call, decision, writer, progress, admission)
-            if isinstance(outcome, Answered):
-                return
-            if not self._may_retry(call, decision.endpoint, outcome, progress):
-                self._finish_failed(call, writer, progress, "no other attempt is allowed")
-                return
+            progress.unused_place = place
+            try:
+                if await self._try_endpoint(call, decision, writer, progress):
+                    return
+            finally:
+                if progress.unused_place is not None:
+                    self._rate_limited.release(place)
+
+    def _choose(self, call: RoutedCall, progress: _Progress) -> PlacementDecision | None:
+        """Choose the next endpoint; the one with the next place if all others have none."""
+        placement = self._placement(call)
+        excluded = (*progress.tried, *progress.without_place)
+        overflow = progress.admission_refusals >= _OVERFLOW_AFTER_REFUSALS
+        decision = placement.choose(call, self._candidates(call, excluded), overflow=overflow)
+        limited = [endpoint for endpoint in progress.without_place if endpoint.accepting]
+        progress.waits_for_place = decision is None and bool(limited)
+        if not progress.waits_for_place:
+            return decision
+        first = min(limited, key=lambda endpoint: self._rate_limited.next_place_s(endpoint.entry))
+        progress.without_place.remove(first)
+        return placement.choose(call, [first], overflow=overflow)
+
+    async def _take_place(
+        self, call: RoutedCall, endpoint: Endpoint, progress: _Progress
+    ) -> Place | NoPlace:
+        budget_s = self._wait_budget_s(call, progress) if progress.waits_for_place else 0.0
+        started_at = clock.now()
+        place = await self._rate_limited.take_place(call, endpoint, budget_s)
+        if isinstance(place, NoPlace) or place.reservation:
+            self._request_logger.write(
+                "request.place",
+                call.request_id,
+                failed=isinstance(place, NoPlace) and progress.waits_for_place,
+                endpoint=endpoint.entry.identity,
+                outcome=decision_name(place),
+                rank=call.rank,
+                waited_ms=_milliseconds(clock.now() - started_at),
+                expected_wait_ms=_milliseconds(getattr(place, "wait_s", 0.0)),
+            )
+        return place
+
+    async def _try_endpoint(
+        self,
+        call: RoutedCall,
+        decision: PlacementDecision,
+        writer: ResponseWriter,
+        progress: _Progress,
+    ) -> bool:
+        """Request admission and make an attempt; return whether the request has ended."""
+        progress.tried.append(decision.endpoint)
+        admission = await self._admit(call, decision.endpoint, progress)
+        if isinstance(admission, Admitted) and not decision.endpoint.accepting:
+            # The endpoint started to drain while the request waited for admission.
+            self._admission.notify_finished(admission, decision.endpoint)
+            return False
+        if isinstance(admission, NotAdmitted):
+            progress.admission_refusals += 1
+            progress.wait_s = _shorter_wait(progress.wait_s, admission.wait_s)
+            if progress.admission_refusals >= _MAX_ADMISSION_REFUSALS:
+                self._finish_failed(call, writer, progress, "the engines are busy")
+                return True
+            return False
+        if self._finish_blocked(call, writer, progress):
+            self._admission.notify_finished(admission, decision.endpoint)
+            return True
+        outcome = await self._attempt(call, decision, writer, progress, admission)
+        if isinstance(outcome, Answered):
+            return True
+        if not self._may_retry(call, decision.endpoint, outcome, progress):
+            self._finish_failed(call, writer, progress, "no other attempt is allowed")
+            return True
+        return False
 
     def _finish_blocked(
         self, call: RoutedCall, writer: ResponseWriter, progress: _Progress
@@ -237,7 +302,7 @@
         return (
             call.route.kind is RouteKind.IDEMPOTENT
             and progress.endpoints_run + 1 < call.route.max_endpoints
-            and bool(self._candidates(call, progress.tried))
+            and bool(self._candidates(call, (*progress.tried, *progress.without_place)))
         )
 
     async def _admit(
@@ -246,15 +311,9 @@
         if not call.route.has_prompt:
             return Admitted("")
         requested_at = clock.now()
-        target_s = call.route.target_ms / clock.MILLISECONDS_PER_SECOND
-        # A retry after an interrupted run gets the full waiting time again, so that the work
-        # already spent on the request isn't wasted.
-        wait_started_at = requested_at if progress.endpoints_run else call.request.received_at
-        budget_s = (
-            min(wait_started_at + target_s * _ADMISSION_WAIT_SHARE, call.deadline) - requested_at
-        )
         attempt = len(progress.tried)
-        admission = await self._admission.admit(call, endpoint, attempt, max(0.0, budget_s))
+        budget_s = self._wait_budget_s(call, progress)
+        admission = await self._admission.admit(call, endpoint, attempt, budget_s)
         waited_s = clock.now() - requested_at
         self._metrics.record_admission_wait(waited_s)
         self._request_logger.write(
@@ -270,14 +329,24 @@
         )
         return admission
 
+    def _wait_budget_s(self, call: RoutedCall, progress: _Progress) -> float:
+        """Return how long a request may still wait before it is sent, seconds."""
+        now = clock.now()
+        target_s = call.route.target_ms / clock.MILLISECONDS_PER_SECOND
+        # A retry after an interrupted run gets the full waiting time again, so that the work
+        # already spent on the request isn't wasted.
+        wait_started_at = now if progress.endpoints_run else call.request.received_at
+        waits_until = min(wait_started_at + target_s * _ADMISSION_WAIT_SHARE, call.deadline)
+        return max(0.0, waits_until - now)
+
     def _placement(self, call: RoutedCall) -> Placement:
         return self._prompt_placement if call.route.has_prompt else self._plain_placement
 
-    def _candidates(self, call: RoutedCall, tried: list[Endpoint]) -> list[Endpoint]:
+    def _candidates(self, call: RoutedCall, excluded: Sequence[Endpoint]) -> list[Endpoint]:
         return [
             endpoint
             for endpoint in self._endpoints.of_service(call.service)
-            if endpoint not in tried
+            if endpoint not in excluded
         ]
 
     async def _attempt(
@@ -296,6 +365,7 @@
         rate_limit = self._rate_limited.per_s(entry)
 
         def record_send() -> None:
+            progress.unused_place = None
             self._rate_limited.record_send(entry)
 
         def record_response(metadata: ResponseMetadata) -> None:
@@ -450,6 +520,11 @@
     return round(seconds * clock.MILLISECONDS_PER_SECOND)
 
 
+def _shorter_wait(wait_s: float, other_s: float) -> float:
+    """Return the shorter of two expected waits; 0 means that the first isn't known."""
+    return min(wait_s or other_s, other_s)
+
+
 def _admission_outcome(admission: Admission) -> str:
     if isinstance(admission, NotAdmitted):
         return "refused"
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -11,7 +11,7 @@
 from absl import logging
 
 import pearshed
-from pearshed._internal.engine_side.messages import CrashReport, FleetTraffic
+from pearshed._internal.engine_side.messages import CrashReport, FleetTraffic, LimitReport
 from pearshed._internal.errors import InvariantBrokenError
 from pearshed._internal.gateway.admission import SideAdmissionClient
 from pearshed._internal.gateway.crash_detector import CrashDetector
@@ -97,12 +97,18 @@
         self._admission = SideAdmissionClient(
             settings.peers.port,
             self._apply_fleet_traffic,
-            self._apply_crash_report,
+            self._apply_records,
         )
         self._crashes = CrashDetector()
         self._side_exchange = SideExchange(self._admission.send)
         self._side_exchange.add(self._crashes)
-        self._rate_limited = RateLimitedEngines()
+        self._rate_limited = RateLimitedEngines(
+            self._admission,
+            self._side_exchange,
+            lambda: self._admission.gateway_count or ASSUMED_GATEWAYS,
+            self._rng,
+        )
+        self._side_exchange.add(self._rate_limited)
         self._prompt_placement = PromptPlacement(settings.data_centre, self._rng)
         self._forwarder = Forwarder(
             codec,
@@ -190,6 +196,11 @@
         """What is known of crashes of engines."""
         return self._crashes
 
+    @property
+    def rate_limited(self) -> RateLimitedEngines:
+        """What is known of the limits of engines."""
+        return self._rate_limited
+
     @property
     def pages(self) -> OperatorPages:
         """The pages for operators and the load balancer."""
@@ -319,9 +330,12 @@
                 self._endpoints.of_service(service), allocator.own_traffic()
             )
 
-    def _apply_crash_report(self, host: str, report: CrashReport) -> None:
+    def _apply_records(self, host: str, report: CrashReport | LimitReport) -> None:
         self._side_exchange.record_response(host)
-        self._crashes.merge(report)
+        if isinstance(report, CrashReport):
+            self._crashes.merge(report)
+        else:
+            self._rate_limited.merge(report)
 
     def _exchange_records(self) -> None:
         configuration = self._store_cache.configuration
