--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -482,6 +482,7 @@
             {}
             if isinstance(outcome, Answered)
             else {
+                "content": call.content_id,
                 "parts": ",".join(call.shared_parts),
                 "generating_ms": _milliseconds(attempt.generating_s),
             }
--- a/src/pearshed/_internal/gateway/routed_call.py
+++ b/src/pearshed/_internal/gateway/routed_call.py
@@ -1,12 +1,16 @@
 """A caller's request after routing, and the outcomes of attempts at it."""
 
+import hashlib
 from dataclasses import dataclass, field
 
 from pearshed._internal.gateway.header_codec import RequestMetadata
+from pearshed._internal.http import messages
 from pearshed._internal.http.messages import HttpRequest, ResponseHead
 from pearshed._internal.models.routing import Route
 from pearshed._internal.timers import clock
 
+_CONTENT_ID_BYTES = 8
+
 
 @dataclass(frozen=True, slots=True)
 class RoutedCall:
@@ -38,6 +42,18 @@
         """Time until the request times out, seconds."""
         return self.deadline - clock.now()
 
+    @property
+    def content_id(self) -> str:
+        """Id of what is asked and for which customer; a request that comes again has the same."""
+        digest = hashlib.blake2b(digest_size=_CONTENT_ID_BYTES)
+        request = self.request
+        host = messages.header_value(request.headers, b"host") or b""
+        customer = self.customer.encode()
+        for value in (request.method, host.lower(), request.target, customer, request.body):
+            digest.update(b"%d:" % len(value))
+            digest.update(value)
+        return digest.hexdigest()
+
     @property
     def shared_prefix_id(self) -> str:
         """Id of the last part of the shared prefix of the prompt; empty without one."""
