Move engines that crash into tests/lib, and give prompts bodies

Cause: tests of plain requests that crash engines need the same engines. The prompts of test_crashing_prompts were sent with one empty body and path, which callers with different prompts don't do.

Change: CrashingEnginesTestCase holds the engines; each request of test_crashing_prompts has its prompt's number as its body.

--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -5,11 +5,10 @@
 from pearshed._internal.gateway.prompt_quarantine import BLOCK_S, MIN_CRASHES
 from tests.lib.gateway_caller import CallerResponse
 from tests.lib.gateway_fixture import until
-from tests.lib.gateway_fleet import GatewayFleetTestCase
+from tests.lib.gateway_fleet import CrashingEnginesTestCase
 from tests.lib.gateway_platform import (
     EngineConnection,
     EngineRequest,
-    EngineStandIn,
     configuration,
     route,
 )
@@ -22,15 +21,13 @@
 _ENGINES = 4
 
 
-class CrashingPromptTest(GatewayFleetTestCase):
+class CrashingPromptTest(CrashingEnginesTestCase):
     """Requests with a crashing part and with sound ones, at two gateways."""
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         routes = [route("brief", "streaming", "fleet", sticky=True, resumable=True)]
         self.store.put("op/config", configuration(2, routes=routes))
-        self.arrivals_before_crashes: list[EngineRequest] = []
-        self.started = 0
         self.sent = 0
         for _ in range(_ENGINES):
             await self.start_engine()
@@ -48,23 +45,6 @@
         connection.send_event(2)
         connection.end_stream()
 
-    async def start_engine(self) -> None:
-        self.started += 1
-        engine = EngineStandIn(f"i-{self.started}", "fleet", self.respond)
-        await engine.start()
-        self.addAsyncCleanup(engine.stop)
-        self.engines.append(engine)
-        self.store.put(f"servers/{engine.identity}", engine.entry())
-
-    async def crash(self, request: EngineRequest) -> None:
-        """Stop the engine that runs a request; another takes its place."""
-        crashed = next(engine for engine in self.engines if request in engine.requests)
-        self.engines.remove(crashed)
-        self.arrivals_before_crashes.extend(crashed.requests)
-        self.store.delete(f"servers/{crashed.identity}")
-        await self.start_engine()
-        await crashed.stop()
-
     async def send(self, number: int, prompt: str) -> CallerResponse | None:
         """Send a request with a prompt of its own to one of the gateways once engines are back."""
         self.sent += 1
@@ -73,11 +53,13 @@
             "Pearshed-Token-Usage": "350,20",
             "Pearshed-Prefix-Hash": prompt.format(f"{self.sent:x}"),
         }
-        return await self.send_to(number % len(self.callers), "/brief/a", headers=headers)
+        # A prompt is in the body as well; a request that comes again has the same one.
+        body = f"prompt {self.sent}".encode()
+        gateway = number % len(self.callers)
+        return await self.send_to(gateway, "/brief/a", headers=headers, body=body)
 
     def crashing_arrivals(self) -> int:
-        arrivals = [*self.arrivals_before_crashes, *self.arrivals()]
-        return sum("dead" in item.headers["pearshed-prefix-hash"] for item in arrivals)
+        return sum("dead" in item.headers["pearshed-prefix-hash"] for item in self.all_arrivals())
 
     async def test_a_prompt_part_that_crashes_engines_stops_reaching_them(self) -> None:
         for number in range(24):
--- a/tests/lib/gateway_fleet.py
+++ b/tests/lib/gateway_fleet.py
@@ -8,7 +8,7 @@
 from tests.lib.engine_side import IdleMonitor, start_side
 from tests.lib.gateway_caller import Caller, CallerResponse
 from tests.lib.gateway_fixture import GatewayTestCase, free_address, gateway_settings, until
-from tests.lib.gateway_platform import EngineRequest
+from tests.lib.gateway_platform import EngineConnection, EngineRequest, EngineStandIn
 
 
 class GatewayFleetTestCase(GatewayTestCase):
@@ -60,3 +60,39 @@
         return running == {
             endpoint.entry.identity for endpoint in gateway.endpoints.of_service(service)
         }
+
+
+class CrashingEnginesTestCase(GatewayFleetTestCase):
+    """Engines that end while they run certain requests; another takes the place of each."""
+
+    async def asyncSetUp(self) -> None:
+        """Prepare the records of what engines received."""
+        await super().asyncSetUp()
+        self.arrivals_before_crashes: list[EngineRequest] = []
+        self.started = 0
+
+    async def respond(self, connection: EngineConnection, request: EngineRequest) -> None:
+        """Respond as an engine, or call ``crash``."""
+        raise NotImplementedError
+
+    async def start_engine(self, service: str = "fleet") -> None:
+        """Start one more engine and list it in the store."""
+        self.started += 1
+        engine = EngineStandIn(f"i-{self.started}", service, self.respond)
+        await engine.start()
+        self.addAsyncCleanup(engine.stop)
+        self.engines.append(engine)
+        self.store.put(f"servers/{engine.identity}", engine.entry())
+
+    async def crash(self, request: EngineRequest) -> None:
+        """Stop the engine that runs a request; another takes its place."""
+        crashed = next(engine for engine in self.engines if request in engine.requests)
+        self.engines.remove(crashed)
+        self.arrivals_before_crashes.extend(crashed.requests)
+        self.store.delete(f"servers/{crashed.identity}")
+        await self.start_engine(crashed.service)
+        await crashed.stop()
+
+    def all_arrivals(self) -> list[EngineRequest]:
+        """List the requests that engines have received, including those that have crashed."""
+        return [*self.arrivals_before_crashes, *self.arrivals()]
