Block requests that crash engine after engine, by their content

For one with a prompt a part was blocked that sound requests share.

Cause: crashes were related by the shared parts of prompts only. A plain request has none, so nothing was recorded; one with a prompt was never a suspect itself.

What is blamed, cleared, exchanged and blocked stays one mechanism; its module is now crash_blame. A response of any kind refutes a crash of its run, a body that is cut off counts as one, a block is three times as long after each crash that follows one, and reports of many suspects take several datagrams. The test of a success's age has the new margin, since a side sends an encoded report for a tenth of a second.

In single cases a sound request that was beside three crashes is blocked for up to 0.9 s at one gateway, until it learns of the others.

Why this works: a request that comes again has the same content wherever it arrives, and no sound request's content crashes three engines without a success.

--- a/src/pearshed/_internal/engine_side/crash_records.py
+++ b/src/pearshed/_internal/engine_side/crash_records.py
@@ -11,17 +11,18 @@
 from pearshed._internal.models.routing import EndpointEntry
 from pearshed._internal.timers import clock
 
-#: Time for which a crash is remembered, seconds.
-CRASH_MEMORY_S = 600.0
+#: Time for which a crash is remembered, seconds; longer than any block, see ``crash_blame``.
+CRASH_MEMORY_S = 5400.0
 #: Crashes that are remembered, the latest ones.
 MAX_RECORDS = 64
-#: Prompts that are listed for one crash; an engine runs about as many requests at once.
-MAX_SUSPECTS = 64
+#: Requests that are listed for one crash; an engine runs fewer at once.
+MAX_SUSPECTS = 256
 #: Parts whose latest success is remembered.
 MAX_SUCCESSES = 20_000
 
-#: Ids of the shared parts of a prompt, in order.
-SharedParts = tuple[str, ...]
+#: Ids of what may crash an engine in one request: the shared parts of its prompt in order, each of
+#: which other requests may have, then its content, which only the same request has again.
+SuspectChain = tuple[str, ...]
 
 
 def run_id(entry: EndpointEntry) -> str:
@@ -35,19 +36,18 @@
 
     :ivar run: id of the engine's run.
     :ivar crashed_at: clock reading of the end, seconds.
-    :ivar suspects: shared parts of the prompts that the engine processed or had just begun to
-        respond to.
+    :ivar suspects: the requests that the engine processed or had just begun to respond to.
     :ivar refuted: the same run of the engine has responded to a later request.
     """
 
     run: str
     crashed_at: float
-    suspects: frozenset[SharedParts]
+    suspects: frozenset[SuspectChain]
     refuted: bool = False
 
 
 class CrashTable:
-    """Crashes, and the latest success of each prompt part."""
+    """Crashes, and the latest success of each suspect."""
 
     def __init__(self) -> None:
         self._records: dict[str, CrashRecord] = {}
@@ -72,8 +72,8 @@
         """Clock readings of the latest success by part, seconds."""
         return self._successes
 
-    def record_crash(self, run: str, suspects: Iterable[SharedParts]) -> None:
-        """Record that a run ended while it processed prompts."""
+    def record_crash(self, run: str, suspects: Iterable[SuspectChain]) -> None:
+        """Record that a run ended while it processed requests."""
         key = self._latest_key(run)
         if key in self._records and self._records[key].refuted:
             # The run continued after the earlier record.
@@ -95,7 +95,7 @@
         return True
 
     def record_success(self, parts: Iterable[str]) -> None:
-        """Record that an engine has responded completely to a prompt with these parts."""
+        """Record that an engine has responded completely to a request with these parts."""
         now = clock.now()
         for part in parts:
             self._set_success(part, now)
--- a/src/pearshed/_internal/engine_side/messages.py
+++ b/src/pearshed/_internal/engine_side/messages.py
@@ -6,14 +6,14 @@
 """
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 import orjson
 from returns.result import Failure, Result, Success
 
-from pearshed._internal.engine_side.crash_records import CrashRecord
+from pearshed._internal.engine_side.crash_records import CrashRecord, SuspectChain
 from pearshed._internal.engine_side.rate_limits import RateLimit
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.models.routing import PromptPart
@@ -23,8 +23,12 @@
 MAX_DATAGRAM_BYTES = 4096
 #: Limits in one report, those that were named last; an identity may have 30 characters.
 MAX_REPORTED_LIMITS = 56
-#: Added to the age of a success, which must not seem later with each exchange.
-_SUCCESS_AGE_MARGIN_MS = 50
+#: Datagrams of one report of crashes; they have room for about 500 suspects.
+MAX_REPORT_DATAGRAMS = 8
+_EMPTY_REPORT_BYTES = 64
+#: Added to the age of a success, which must not seem later with each exchange; more than the time
+#: for which a side sends the same datagrams, and their way.
+_SUCCESS_AGE_MARGIN_MS = 150
 
 
 def reservation_id(request_id: str, attempt: int) -> str:
@@ -218,8 +222,15 @@
 }
 
 
+def encode_all(message: Message) -> tuple[bytes, ...]:
+    """Encode a message in as many datagrams as it needs."""
+    if isinstance(message, CrashReport):
+        return _encode_crash_report(message)
+    return (encode(message),)
+
+
 def encode(message: Message) -> bytes:
-    """Encode a message as a JSON list that begins with its kind."""
+    """Encode a message as a JSON list that begins with its kind; of a long report, the start."""
     if isinstance(message, AdmissionRequest):
         prompt = [[part.part_id, part.tokens] for part in message.prompt]
         return orjson.dumps(
@@ -248,7 +259,7 @@
             ["f", message.reservation, message.gateways, routes, list(message.hosts)]
         )
     if isinstance(message, CrashReport):
-        return _encode_crash_report(message)
+        return _encode_crash_report(message)[0]
     if isinstance(message, PlaceRequest | PlaceReleased | LimitReport):
         return orjson.dumps(["d", message.reservation, 0, _encode_extension(message)])
     kind = next(kind for kind, cls in _KINDS.items() if isinstance(message, cls))
@@ -356,28 +367,55 @@
     return clock.now() - int(age_ms) / clock.MILLISECONDS_PER_SECOND
 
 
-def _encode_crash_report(message: CrashReport) -> bytes:
-    """Encode a report with as many of its records as fit into a datagram."""
+def _encode_crash_report(message: CrashReport) -> tuple[bytes, ...]:
+    """Encode a report in as many datagrams as it needs, the latest crashes first."""
+    datagrams: list[bytes] = []
     records: list[object] = []
-    successes: list[object] = []
-    size = 64 + len(message.reservation)
-    listed: set[str] = set()
+    success_ages: dict[str, int] = {}
+    size = _EMPTY_REPORT_BYTES
+
+    def flush() -> None:
+        content = ["d", message.reservation, 0, records, list(success_ages.items())]
+        datagrams.append(orjson.dumps(content))
+
     for record in message.records:
-        suspects = [list(chain) for chain in sorted(record.suspects)]
-        row = [record.run, _age_ms(record.crashed_at), int(record.refuted), suspects]
-        parts = {part for chain in record.suspects for part in chain} - listed
-        times = [
-            [part, _age_ms(message.successes[part]) + _SUCCESS_AGE_MARGIN_MS]
-            for part in sorted(parts)
-            if part in message.successes
-        ]
-        size += len(orjson.dumps(row)) + len(orjson.dumps(times))
-        if size > MAX_DATAGRAM_BYTES:
-            break
-        records.append(row)
-        successes.extend(times)
-        listed |= parts
-    return orjson.dumps(["d", message.reservation, 0, records, successes])
+        for row, ages, row_size in _rows(record, message.successes):
+            if size + row_size > MAX_DATAGRAM_BYTES:
+                flush()
+                records, success_ages, size = [], {}, _EMPTY_REPORT_BYTES
+            records.append(row)
+            success_ages.update(ages)
+            size += row_size
+    flush()
+    return tuple(datagrams[:MAX_REPORT_DATAGRAMS])
+
+
+def _rows(
+    record: CrashRecord, successes: Mapping[str, float]
+) -> Iterable[tuple[list[object], dict[str, int], int]]:
+    """Return a record as rows that each fit into a datagram; the receiver merges them.
+
+    :returns: rows, the ages of the latest successes of their suspects, and their size, bytes.
+    """
+    head = [record.run, _age_ms(record.crashed_at), int(record.refuted)]
+    head_size = len(orjson.dumps(head)) + 4
+    suspects: list[SuspectChain] = []
+    ages: dict[str, int] = {}
+    size = head_size
+    for chain in sorted(record.suspects):
+        chain_ages = {
+            part: _age_ms(successes[part]) + _SUCCESS_AGE_MARGIN_MS
+            for part in chain
+            if part in successes and part not in ages
+        }
+        added = len(orjson.dumps([chain, list(chain_ages.items())]))
+        if suspects and _EMPTY_REPORT_BYTES + size + added > MAX_DATAGRAM_BYTES:
+            yield [*head, suspects], ages, size
+            suspects, ages, size = [], {}, head_size
+        suspects.append(chain)
+        ages.update(chain_ages)
+        size += added
+    yield [*head, suspects], ages, size
 
 
 def _decode_crash_report(
--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import signal
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any, cast
 
 from absl import logging
@@ -48,6 +48,11 @@
 _RETRY_INTERVAL_S = 0.25
 _QUEUE_INTERVAL_S = 0.02
 _LOG_DRAIN_INTERVAL_S = 0.1
+#: The datagrams of one report of crashes arrive within this time, seconds; gateways send the next
+#: one later.
+_REPORT_SPAN_S = 0.05
+#: Time for which an encoded report of crashes is sent to all gateways that ask, seconds.
+_ENCODED_TTL_S = 0.1
 
 _Peer = tuple[str, int]
 
@@ -68,6 +73,9 @@
         self._stop_requested = asyncio.Event()
         self._traffic = TrafficTable()
         self._crashes = CrashTable()
+        self._crashes_sent_at: dict[_Peer, float] = {}
+        self._crashes_encoded_at = float("-inf")
+        self._crash_datagrams: tuple[bytes, ...] = ()
         self._limits = RateLimitTable()
         self._places = PlaceKeeper(self._limits.per_s)
         self._malformed_datagrams = 0
@@ -157,9 +165,7 @@
             self._send(total, addr)
         elif isinstance(message, CrashReport):
             self._crashes.merge(message.records, message.successes)
-            records = self._crashes.records
-            successes = self._crashes.suspect_successes(records)
-            self._send(CrashReport("", records, successes), addr)
+            self._respond_to_crash_report(addr)
         elif isinstance(message, LimitReport):
             self._limits.merge(message.limits)
             self._send(LimitReport("", self._limits.limits), addr)
@@ -168,6 +174,19 @@
         elif isinstance(message, PlaceReleased):
             self._places.release(message.run, message.reservation)
 
+    def _respond_to_crash_report(self, peer: _Peer) -> None:
+        """Send all known crashes, once for the datagrams of one report."""
+        now = clock.now()
+        if now - self._crashes_sent_at.get(peer, float("-inf")) < _REPORT_SPAN_S:
+            return
+        self._crashes_sent_at[peer] = now
+        if now - self._crashes_encoded_at > _ENCODED_TTL_S:
+            self._crashes_encoded_at = now
+            records = self._crashes.records
+            report = CrashReport("", records, self._crashes.suspect_successes(records))
+            self._crash_datagrams = messages.encode_all(report)
+        self._send_datagrams(self._crash_datagrams, peer)
+
     def _handle_request(self, request: AdmissionRequest, peer: _Peer) -> None:
         if self._queue.is_granted(request.reservation):
             self._send(AdmissionGranted(request.reservation, self._queue.granted_count), peer)
@@ -222,8 +241,12 @@
         )
 
     def _send(self, message: Message, peer: _Peer) -> None:
+        self._send_datagrams(messages.encode_all(message), peer)
+
+    def _send_datagrams(self, datagrams: Iterable[bytes], peer: _Peer) -> None:
         if self._transport is not None:
-            self._transport.sendto(messages.encode(message), peer)
+            for datagram in datagrams:
+                self._transport.sendto(datagram, peer)
 
     async def _poll_reports(self) -> None:
         reachable = False
--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -211,7 +211,8 @@
     def send(self, message: Message, host: str) -> None:
         """Send a message to the side at a host."""
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(messages.encode(message), (host, self._port))
+            for datagram in messages.encode_all(message):
+                self._transport.sendto(datagram, (host, self._port))
 
     def close(self) -> None:
         """Close the socket."""
--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -215,6 +215,7 @@
     ) -> AttemptOutcome:
         body, end = await self._read_body(connection)
         if end.kind not in _POSSIBLY_COMPLETE:
+            self._cut_off = end.kind is EndKind.TRUNCATED
             self._endpoint.record_failure()
             return Failed(f"the answer broke off: {end.reason}")
         if head.status in _SERVER_ERRORS:
--- a/src/pearshed/_internal/gateway/prompt_quarantine.py
+++ b/src/pearshed/_internal/gateway/crash_blame.py
@@ -1,23 +1,25 @@
-"""Decides which prompt parts crash engines, from records of crashes.
+"""Decides what crashes engines, from records of crashes: a prompt part, or a request's content.
 
-A part that crashes engines is a suspect in each crash that it causes, and no request with it ever
-succeeds. Other parts are suspects too, since an engine processes many requests at once; most of
-these succeed elsewhere. Of the remaining parts the one with most crashes is blamed for all of them,
-then the next for those that are left.
+What crashes engines is a suspect in each crash that it causes, and no request with it ever
+succeeds. Others are suspects too, since an engine processes many requests at once; most of these
+succeed elsewhere. Of the remaining suspects the one with most crashes is blamed for all of them,
+then the next for those that are left. A request's content counts as the last part of its prompt.
 """
 
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from pearshed._internal.engine_side.crash_records import CrashRecord, SharedParts
+from pearshed._internal.engine_side.crash_records import CrashRecord, SuspectChain
 
 #: Crashes after which a part is blocked.
 MIN_CRASHES = 3
 #: Crashes after which requests with a part are not sent to a second engine.
 MIN_CRASHES_TO_DENY_RETRIES = 2
 #: A part is blocked until this long after its latest crash, seconds. One more crash blocks it
-#: again while the earlier ones are remembered.
+#: again, while the earlier ones are remembered, for this many times as long.
 BLOCK_S = 120.0
+BLOCK_GROWTH = 3.0
+MAX_BLOCK_S = 3600.0
 #: A success this long before the crashes still clears a part, seconds.
 SUCCESS_LOOKBACK_S = 5.0
 #: All crashes of a part are crashes of those before it in a prompt. One of these is blamed instead
@@ -75,7 +77,7 @@
         if part is None:
             break
         explained.update(candidates[part])
-        blocked_until = max(candidates[part].values()) + BLOCK_S
+        blocked_until = _blocked_until(candidates[part].values())
         if blocked_until > now:
             blocked[part] = BlockedPart(part, len(candidates[part]), blocked_until)
     not_retried = {
@@ -91,6 +93,22 @@
     return Assessment(blocked, frozenset(not_retried | blocked.keys()))
 
 
+def _blocked_until(times: Collection[float]) -> float:
+    """Return until when a part is blocked, from the times of its crashes.
+
+    Crashes within a block come from requests that were on their way; only one after the end of a
+    block makes the next longer.
+    """
+    first, *others = sorted(times)[MIN_CRASHES - 1 :]
+    block_s = BLOCK_S
+    until = first + block_s
+    for crashed_at in others:
+        if crashed_at >= until:
+            block_s = min(MAX_BLOCK_S, block_s * BLOCK_GROWTH)
+        until = crashed_at + block_s
+    return until
+
+
 def _crashes_by_part(records: Sequence[CrashRecord]) -> dict[str, dict[str, float]]:
     """Return the times of crashes by part and run."""
     crashes: dict[str, dict[str, float]] = {}
@@ -118,7 +136,7 @@
 ) -> dict[str, set[str]]:
     """Return the candidates that follow each candidate in some prompt."""
     later: dict[str, set[str]] = {part: set() for part in candidates}
-    chains: set[SharedParts] = set()
+    chains: set[SuspectChain] = set()
     for record in records:
         chains |= record.suspects
     for chain in chains:
--- a/src/pearshed/_internal/gateway/crash_detector.py
+++ b/src/pearshed/_internal/gateway/crash_detector.py
@@ -1,4 +1,4 @@
-"""Records crashes of engines, and blocks the prompt parts that cause them."""
+"""Records crashes of engines, and blocks the prompt parts and requests that cause them."""
 
 from collections.abc import Iterable, Mapping
 
@@ -6,7 +6,7 @@
 
 from pearshed._internal.engine_side.crash_records import CrashTable, run_id
 from pearshed._internal.engine_side.messages import CrashReport
-from pearshed._internal.gateway.prompt_quarantine import Assessment, BlockedPart, assess
+from pearshed._internal.gateway.crash_blame import Assessment, BlockedPart, assess
 from pearshed._internal.gateway.routed_call import RoutedCall
 from pearshed._internal.gateway.side_exchange import ExchangedRecords
 from pearshed._internal.models.routing import EndpointEntry
@@ -15,7 +15,11 @@
 
 
 class CrashDetector(ExchangedRecords):
-    """Records what all gateways see of crashes, and blocks the prompt parts that cause them."""
+    """Records what all gateways see of crashes, and blocks what causes them.
+
+    A request that comes again is a suspect by its content; for requests with a prompt, the shared
+    parts of the prompt are suspects too.
+    """
 
     def __init__(self) -> None:
         self._table = CrashTable()
@@ -26,7 +30,7 @@
 
     @property
     def blocked_parts(self) -> Mapping[str, BlockedPart]:
-        """The blocked parts by id."""
+        """The blocked prompt parts and contents of requests, by id."""
         return self._assessment.blocked
 
     def blocked_s(self, call: RoutedCall) -> float:
@@ -35,28 +39,28 @@
         if not blocked:
             return 0.0
         until = max(
-            (blocked[part].blocked_until for part in call.shared_parts if part in blocked),
+            (blocked[part].blocked_until for part in call.crash_suspects if part in blocked),
             default=0.0,
         )
         return max(0.0, until - clock.now())
 
     def may_retry(self, call: RoutedCall) -> bool:
         """Return whether a request that an engine didn't finish may be sent to another one."""
-        return self._assessment.not_retried.isdisjoint(call.shared_parts)
+        not_retried = self._assessment.not_retried
+        return not not_retried or not_retried.isdisjoint(call.crash_suspects)
 
     def record_crash(self, entry: EndpointEntry, call: RoutedCall) -> None:
         """Record that an engine ended its connection while it processed a request."""
-        if not call.shared_parts:
-            return
         self._suspect_count += 1
-        self._table.record_crash(run_id(entry), (call.shared_parts,))
+        suspects = call.crash_suspects
+        self._table.record_crash(run_id(entry), (suspects,))
         logging.info(
             "engine.crash_suspected",
             extra={
                 "fields": {
                     "endpoint": entry.identity,
                     "request": call.request_id,
-                    "parts": ",".join(call.shared_parts),
+                    "parts": ",".join(suspects),
                 }
             },
         )
@@ -73,11 +77,14 @@
 
     def record_success(self, call: RoutedCall) -> None:
         """Record that an engine has responded completely."""
-        self._table.record_success(call.shared_parts)
+        self._table.record_success(call.crash_suspects)
 
     def merge(self, report: CrashReport) -> None:
         """Merge the records of a side."""
         self._table.merge(report.records, report.successes)
+
+    def refresh(self) -> None:
+        """Assess again if other processes have reported something new."""
         if self._table.changes != self._assessed_changes:
             self._update()
 
@@ -96,12 +103,12 @@
         """Report the metrics."""
         yield gauge(
             "pearshed_gateway_blocked_parts",
-            "Prompt parts that no engine gets since they crash engines",
+            "Prompt parts and requests that no engine gets since they crash engines",
             len(self._assessment.blocked),
         )
         yield counter(
             "pearshed_gateway_crash_suspects_total",
-            "Requests with a prompt during which their engine ended the connection",
+            "Requests during which their engine ended the connection",
             self._suspect_count,
         )
 
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -263,12 +263,12 @@
     def _finish_blocked(
         self, call: RoutedCall, writer: ResponseWriter, progress: _Progress
     ) -> bool:
-        """End a request if a part of its prompt crashes engines; return whether it does."""
+        """End a request if it, or a part of its prompt, crashes engines; return whether it does."""
         blocked_s = self._crashes.blocked_s(call)
         if not blocked_s:
             return False
         progress.wait_s = blocked_s
-        self._finish_failed(call, writer, progress, "a part of the prompt crashes engines")
+        self._finish_failed(call, writer, progress, "such requests crash engines")
         return True
 
     def _may_retry(
@@ -369,6 +369,7 @@
             self._rate_limited.record_send(entry)
 
         def record_response(metadata: ResponseMetadata) -> None:
+            self._crashes.record_response(entry, attempt.sent_at)
             # Only the engine itself can say that it no longer has a limit.
             if metadata.rate_limit is not None or metadata.signed:
                 self._rate_limited.record_response(entry, metadata.rate_limit)
@@ -376,7 +377,6 @@
         def record_prefill() -> None:
             self._placement(call).record_prefill(call, decision.endpoint)
             self._admission.notify_prefilled(admitted, decision.endpoint)
-            self._crashes.record_response(entry, attempt.sent_at)
 
         attempt = Attempt(
             call,
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -338,6 +338,7 @@
             self._rate_limited.merge(report)
 
     def _exchange_records(self) -> None:
+        self._crashes.refresh()
         configuration = self._store_cache.configuration
         self._side_exchange.exchange(
             endpoint.entry.address.host
--- a/src/pearshed/_internal/gateway/routed_call.py
+++ b/src/pearshed/_internal/gateway/routed_call.py
@@ -10,6 +10,8 @@
 from pearshed._internal.timers import clock
 
 _CONTENT_ID_BYTES = 8
+#: Precedes the id of a request's content, so that it is no id of a prompt part.
+CONTENT_PREFIX = "request:"
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +69,11 @@
         """Ids of the parts of the prompt that other requests may share, in order."""
         return tuple(part.part_id for part in self.metadata.prompt[:-1])
 
+    @property
+    def crash_suspects(self) -> tuple[str, ...]:
+        """What may crash an engine: the prompt's shared parts in order, then the content."""
+        return (*self.shared_parts, CONTENT_PREFIX + self.content_id)
+
     @property
     def shared_prefix_tokens(self) -> int:
         """Tokens of the prompt's shared prefix."""
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_crash_blame.py
@@ -1,4 +1,4 @@
-"""Which prompt parts are blamed for crashes, and how records of crashes are exchanged."""
+"""What is blamed for crashes, and how records of crashes are exchanged."""
 
 import dataclasses
 import json
@@ -18,15 +18,17 @@
 )
 from pearshed._internal.engine_side.messages import (
     MAX_DATAGRAM_BYTES,
+    MAX_REPORT_DATAGRAMS,
     CrashReport,
     RequestFinished,
 )
-from pearshed._internal.gateway.crash_detector import CrashDetector
-from pearshed._internal.gateway.prompt_quarantine import (
+from pearshed._internal.gateway.crash_blame import (
     BLOCK_S,
+    MAX_BLOCK_S,
     SUCCESS_LOOKBACK_S,
     assess,
 )
+from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.side_exchange import (
     EXCHANGE_SIDES,
     MAX_UNANSWERED,
@@ -149,6 +151,71 @@
             self.assertEqual(set(blocked.split()), set(assessment.blocked))
             self.assertEqual(set(not_retried.split()), set(assessment.not_retried))
 
+    @parameterized.expand(
+        [
+            ("one_request_again_and_again", [(n, ["a,x"]) for n in (3, 2, 1)], {}, "x"),
+            ("a_plain_request", [(n, ["x", f"other{n}"]) for n in (3, 2, 1)], {}, "x"),
+            ("requests_that_share_a_part", [(n, [f"a,x{n}"]) for n in (3, 2, 1)], {}, "a"),
+            (
+                "a_sound_request_beside_it_twice",
+                [(3, ["x", "y"]), (2, ["x", "y"]), (1, ["x"])],
+                {},
+                "x",
+            ),
+            (
+                "a_sound_request_that_is_sent_often",
+                [(n, ["x", "y"]) for n in (3, 2, 1)],
+                {"y": 2.5},
+                "x",
+            ),
+            (
+                "one_request_and_other_crashes_of_its_first_part",
+                [(5, ["a,x"]), (4, ["a,x"]), (3, ["a,x"]), (2, ["a,y"])],
+                {},
+                "x",
+            ),
+            (
+                "a_part_after_one_request_with_it",
+                [(n, ["a,x"]) for n in (5, 4, 3)] + [(2, ["a,y"]), (1, ["a,z"])],
+                {},
+                "a",
+            ),
+            (
+                "two_requests",
+                [(n, ["x"]) for n in (9, 8, 7)] + [(n, ["y", "z"]) for n in (3, 2)] + [(1, ["y"])],
+                {},
+                "x y",
+            ),
+        ]
+    )
+    def test_requests_that_crash_engines(
+        self, _: str, crashes: Sequence[_Crash], success_ages_s: Mapping[str, float], blocked: str
+    ) -> None:
+        successes = {part: _NOW - age_s for part, age_s in success_ages_s.items()}
+        assessment = assess(crash_records(crashes), successes, _NOW)
+        self.assertEqual(set(blocked.split()), set(assessment.blocked))
+
+    @parameterized.expand(
+        [
+            ("three_crashes", (0, 1, 2), 2 + BLOCK_S),
+            ("more_that_were_on_their_way", (0, 1, 2, 3, 5), 5 + BLOCK_S),
+            ("one_after_the_block", (0, 1, 2, 130), 130 + 3 * BLOCK_S),
+            ("two_after_blocks", (0, 1, 2, 130, 500), 500 + 9 * BLOCK_S),
+            ("one_within_the_longer_block", (0, 1, 2, 130, 300), 300 + 3 * BLOCK_S),
+            ("the_longest", (0, 1, 2, 130, 500, 1600, 5000), 5000 + MAX_BLOCK_S),
+            ("far_apart", (0, 500, 1000), 1000 + BLOCK_S),
+        ]
+    )
+    def test_each_crash_after_a_block_makes_the_next_longer(
+        self, _: str, times: Sequence[float], blocked_until: float
+    ) -> None:
+        records = [
+            CrashRecord(f"r{number}", time, frozenset([("x",)]))
+            for number, time in enumerate(times)
+        ]
+        assessment = assess(records, {}, max(times))
+        self.assertEqual(blocked_until, assessment.blocked["x"].blocked_until)
+
     def test_a_refuted_crash_blames_nothing(self) -> None:
         records = crash_records([(3, ["a"]), (2, ["a"]), (1, ["a"])])
         records[1] = dataclasses.replace(records[1], refuted=True)
@@ -207,7 +274,7 @@
         assert isinstance(decoded, CrashReport)
         self.assertEqual((record,), decoded.records)
         # A success never seems later than it was.
-        self.assertAlmostEqual(START_S - 3.05, decoded.successes["b"])
+        self.assertAlmostEqual(START_S - 3.15, decoded.successes["b"])
 
     def test_a_report_of_many_crashes_fits_into_a_datagram(self) -> None:
         records = tuple(
@@ -226,6 +293,37 @@
         self.assertEqual(records[: len(decoded.records)], decoded.records)
         self.assertGreater(len(decoded.records), 2)
 
+    def test_a_long_report_is_complete_after_all_its_datagrams(self) -> None:
+        records = tuple(
+            CrashRecord(
+                f"i-{number:010x}/1700000000000",
+                START_S - number,
+                frozenset(
+                    (f"{part % 5:012x}", f"request:{number:08x}{part:08x}") for part in range(100)
+                ),
+            )
+            for number in range(3)
+        )
+        successes = {f"{part:012x}": START_S for part in range(5)}
+        datagrams = messages.encode_all(CrashReport("", records, successes))
+        self.assertGreater(len(datagrams), 2)
+        table = CrashTable()
+        for datagram in random.Random(1).sample(datagrams, len(datagrams)):
+            self.assertLessEqual(len(datagram), MAX_DATAGRAM_BYTES)
+            report = messages.decode(datagram).unwrap()
+            assert isinstance(report, CrashReport)
+            table.merge(report.records, report.successes)
+        self.assertEqual(records, table.records)
+        self.assertEqual(successes.keys(), table.successes.keys())
+
+    def test_a_report_has_a_largest_size(self) -> None:
+        records = tuple(
+            CrashRecord(f"r{n}", START_S - n, frozenset((f"{n}-{part}",) for part in range(200)))
+            for n in range(MAX_RECORDS)
+        )
+        datagrams = messages.encode_all(CrashReport("", records, {}))
+        self.assertEqual(MAX_REPORT_DATAGRAMS, len(datagrams))
+
     def test_builds_without_crash_reports_read_the_end_of_no_request(self) -> None:
         record = CrashRecord("i-1/5", START_S, frozenset([("a",)]))
         datagram = messages.encode(CrashReport("", (record,), {}))
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from pearshed._internal.gateway.prompt_quarantine import BLOCK_S, MIN_CRASHES
+from pearshed._internal.gateway.crash_blame import BLOCK_S, MIN_CRASHES
 from tests.lib.gateway_caller import CallerResponse
 from tests.lib.gateway_fixture import until
 from tests.lib.gateway_fleet import CrashingEnginesTestCase
