Drop refuted crashes before others when there are too many

Change: refuted records are dropped first. The test fails without it: no unrefuted record is left of one crash and 128 lost connections.

Conclusion: lost connections no longer shorten how long crashes are remembered.

--- a/src/pearshed/_internal/engine_side/crash_records.py
+++ b/src/pearshed/_internal/engine_side/crash_records.py
@@ -13,7 +13,7 @@
 
 #: Time for which a crash is remembered, seconds; longer than any block, see ``crash_blame``.
 CRASH_MEMORY_S = 5400.0
-#: Crashes that are remembered, the latest ones.
+#: Crashes that are remembered; refuted ones are dropped first, then the oldest.
 MAX_RECORDS = 64
 #: Requests that are listed for one crash; an engine runs fewer at once.
 MAX_SUSPECTS = 256
@@ -141,7 +141,9 @@
         self._changes += 1
         self._records[record.run] = record
         if len(self._records) > MAX_RECORDS:
-            oldest = min(self._records.values(), key=lambda item: item.crashed_at)
+            oldest = min(
+                self._records.values(), key=lambda item: (not item.refuted, item.crashed_at)
+            )
             del self._records[oldest.run]
 
     def _set_success(self, part: str, succeeded_at: float) -> None:
--- a/tests/gateway/test_crash_blame.py
+++ b/tests/gateway/test_crash_blame.py
@@ -262,6 +262,15 @@
         runs = [record.run for record in self.table.records]
         self.assertEqual((MAX_RECORDS, f"r{MAX_RECORDS + 4}"), (len(runs), runs[0]))
 
+    def test_refuted_crashes_are_dropped_before_others(self) -> None:
+        self.table.record_crash("r", [("a",)])
+        for number in range(MAX_RECORDS * 2):
+            self.clock.advance(0.1)
+            self.table.record_crash(f"r{number}", [("b",)])
+            self.clock.advance(0.1)
+            self.table.refute(f"r{number}", self.clock.now)
+        self.assertEqual(["r"], [item.run for item in self.table.records if not item.refuted])
+
 
 class CrashReportTest(unittest.TestCase):
     def setUp(self) -> None:
