Ask a silent side for places again after one second

In 4 s an engine may get six times its limit and 5 requests; with two sides it could get eight times and more.

Change: a side is left out for places for one second, whatever the exchange of records thinks of it. A statement of an engine replaces an earlier one of the same clock reading.

--- a/src/pearshed/_internal/engine_side/rate_limits.py
+++ b/src/pearshed/_internal/engine_side/rate_limits.py
@@ -56,7 +56,8 @@
         :param per_s: requests per second; ``None`` if the response names no limit.
         """
         if per_s is not None or run in self._limits:
-            self.merge((RateLimit(run, per_s, clock.now()),))
+            self._limits[run] = RateLimit(run, per_s, clock.now())
+            self._drop_excess()
 
     def merge(self, limits: Iterable[RateLimit]) -> None:
         """Merge the statements that another process knows."""
@@ -64,6 +65,9 @@
             current = self._limits.get(limit.run)
             if current is None or limit.named_at > current.named_at:
                 self._limits[limit.run] = limit
+        self._drop_excess()
+
+    def _drop_excess(self) -> None:
         if len(self._limits) > MAX_LIMITS:
             self._limits = {limit.run: limit for limit in self.limits[:MAX_LIMITS]}
 
--- a/src/pearshed/_internal/gateway/rate_limited_engines.py
+++ b/src/pearshed/_internal/gateway/rate_limited_engines.py
@@ -21,13 +21,16 @@
 from pearshed._internal.gateway.endpoints import Endpoint
 from pearshed._internal.gateway.local_share import LocalShare
 from pearshed._internal.gateway.routed_call import RoutedCall
-from pearshed._internal.gateway.side_exchange import SIDE_SKIP_S, ExchangedRecords, SideExchange
+from pearshed._internal.gateway.side_exchange import ExchangedRecords, SideExchange
 from pearshed._internal.models.routing import EndpointEntry
 from pearshed._internal.telemetry.metrics import Metric, Sample, gauge
 from pearshed._internal.timers import clock
 
 #: Sides that are asked for a place before the gateway uses its own share.
 MAX_SIDES = 2
+#: Time for which a side that doesn't respond is not asked, seconds. Until all gateways have found
+#: it silent, two sides grant places.
+SIDE_SKIP_S = 1.0
 #: Runs of engines whose next place or own share is remembered.
 _MAX_RUNS = 4096
 
@@ -204,19 +207,15 @@
             if isinstance(decision, NotAdmitted):
                 return NoPlace(decision.wait_s)
             self._skipped_until[host] = clock.now() + SIDE_SKIP_S
-            logging.info(
-                "side.counts_no_places", extra={"fields": {"host": host, "for_s": SIDE_SKIP_S}}
-            )
+            fields = {"host": host, "for_s": SIDE_SKIP_S}
+            logging.info("side.counts_no_places", extra={"fields": fields})
         return None
 
     def _counting_hosts(self, run: str, entry: EndpointEntry) -> Sequence[str]:
         """Return the hosts of sides in the order in which gateways choose them for a run."""
         now = clock.now()
-        usable = [
-            host
-            for host in self._sides.usable_hosts(run)
-            if now >= self._skipped_until.get(host, 0.0)
-        ]
+        ranked = self._sides.ranked_hosts(run)
+        usable = [host for host in ranked if now >= self._skipped_until.get(host, 0.0)]
         return sorted(usable, key=lambda host: host != entry.address.host)
 
     async def _take_own_share(self, request: PlaceRequest, budget_s: float) -> Place | NoPlace:
--- a/src/pearshed/_internal/gateway/side_exchange.py
+++ b/src/pearshed/_internal/gateway/side_exchange.py
@@ -25,6 +25,8 @@
 SIDE_SKIP_S = 5.0
 #: Time for which the side of an engine that is gone is still used, seconds.
 HOST_MEMORY_S = 60.0
+#: Key by which all gateways choose the sides; those of older builds use it too.
+_EXCHANGE_KEY = "crashes"
 
 
 class ExchangedRecords(abc.ABC):
@@ -61,16 +63,9 @@
         """Record that the side at a host has responded to a report."""
         self._unanswered.pop(host, None)
 
-    def skip(self, host: str) -> None:
-        """Leave out the side at a host for a while, since it doesn't respond."""
-        self._unanswered.pop(host, None)
-        self._skipped_until[host] = clock.now() + SIDE_SKIP_S
-
-    def usable_hosts(self, key: str) -> Sequence[str]:
+    def ranked_hosts(self, key: str) -> Sequence[str]:
         """Return the hosts of sides, in the order in which all gateways choose them for a key."""
-        now = clock.now()
-        ranked = sorted(self._hosts, key=lambda host: rendezvous.score(key, host))
-        return [host for host in ranked if now >= self._skipped_until.get(host, 0.0)]
+        return sorted(self._hosts, key=lambda host: rendezvous.score(key, host))
 
     def exchange(self, hosts: Iterable[str]) -> None:
         """Report to the chosen sides if it is time, or if there is something new.
@@ -98,10 +93,14 @@
         :param expects_response: count the report as unanswered until a response arrives. Reports
             in quick succession are not counted, since responses take some time.
         """
+        now = clock.now()
         reports = [records.report() for records in parts]
-        for host in self.usable_hosts("crashes")[:EXCHANGE_SIDES]:
+        ranked = self.ranked_hosts(_EXCHANGE_KEY)
+        usable = [host for host in ranked if now >= self._skipped_until.get(host, 0.0)]
+        for host in usable[:EXCHANGE_SIDES]:
             self._unanswered[host] += expects_response
             if self._unanswered[host] > MAX_UNANSWERED:
-                self.skip(host)
+                del self._unanswered[host]
+                self._skipped_until[host] = now + SIDE_SKIP_S
             for report in reports:
                 self._send(report, host)
--- a/tests/gateway/test_place_queue.py
+++ b/tests/gateway/test_place_queue.py
@@ -220,7 +220,7 @@
             if restart_s and self.clock.now > restart_at:
                 restart_at += restart_s
                 queues[0] = PlaceQueue(lambda: per_s)
-            # Two sides count for at most 1.5 s: gateways leave out a side for about that long.
+            # Gateways leave out a side for a second; two count for a little longer.
             queue = queues[rng.randrange(2) if takeover and self.clock.now < START_S + 1.5 else 0]
             budget_ms = rng.choice((0, 0, 500))
             request = PlaceRequest(f"{number}", "r", per_s, 0, rng.randrange(3), budget_ms)
