Let engines name limits and requests crash engines in the soak

Change: engines of a service name, change and withdraw limits; requests with one content crash their engines, which start again under other identities. The checks are the operators' bounds, for requests of gateways that had passed on the limit and had no fault. Two kinds of violations and seven valid histories test them.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -42,6 +42,8 @@
             ("lose responses of engines", self._lose_responses),
             ("break off responses of engines", self._break_off_responses),
             ("disturb datagrams", self._disturb_datagrams),
+            ("limit the requests to engines", self._limit_requests),
+            ("send requests that crash engines", self._send_deadly_requests),
             ("isolate a gateway from the store", self._isolate_gateway),
         )
 
@@ -212,3 +214,20 @@
         self._testbed.break_off_responses = True
         await asyncio.sleep(duration_s)
         self._testbed.break_off_responses = False
+
+    async def _limit_requests(self) -> None:
+        """Let one engine, or all of a service, name a limit; change it at times, then end it."""
+        service = self._rng.choice(("fleet", "ledger"))
+        engines = [engine for engine in self._testbed.engines if engine.service == service]
+        limited = engines if self._rng.random() < 0.3 else [self._rng.choice(engines)]
+        for _ in range(self._rng.randint(1, 2)):
+            per_s = self._rng.choice((0.5, 2.0, 5.0))
+            self._testbed.rate_limits.update(dict.fromkeys(limited, per_s))
+            await asyncio.sleep(self._rng.uniform(1.0, 8.0))
+        for engine in limited:
+            self._testbed.rate_limits.pop(engine, None)
+
+    async def _send_deadly_requests(self) -> None:
+        self._testbed.deadly_share = 0.05
+        await asyncio.sleep(self._rng.uniform(1.0, 5.0))
+        self._testbed.deadly_share = 0.0
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -11,6 +11,17 @@
 REVOCATION_TIMEOUT_S = 5.0
 #: The drain bound holds again this long after a fault of the store.
 STORE_SETTLE_S = 5.0
+#: Bounds hold at processes without a fault for this long (the platform's bound).
+STABLE_WINDOW_S = 3.0
+#: An endpoint that has named a limit gets at most this many times what the limit allows in a
+#: window, and so many more requests (the platform's bound).
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_EXCESS = 5
+#: A gateway counts once it has passed on a response with the limit for this long.
+LIMIT_TOLD_S = 0.5
+#: A request that has ended as many endpoints is sent to as many more at most.
+MAX_CRASHES = 3
 
 
 @dataclass(frozen=True)
@@ -18,6 +29,8 @@
     """A request that an endpoint started to process.
 
     :ivar retryable: the request may run more than once.
+    :ivar rate_limit: requests per second that the endpoint named in its response, if any.
+    :ivar crashed_by: the path of the request, if the endpoint ends under it.
     """
 
     request_id: str
@@ -25,6 +38,8 @@
     started_at: float
     retryable: bool
     customer: str
+    rate_limit: float | None = None
+    crashed_by: str = ""
 
 
 @dataclass(frozen=True)
@@ -35,6 +50,8 @@
     :ivar complete: the response is complete by its framing.
     :ivar expected_body: the complete body that the endpoint produced for this request.
     :ivar during_planned_stop: the gateway was stopping and no other fault affected it.
+    :ivar gateway: name and start of the gateway that got it.
+    :ivar gateway_was_disturbed: it was stopped, or a fault affected it shortly before.
     """
 
     request_id: str
@@ -46,6 +63,8 @@
     expected_body: bytes
     api_key: str = ""
     during_planned_stop: bool = False
+    gateway: str = ""
+    gateway_was_disturbed: bool = False
 
 
 @dataclass
@@ -83,6 +102,8 @@
         *_version_regressions(history),
         *_interrupted_by_stop(history),
         *_failed_recovery(history),
+        *_exceeded_limits(history),
+        *_repeated_crashes(history),
     ]
 
 
@@ -157,3 +178,61 @@
     if sent and served * 4 < sent:
         return [f"after the loss of all processes {served} of {sent} requests were served"]
     return []
+
+
+def _exceeded_limits(history: History) -> list[str]:
+    """Check the requests of gateways that had passed on the endpoint's limit."""
+    outcomes = {outcome.request_id: outcome for outcome in history.outcomes}
+    violations = []
+    for endpoint in {run.endpoint for run in history.runs if run.rate_limit is not None}:
+        named_at: float | None = None
+        per_s: float | None = None
+        told_at: dict[str, float] = {}
+        window: list[float] = []
+        for run in (run for run in history.runs if run.endpoint == endpoint):
+            if run.rate_limit != per_s:
+                per_s, named_at, told_at, window = run.rate_limit, run.started_at, {}, []
+            outcome = outcomes.get(run.request_id)
+            if per_s is None or named_at is None or outcome is None:
+                continue
+            told_since = told_at.setdefault(outcome.gateway, run.started_at)
+            if (
+                run.started_at < named_at + STABLE_WINDOW_S
+                or run.started_at < told_since + LIMIT_TOLD_S
+                or outcome.gateway_was_disturbed
+            ):
+                continue
+            window = [time for time in window if time > run.started_at - LIMIT_WINDOW_S]
+            window.append(run.started_at)
+            allowed = LIMIT_WINDOW_S * per_s * LIMIT_RATIO + LIMIT_EXCESS
+            if len(window) > allowed:
+                violations.append(
+                    f"endpoint {endpoint} takes {per_s} a second and received {len(window)} "
+                    f"requests in {LIMIT_WINDOW_S} s: request {run.request_id}"
+                )
+                break
+    return violations
+
+
+def _repeated_crashes(history: History) -> list[str]:
+    """Check the requests that end each endpoint and come again, by their paths."""
+    outcomes = {outcome.request_id: outcome for outcome in history.outcomes}
+    violations = []
+    for path in sorted({run.crashed_by for run in history.runs} - {""}):
+        crashes = [run for run in history.runs if run.crashed_by == path]
+        if len(crashes) <= MAX_CRASHES:
+            continue
+        settled_at = crashes[MAX_CRASHES - 1].started_at + STABLE_WINDOW_S
+        later = [
+            run
+            for run in crashes
+            if run.started_at > settled_at
+            and run.request_id in outcomes
+            and not outcomes[run.request_id].gateway_was_disturbed
+        ]
+        if len(later) > MAX_CRASHES:
+            violations.append(
+                f"a request to {path} that had ended {MAX_CRASHES} endpoints was sent to "
+                f"{len(later)} more: request {later[-1].request_id}"
+            )
+    return violations
--- a/soak/load.py
+++ b/soak/load.py
@@ -6,8 +6,9 @@
 import time
 
 from pearshed._internal.utils.addresses import Address
-from soak.invariants import RequestOutcome
+from soak.invariants import STABLE_WINDOW_S, RequestOutcome
 from soak.testbed import (
+    DEADLY_BODY,
     LARGE_PROMPT_TOKENS,
     PROMPT_TOKENS,
     Testbed,
@@ -86,6 +87,7 @@
     async def _send_request(
         self, caller: Caller, gateway: int, path: str, api_key: str
     ) -> tuple[int, bool]:
+        is_deadly = self._rng.random() < self._testbed.deadly_share
         request_id = f"r{next(self._request_numbers)}"
         node = self._testbed.gateways[gateway]
         start_count = node.start_count
@@ -101,7 +103,8 @@
             "Pearshed-Deadline-Ms": "6000",
             **prompt_headers,
         }
-        caller.send(path, request_id=request_id, headers=headers)
+        body = DEADLY_BODY if is_deadly else request_id.encode()
+        caller.send(path, request_id=request_id, headers=headers, body=body)
         try:
             response = await asyncio.wait_for(caller.read_response(), _RESPONSE_TIMEOUT_S)
         except TimeoutError:
@@ -127,6 +130,12 @@
                     and sent_at < stopping_since + _SERVED_AFTER_STOP_S
                     and node.fault_until + _FAULT_EFFECT_S < sent_at
                 ),
+                gateway=f"{node.name}#{start_count}",
+                gateway_was_disturbed=(
+                    start_count != node.start_count
+                    or stopping_since is not None
+                    or node.fault_until + STABLE_WINDOW_S > sent_at
+                ),
             )
         )
         if response is None or not response.complete:
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -37,6 +37,10 @@
 _EVENT_INTERVAL_S = 0.03
 _SERVICE_TIME_S = 0.02
 STOP_GRACE_S = 8.0
+#: Body of a request that crashes its engine.
+DEADLY_BODY = b"deadly"
+#: Generations of engines that have crashed; the others are counted from 1.
+CRASH_GENERATION = 10_000
 
 
 def response_body(request_id: str) -> bytes:
@@ -117,6 +121,8 @@
     :ivar response_loss_rate: share of the requests whose engine resets the connection.
     :ivar break_off_responses: engines break off every third response, and send every second one
         with neither a length nor chunks.
+    :ivar rate_limits: requests per second that engines name in their responses.
+    :ivar deadly_share: share of the requests that crash their engine.
     """
 
     def __init__(self, directory: pathlib.Path, gateways: int, engines: int) -> None:
@@ -134,8 +140,11 @@
         self.valid_keys = list(API_KEYS)
         self.response_loss_rate = 0.0
         self.break_off_responses = False
+        self.rate_limits: dict[EngineStandIn, float] = {}
+        self.deadly_share = 0.0
         self.sources: dict[str, pathlib.Path] = {}
         self._in_flight: Counter[EngineStandIn] = Counter()
+        self._crash_count = 0
         self._directory = directory
         self._counts = (gateways, engines)
         self._port = free_address().port
@@ -310,17 +319,34 @@
         request_id = request.request_id
         retryable = not request.target.startswith(("/confirm", "/explain"))
         customer = request.headers.get("pearshed-tenant", "")
-        run = Run(request_id, engine.identity, time.monotonic(), retryable, customer)
+        crashed_by = request.target if request.body == DEADLY_BODY else ""
+        rate_limit = self.rate_limits.get(engine)
+        started_at = time.monotonic()
+        run = Run(
+            request_id, engine.identity, started_at, retryable, customer, rate_limit, crashed_by
+        )
         self.history.runs.append(run)
+        if crashed_by:
+            self._crash(engine)
+            return
         self._in_flight[engine] += 1
         try:
-            await self._respond(connection, request)
+            await self._respond(connection, request, rate_limit)
         finally:
             self._in_flight[engine] -= 1
 
-    async def _respond(self, connection: EngineConnection, request: EngineRequest) -> None:
+    def _crash(self, engine: EngineStandIn) -> None:
+        """End all connections to an engine; it starts again under another identity."""
+        self.engine_proxies[self.engines.index(engine)].reset(1.0, random.Random(0))
+        self._crash_count += 1
+        self.replace(engine, CRASH_GENERATION + self._crash_count)
+
+    async def _respond(
+        self, connection: EngineConnection, request: EngineRequest, rate_limit: float | None
+    ) -> None:
         """Respond after the service time."""
         request_id = request.request_id
+        limit_header = {"Server-Limit": f"{rate_limit}"} if rate_limit is not None else {}
         await asyncio.sleep(_SERVICE_TIME_S)
         if len(self.history.runs) % 100 < self.response_loss_rate * 100:
             connection.reset()
@@ -328,7 +354,7 @@
         unframed = self.break_off_responses and len(self.history.runs) % 2 == 0
         breaks_off = self.break_off_responses and len(self.history.runs) % 3 == 0
         if request.target.startswith(("/draft", "/explain")):
-            connection.begin_stream(request, chunked=not unframed)
+            connection.begin_stream(request, chunked=not unframed, headers=limit_header)
             for number in range(1 + int(request.headers.get("last-event-id", 0)), EVENT_COUNT + 1):
                 event = stream_event(request_id, number)
                 if breaks_off and number > EVENT_COUNT // 2:
@@ -340,13 +366,11 @@
             return
         body = response_body(request_id)
         if breaks_off:
-            connection.send_response(
-                request, body=body[: len(body) // 2], headers={"Content-Length": ""}
-            )
+            headers = limit_header | {"Content-Length": ""}
+            connection.send_response(request, body=body[: len(body) // 2], headers=headers)
             connection.reset()
             return
-        connection.send_response(
-            request, body=body, headers={"Content-Length": "" if unframed else str(len(body))}
-        )
+        headers = limit_header | {"Content-Length": "" if unframed else str(len(body))}
+        connection.send_response(request, body=body, headers=headers)
         if unframed:
             connection.close()
--- a/tests/unit/test_soak_invariants.py
+++ b/tests/unit/test_soak_invariants.py
@@ -1,7 +1,9 @@
 """The soak's checks detect each kind of violation and accept every valid history."""
 
+import dataclasses
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Any
 
 from parameterized import parameterized
 
@@ -16,6 +18,7 @@
 )
 
 BODY = b"answer to r1"
+_Change = Callable[[History], None]
 
 
 def make_run(started_at: float = 10.0, *, retryable: bool = False, endpoint: str = "i-1") -> Run:
@@ -74,6 +77,24 @@
     history.outcomes[:] = [make_outcome(0, complete=False, during_planned_stop=True)]
 
 
+def _add_runs(history: History, times: Sequence[float], disturbed: bool, **fields: Any) -> None:
+    """Add runs of requests through one gateway; they may be repeated."""
+    for number, started_at in enumerate(times):
+        request_id = f"r{number + 2}"
+        run = Run(request_id, "i-2", started_at, True, "guild", **fields)
+        history.runs.append(run)
+        outcome = dataclasses.replace(make_outcome(502), request_id=request_id, gateway="g#1")
+        history.outcomes.append(dataclasses.replace(outcome, gateway_was_disturbed=disturbed))
+
+
+def _limited(per_s: float, times: Sequence[float], disturbed: bool = False) -> "_Change":
+    return lambda history: _add_runs(history, times, disturbed, rate_limit=per_s)
+
+
+def _crashed(times: Sequence[float], disturbed: bool = False) -> "_Change":
+    return lambda history: _add_runs(history, times, disturbed, crashed_by="/a")
+
+
 def _fail_recovery(history: History) -> None:
     history.recovery = (12, 2)
 
@@ -116,6 +137,12 @@
             ("version", _decrease_version, "configuration version decreased"),
             ("stop", _interrupt_by_stop, "planned stop interrupted"),
             ("recovery", _fail_recovery, "2 of 12 requests"),
+            (
+                "limit",
+                _limited(1.0, [0.0, *(5.0 + n / 10 for n in range(12))]),
+                "takes 1.0 a second",
+            ),
+            ("crashes", _crashed([0, 1, 2, 6, 7, 8, 9]), "sent to 4 more"),
         ]
     )
     def test_violation_is_detected(
@@ -136,6 +163,16 @@
             ("drain_in_time", _withdraw_within_bound),
             ("store_fault", _withdraw_during_store_fault),
             ("crash", _lose_response),
+            ("limit_kept", _limited(1.0, [0.0, *(5.0 + n / 10 for n in range(11))])),
+            ("limit_just_named", _limited(1.0, [n / 10 for n in range(29)])),
+            (
+                "limit_of_a_disturbed_gateway",
+                _limited(1.0, [5.0 + n / 10 for n in range(30)], True),
+            ),
+            ("limit_over_a_longer_time", _limited(1.0, [float(n) for n in range(60)])),
+            ("crashes_at_once", _crashed([0, 1, 2, 3, 4, 4.5, 4.9])),
+            ("crashes_later", _crashed([0, 1, 2, 6, 130, 500])),
+            ("crashes_by_a_disturbed_gateway", _crashed([0, 1, 2, 6, 7, 8, 9], True)),
         ]
     )
     def test_valid_history_passes(self, _: str, change: Callable[[History], None]) -> None:
