--- a/soak/faults.py
+++ b/soak/faults.py
@@ -63,7 +63,7 @@
         for node in (*self._testbed.gateways, *self._testbed.sides):
             await node.kill()
         for node in (*self._testbed.gateways, *self._testbed.sides):
-            node.fault_until = time.monotonic()
+            node.set_process_fault_until(time.monotonic())
             await node.start()
 
     def _random_node(self) -> Node:
@@ -71,7 +71,7 @@
 
     async def _kill_process(self) -> None:
         node = self._random_node()
-        node.fault_until = time.monotonic()
+        node.set_process_fault_until(time.monotonic())
         await node.kill()
         await asyncio.sleep(self._rng.uniform(0.0, 0.5))
         if not node.running:
@@ -95,11 +95,11 @@
 
     async def _pause_process(self) -> None:
         node = self._random_node()
-        node.fault_until = time.monotonic() + 10.0
+        node.set_process_fault_until(time.monotonic() + 10.0)
         node.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self._rng.uniform(0.2, 6.0))
         node.send_signal(signal.SIGCONT)
-        node.fault_until = time.monotonic()
+        node.set_process_fault_until(time.monotonic())
 
     async def _reload_settings(self) -> None:
         self._random_node().send_signal(signal.SIGHUP)
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -51,7 +51,7 @@
     :ivar expected_body: the complete body that the endpoint produced for this request.
     :ivar during_planned_stop: the gateway was stopping and no other fault affected it.
     :ivar gateway: name and start of the gateway that got it.
-    :ivar gateway_was_disturbed: it was stopped, or a fault affected it shortly before.
+    :ivar gateway_was_disturbed: it was stopped, killed or paused, or had been shortly before.
     """
 
     request_id: str
--- a/soak/load.py
+++ b/soak/load.py
@@ -134,7 +134,7 @@
                 gateway_was_disturbed=(
                     start_count != node.start_count
                     or stopping_since is not None
-                    or node.fault_until + STABLE_WINDOW_S > sent_at
+                    or node.process_fault_until + STABLE_WINDOW_S > sent_at
                 ),
             )
         )
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -64,6 +64,7 @@
 
     :ivar source: directory of the code that it runs.
     :ivar fault_until: end of the last fault that affects this process, which may be in the future.
+    :ivar process_fault_until: the same of faults of the process itself.
     """
 
     name: str
@@ -75,6 +76,7 @@
     start_count: int = 0
     stopping_since: float | None = None
     fault_until: float = field(default=float("-inf"))
+    process_fault_until: float = field(default=float("-inf"))
 
     @property
     def running(self) -> bool:
@@ -104,6 +106,10 @@
         if self.process is not None and self.running:
             self.process.send_signal(signal_number)
 
+    def set_process_fault_until(self, until: float) -> None:
+        """Set the end of a fault of the process itself."""
+        self.fault_until = self.process_fault_until = until
+
     async def kill(self) -> None:
         """Kill the process and wait for its exit."""
         if self.process is not None and self.running:
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -13,7 +13,9 @@
 
 
 class SoakTest(unittest.TestCase):
-    @parameterized.expand([("first", 1), ("responses_broken_off", 607)])
+    @parameterized.expand(
+        [("first", 1), ("responses_broken_off", 607), ("limits_and_crashes", 920)]
+    )
     def test_invariants_hold(self, _: str, seed: int) -> None:
         with tempfile.TemporaryDirectory() as directory:
             passed = asyncio.run(run_soak(seed, _DURATION_S, pathlib.Path(directory), (2, 3, 6)))
