Block requests that were in just the same crashes together

Change: contents with just the same crashes are blocked together, until one of them is in another crash. Shared parts, which have many requests, are still blamed one at a time.

Evidence: the tables of crash_blame; before, of two requests in the same three crashes one was blocked.

Conclusion: after three crashes the deadly request is always blocked; a sound one that failed three times beside it waits with it.

--- a/src/pearshed/_internal/gateway/crash_blame.py
+++ b/src/pearshed/_internal/gateway/crash_blame.py
@@ -79,7 +79,8 @@
         explained.update(candidates[part])
         blocked_until = _blocked_until(candidates[part].values())
         if blocked_until > now:
-            blocked[part] = BlockedPart(part, len(candidates[part]), blocked_until)
+            for indistinct in _indistinct(part, candidates, records):
+                blocked[indistinct] = BlockedPart(indistinct, len(candidates[part]), blocked_until)
     not_retried = {
         part
         for part, runs in unexplained.items()
@@ -93,6 +94,22 @@
     return Assessment(blocked, frozenset(not_retried | blocked.keys()))
 
 
+def _indistinct(
+    part: str, candidates: Mapping[str, Mapping[str, float]], records: Sequence[CrashRecord]
+) -> set[str]:
+    """Return the part, and for a request's content those that were in just the same crashes.
+
+    Requests that a crash breaks off are sent to the next engine together. Until one of them crashes
+    another engine nothing tells them apart.
+    """
+    chains = {chain for record in records for chain in record.suspects}
+    contents = {chain[-1] for chain in chains} - {item for chain in chains for item in chain[:-1]}
+    if part not in contents:
+        return {part}
+    runs = candidates[part].keys()
+    return {item for item in contents & candidates.keys() if candidates[item].keys() == runs}
+
+
 def _blocked_until(times: Collection[float]) -> float:
     """Return until when a part is blocked, from the times of its crashes.
 
--- a/tests/gateway/test_crash_blame.py
+++ b/tests/gateway/test_crash_blame.py
@@ -180,6 +180,24 @@
                 {},
                 "a",
             ),
+            (
+                "two_requests_in_the_same_crashes",
+                [(n, ["a,x", "b,y"]) for n in (3, 2, 1)],
+                {},
+                "x y",
+            ),
+            (
+                "one_of_two_requests_in_the_same_crashes_and_one_more",
+                [(n, ["a,x", "b,y"]) for n in (4, 3, 2)] + [(1, ["a,x"])],
+                {},
+                "x",
+            ),
+            (
+                "shared_parts_in_the_same_crashes",
+                [(n, [f"a,x{n}", f"b,y{n}"]) for n in (3, 2, 1)],
+                {},
+                "b",
+            ),
             (
                 "two_requests",
                 [(n, ["x"]) for n in (9, 8, 7)] + [(n, ["y", "z"]) for n in (3, 2)] + [(1, ["y"])],
