--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -6,7 +6,12 @@
 
 from tests.lib.gateway_caller import CallerResponse
 from tests.lib.gateway_fleet import CrashingEnginesTestCase
-from tests.lib.gateway_platform import EngineConnection, EngineRequest, configuration, route
+from tests.lib.gateway_platform import (
+    EngineConnection,
+    EngineRequest,
+    all_kinds,
+    configuration,
+)
 
 _ENGINES = 4
 #: The operators allow three crashes, and three sends after those.
@@ -19,12 +24,7 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        routes = [
-            route("brief", "streaming", "fleet", sticky=True, resumable=True),
-            route("lookup", "idempotent", "ledger"),
-            route("confirm", "non_idempotent", "ledger", maxAttempts=1),
-        ]
-        self.store.put("op/config", configuration(2, routes=routes))
+        self.store.put("op/config", configuration(2, routes=all_kinds()))
         for service in ("fleet", "ledger"):
             for _ in range(_ENGINES):
                 await self.start_engine(service)
--- a/tests/gateway/test_engine_rate_limits.py
+++ b/tests/gateway/test_engine_rate_limits.py
@@ -5,7 +5,12 @@
 from tests.lib.gateway_caller import CallerResponse
 from tests.lib.gateway_fixture import until
 from tests.lib.gateway_fleet import GatewayFleetTestCase
-from tests.lib.gateway_platform import EngineConnection, EngineRequest, configuration, route
+from tests.lib.gateway_platform import (
+    EngineConnection,
+    EngineRequest,
+    all_kinds,
+    configuration,
+)
 
 PROMPT = {"Pearshed-Token-Usage": "350,20", "Pearshed-Prefix-Hash": "aa:200,{}:50"}
 #: The operators' bounds: a gateway holds to a limit from this long after it was named, seconds,
@@ -24,12 +29,7 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        routes = [
-            route("brief", "streaming", "fleet", sticky=True, resumable=True),
-            route("lookup", "idempotent", "ledger"),
-            route("confirm", "non_idempotent", "ledger", maxAttempts=1),
-        ]
-        self.store.put("op/config", configuration(2, routes=routes))
+        self.store.put("op/config", configuration(2, routes=all_kinds()))
         self.limit = f"{LIMIT_PER_S}"
         self.sent = 0
 
--- a/tests/lib/gateway_platform.py
+++ b/tests/lib/gateway_platform.py
@@ -32,6 +32,15 @@
     }
 
 
+def all_kinds() -> list[dict[str, Any]]:
+    """Create a route for prompts, for plain requests, and for those that may run once."""
+    return [
+        route("brief", "streaming", "fleet", sticky=True, resumable=True),
+        route("lookup", "idempotent", "ledger"),
+        route("confirm", "non_idempotent", "ledger", maxAttempts=1),
+    ]
+
+
 def configuration(version: int, **overrides: Any) -> dict[str, Any]:
     """Create a configuration with routes of every kind."""
     return {
