Answer requests that a gateway has just accepted when it stops

Callers saw: during a planned stop, connections opened just before the listener closed were reset, some with a request that was already sent.

Now the listener stops accepting, hands over what the kernel holds, and closes; a connection stays open for 0.5 s for its first request and is not closed while bytes wait on it.

--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -32,9 +32,10 @@
 from pearshed._internal.gateway.store import Store
 from pearshed._internal.gateway.store_cache import DocumentDecoder, StoreCache
 from pearshed._internal.gateway.stream_versions import StreamVersions
-from pearshed._internal.http.caller_connection import CallerConnection, ConnectionState
+from pearshed._internal.http.caller_connection import CallerConnection
+from pearshed._internal.http.listener import Listener
 from pearshed._internal.http.messages import HttpRequest, RequestProblem
-from pearshed._internal.http.page_server import PageServer, listen, write_problem
+from pearshed._internal.http.page_server import PageServer, write_problem
 from pearshed._internal.models.routing import DEFAULT_CALLER_LIMITS, CallerLimits, EndpointEntry
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
 from pearshed._internal.timers import clock
@@ -44,6 +45,9 @@
 REVOCATION_MARGIN_S = 0.5
 #: The load balancer stops routing callers here after two failed readiness checks, a second apart.
 BALANCER_REMOVAL_S = 2.6
+#: Time for which a connection stays open for a request that is on its way, seconds. The others were
+#: closed after their last response, or have been idle since before the stop.
+LAST_REQUEST_WAIT_S = 0.5
 #: Reserved at the end of the grace period for sending the last bytes.
 STOP_MARGIN_S = 0.3
 #: Interval at which gateways report their traffic to each other, through sides.
@@ -89,7 +93,7 @@
         self._retry_budgets: dict[str, ServiceRetryBudget] = {}
         self._connections: set[CallerConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._servers: list[asyncio.Server] = []
+        self._listeners: list[Listener] = []
         self._stopping = False
         self._refusing_requests = False
         self._store_task_error: BaseException | None = None
@@ -171,8 +175,8 @@
         if self._settings.control.port:
             await self._page_server.listen(self._settings.control)
             self._timers.every(CHECK_INTERVAL_S, self._peer_sync.start_if_stale)
-        callers = await listen(self._settings.callers, self._create_connection)
-        self._servers.append(callers)
+        callers = await Listener.open(self._settings.callers, self._create_connection)
+        self._listeners.append(callers)
         store_task = loop.create_task(self._store_cache.run())
         store_task.add_done_callback(self._store_task_ended)
         self._tasks.add(store_task)
@@ -231,22 +235,22 @@
             reasons.append("the configuration is too old to trust its keys")
         return reasons
 
-    async def _stop(self, callers: asyncio.Server) -> None:
+    async def _stop(self, callers: Listener) -> None:
         """Serve until the balancer has stopped routing callers, then finish what is in flight."""
         self._stopping = True
         started_at = clock.now()
         deadline = started_at + self._settings.grace_s - STOP_MARGIN_S
         logging.info("process.stopping", extra={"fields": {"connections": len(self._connections)}})
         await asyncio.sleep(min(BALANCER_REMOVAL_S, self._settings.grace_s / 2))
-        callers.close()
         self._refusing_requests = True
+        await callers.stop()
         while clock.now() < deadline:
+            # Begins with the wait, in which connections accepted last are added.
+            await asyncio.sleep(_STOP_CHECK_INTERVAL_S)
             for connection in tuple(self._connections):
-                if connection.state is ConnectionState.IDLE:
-                    connection.close()
+                connection.close_if_idle(LAST_REQUEST_WAIT_S)
             if not self._connections:
                 break
-            await asyncio.sleep(_STOP_CHECK_INTERVAL_S)
         logging.info("process.stopped", extra={"fields": {"cut": len(self._connections)}})
         self.close()
 
@@ -254,8 +258,8 @@
         """Close all components immediately, and abort requests in flight."""
         self._timers.stop()
         self._page_server.close()
-        for server in self._servers:
-            server.close()
+        for listener in self._listeners:
+            listener.close()
         for task in self._tasks:
             task.cancel()
         for connection in tuple(self._connections):
@@ -278,7 +282,6 @@
         )
 
     async def _serve_caller(self, connection: CallerConnection) -> None:
-        self._connections.add(connection)
         while True:
             request = await connection.next_request()
             if request is None:
@@ -411,6 +414,7 @@
         return retry_budget
 
     def _serve_in_task(self, connection: CallerConnection) -> None:
+        self._connections.add(connection)
         task = asyncio.get_running_loop().create_task(self._serve_caller(connection))
         self._tasks.add(task)
         task.add_done_callback(lambda done: self._connection_ended(done, connection))
--- a/src/pearshed/_internal/http/caller_connection.py
+++ b/src/pearshed/_internal/http/caller_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import enum
+import select
 from collections.abc import Callable, Iterable
 
 import httptools
@@ -184,6 +185,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def close_if_idle(self, idle_s: float) -> None:
+        """Close the connection after an idle time, unless bytes of a request have arrived.
+
+        :param idle_s: time since it was opened or its last request was served, seconds.
+        """
+        is_idle = self._state is ConnectionState.IDLE
+        if is_idle and clock.now() - self._state_since >= idle_s and not self._has_unread_bytes():
+            self.close()
+
     def close_if_overdue(self, now: float) -> None:
         """Close an idle connection, or refuse a slow header, after the timeout."""
         limits = self._limits()
@@ -276,6 +286,15 @@
         self._requests.append(RequestProblem(status, message))
         self._wake(self._request_queued)
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes wait in the kernel; closing the connection would reset it."""
+        sock = self._transport.get_extra_info("socket") if self._transport is not None else None
+        if sock is None or sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _set_reset_on_close(self, reset: bool) -> None:
         sock = self._transport.get_extra_info("socket") if self._transport is not None else None
         if sock is not None:
--- a/src/pearshed/_internal/http/page_server.py
+++ b/src/pearshed/_internal/http/page_server.py
@@ -5,16 +5,15 @@
 
 from absl import logging
 
-from pearshed._internal.errors import AddressInUseError
 from pearshed._internal.http import messages
 from pearshed._internal.http.caller_connection import CallerConnection
+from pearshed._internal.http.listener import Listener
 from pearshed._internal.http.messages import RequestProblem
 from pearshed._internal.models.routing import CallerLimits
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import TimerService
 from pearshed._internal.utils.addresses import Address
 
-LISTEN_BACKLOG = 1024
 #: Operators and load balancers send small requests every few seconds.
 PAGE_LIMITS = CallerLimits(8 * 1024, 8 * 1024, 5.0, 60.0)
 _TIMEOUT_CHECK_INTERVAL_S = 1.0
@@ -33,7 +32,7 @@
 
     def __init__(self, handler: PageHandler, timers: TimerService) -> None:
         self._handler = handler
-        self._servers: list[asyncio.Server] = []
+        self._listeners: list[Listener] = []
         self._connections: set[CallerConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         timers.every(_TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
@@ -43,12 +42,12 @@
 
         :raises AddressInUseError: when it can't be bound.
         """
-        self._servers.append(await listen(address, self._create_connection))
+        self._listeners.append(await Listener.open(address, self._create_connection))
 
     def close(self) -> None:
         """Stop listening, and abort all connections."""
-        for server in self._servers:
-            server.close()
+        for listener in self._listeners:
+            listener.close()
         for task in self._tasks:
             task.cancel()
         for connection in tuple(self._connections):
@@ -91,25 +90,6 @@
             connection.close_if_overdue(now)
 
 
-async def listen(
-    address: Address, create_connection: Callable[[], CallerConnection]
-) -> asyncio.Server:
-    """Listen on an address.
-
-    :raises AddressInUseError: when the address can't be bound.
-    """
-    try:
-        return await asyncio.get_running_loop().create_server(
-            create_connection, address.host, address.port, backlog=LISTEN_BACKLOG
-        )
-    except OSError as error:
-        raise AddressInUseError(
-            f"can't listen on {address}",
-            context=[str(error)],
-            hint="the port may be in use, or the IP address may not belong to this machine",
-        ) from error
-
-
 def page_name(target: str) -> str:
     """Return the name of the requested page: the last segment of the path."""
     return target.partition("?")[0].rpartition("/")[2]
--- a/tests/gateway/test_streams_and_stops.py
+++ b/tests/gateway/test_streams_and_stops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 from collections.abc import Awaitable, Callable
 from unittest import mock
 
@@ -13,12 +14,15 @@
 from tests.lib.gateway_caller import Caller
 from tests.lib.gateway_fixture import GatewayTestCase, until
 from tests.lib.gateway_platform import (
+    API_KEY,
+    HOST,
     EngineConnection,
     EngineRequest,
     Script,
     configuration,
     respond_ok,
 )
+from tests.lib.stop_load import Fate, StopLoad
 
 
 class StreamTest(GatewayTestCase):
@@ -292,3 +296,52 @@
         self.settings = dataclasses.replace(self.settings, repeat_ratio=0.5)
         gateway._reload_settings()
         self.assertIsNot(budget, gateway._retry_budget("ledger"))
+
+
+class StopUnderLoadTest(GatewayTestCase):
+    @parameterized.expand([("few_callers", 4), ("many_callers", 48)])
+    async def test_a_stopping_gateway_answers_all_requests_that_it_has_accepted(
+        self, _: str, callers: int
+    ) -> None:
+        await self.add_engine("ledger", respond_ok)
+        await self.start_gateway(grace_s=2.0)
+        await until(lambda: self.has_endpoints("ledger", 1))
+        load = StopLoad(self.settings.callers, _lookup, callers)
+        load.start()
+        await until(lambda: load.counts[Fate.ANSWERED] >= 100)
+        self.gateway.request_stop()
+        await asyncio.wait_for(self.gateway_task, 20)
+        await until(lambda: load.finished)
+        self.assertEqual(0, load.counts[Fate.CUT], load.counts)
+
+    @parameterized.expand([("sent_at_once", True), ("sent_after_the_listener_closed", False)])
+    async def test_a_connection_opened_just_before_the_listener_closes_gets_an_answer(
+        self, _: str, sent_at_once: bool
+    ) -> None:
+        await self.add_engine("ledger", respond_ok)
+        await self.start_gateway(grace_s=2.0)
+        await until(lambda: self.has_endpoints("ledger", 1))
+        address = (self.settings.callers.host, self.settings.callers.port)
+        with mock.patch("pearshed._internal.gateway.process.BALANCER_REMOVAL_S", 0.0):
+            self.gateway.request_stop()
+            # The event loop doesn't run between the request to stop and the connection.
+            connection = socket.create_connection(address)
+            if sent_at_once:
+                connection.sendall(_lookup(1))
+            await until(lambda: self.gateway._refusing_requests)
+        connection.setblocking(False)
+        loop = asyncio.get_running_loop()
+        if not sent_at_once:
+            await loop.sock_sendall(connection, _lookup(1))
+        async with asyncio.timeout(10):
+            received = await loop.sock_recv(connection, 65536)
+        self.assertTrue(received.startswith(b"HTTP/1.1 503 "), received)
+        connection.close()
+        await asyncio.wait_for(self.gateway_task, 20)
+
+
+def _lookup(number: int) -> bytes:
+    return (
+        f"GET /lookup/{number} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {API_KEY}\r\n"
+        f"Pearshed-Request-Id: {number}\r\nPearshed-Deadline-Ms: 3000\r\n\r\n"
+    ).encode()
