Answer requests that an entry has just accepted when it stops

Callers saw: requests cut off without a response at the end of a planned stop, on new connections and on kept ones.

Cause: an entry stopped as soon as no admitted request was in flight. Closing the listening socket reset the connections in its backlog, and idle connections were closed with requests on the way, since no response had announced it.

Now responses announce from the beginning of a stop that the connection closes; after the last admitted request the backlog is accepted, and what arrives within 0.3 s is answered (503, not run), for 2 s at most.

--- a/src/pearshed/_internal/entry/http_server.py
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -242,6 +242,26 @@
             self.ssl_adapter = _TlsAdapter(tls)
         self.read_monitor = ReadTimeoutMonitor(settings.read_timeout_s, _SPARE_THREADS)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a connection waits for a thread, or a thread reads or serves a request."""
+        return bool(self.requests.qsize) or self.requests.idle < len(self.requests._threads)
+
+    def close_after_responses(self) -> None:
+        """Close each connection after its next response, which announces it."""
+        self.keep_alive_conn_limit = 0
+
+    def stop_accepting(self) -> None:
+        """Accept the connections that are established in the kernel, then stop listening.
+
+        Closing the socket alone would reset them, with the requests that callers have sent.
+        """
+        connections = self._connections  # type: ignore[attr-defined]  # not in cheroot's stubs
+        self.socket.setblocking(False)
+        while (connection := connections._from_server_socket(self.socket)) is not None:
+            self.process_conn(connection)
+        self.socket.close()
+
     def error_log(
         self, msg: str = "", level: int = _CHEROOT_INFO_LEVEL, traceback: bool = False
     ) -> None:
--- a/src/pearshed/_internal/entry/process.py
+++ b/src/pearshed/_internal/entry/process.py
@@ -24,10 +24,16 @@
 from pearshed._internal.processes.base import Process
 from pearshed._internal.settings.model import EntrySettings
 from pearshed._internal.telemetry.metrics import HistogramMetric, Metric
+from pearshed._internal.timers import clock
 from pearshed._internal.utils.tls import caller_server_context, peer_client_context
 
 _READ_CHECK_INTERVAL_S = 0.5
 _DRAIN_POLL_INTERVAL_S = 0.05
+_LAST_REQUEST_POLL_INTERVAL_S = 0.01
+#: Time without a request after which connections are closed, seconds.
+_LAST_REQUEST_WAIT_S = 0.3
+#: Longest time to wait for requests on open connections, seconds; some callers never send any.
+_LAST_REQUESTS_TIMEOUT_S = 2.0
 
 
 class EntryProcess(Process):
@@ -106,10 +112,22 @@
 
     async def _finish(self) -> None:
         """Keep serving until the balancer has seen that the entry is not ready, then drain."""
+        self._server.close_after_responses()
         await asyncio.sleep(self._settings.drain_s)
         self._admission.close()
         while self._admission.in_flight:
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
+        await self._answer_last_requests()
+
+    async def _answer_last_requests(self) -> None:
+        """Stop listening, and refuse what still arrives on the connections that are open."""
+        self._server.stop_accepting()
+        quiet_since = clock.now()
+        deadline = quiet_since + _LAST_REQUESTS_TIMEOUT_S
+        while clock.now() < min(deadline, quiet_since + _LAST_REQUEST_WAIT_S):
+            await asyncio.sleep(_LAST_REQUEST_POLL_INTERVAL_S)
+            if self._server.is_busy:
+                quiet_since = clock.now()
 
     def _close(self) -> None:
         self._server.stop()
