Deliver no late second copy of a response to another call

Callers could get: the response of the request before theirs, if an endpoint sent a second copy of it late, on a kept connection that a side had begun to use again.

Cause: urllib3 takes whatever arrives next on a pooled connection for the response to the call in progress, and nothing related the two. Ruled out: the check for dropped connections in its pool, which a copy passes that arrives after the next request, or was read into the buffer of the last response.

Now a connection carries another call only if its last response repeated X-Request-Id, and a response on a reused connection that doesn't, or one that names another call, ends as "may have run".

--- a/src/pearshed/_internal/entry/classifier.py
+++ b/src/pearshed/_internal/entry/classifier.py
@@ -12,7 +12,7 @@
 from pearshed._internal.configuration.catalogue import Catalogue
 from pearshed._internal.models.outcomes import FailureCode, RequestFailure
 from pearshed._internal.models.records import Customer, RequestClass
-from pearshed._internal.models.requests import ForwardedCall, RoutedRequest
+from pearshed._internal.models.requests import REQUEST_ID_HEADER, ForwardedCall, RoutedRequest
 from pearshed._internal.timers import clock
 
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
@@ -21,7 +21,6 @@
 CLASS_HEADER = "x-request-class"
 KEY_HEADER = "idempotency-key"
 PRIORITY_HEADER = "X-Request-Priority"
-REQUEST_ID_HEADER = "X-Request-Id"
 
 _SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 _ROUTED_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"))
--- a/src/pearshed/_internal/entry/responses.py
+++ b/src/pearshed/_internal/entry/responses.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable, Mapping
 from http import HTTPStatus
 
-from pearshed._internal.entry.classifier import REQUEST_ID_HEADER
 from pearshed._internal.models.outcomes import Execution, FailureCode, RequestFailure
+from pearshed._internal.models.requests import REQUEST_ID_HEADER
 
 Headers = list[tuple[str, str]]
 
--- a/src/pearshed/_internal/models/requests.py
+++ b/src/pearshed/_internal/models/requests.py
@@ -4,6 +4,9 @@
 
 from pearshed._internal.models.records import Customer, RequestClass, Tier
 
+#: Names a call towards its caller and towards endpoints.
+REQUEST_ID_HEADER = "X-Request-Id"
+
 
 @dataclass(frozen=True, slots=True)
 class ForwardedCall:
--- a/src/pearshed/_internal/side/endpoint_client.py
+++ b/src/pearshed/_internal/side/endpoint_client.py
@@ -15,7 +15,7 @@
 from urllib3.connectionpool import HTTPConnectionPool
 
 from pearshed._internal.models.outcomes import Execution
-from pearshed._internal.models.requests import ForwardedCall
+from pearshed._internal.models.requests import REQUEST_ID_HEADER, ForwardedCall
 from pearshed._internal.utils.addresses import Address
 from pearshed._internal.utils.loop_queue import LoopQueue
 
@@ -54,17 +54,25 @@
 
 
 class _TrackedConnection(HTTPConnection):
-    """Registers its socket with the call that uses it, so that the call can be aborted."""
+    """Registers its socket with the call that uses it, so that the call can be aborted.
+
+    :ivar reusable: whether its last response named the call that it answered.
+    """
 
     current = threading.local()
+    reusable = False
 
     def request(self, *args: Any, **kwargs: Any) -> None:
         """Register the socket, then send the request."""
         call: EndpointCall | None = getattr(self.current, "call", None)
         if call is not None:
-            if self.sock is None:
+            if not self.reusable:
+                self.close()
+            reused = self.sock is not None
+            if not reused:
                 self.connect()
-            call.register_socket(self.sock)
+            self.reusable = False
+            call.register_socket(self.sock, reused)
         super().request(*args, **kwargs)
 
 
@@ -80,8 +88,14 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._socket: socket.socket | None = None
+        self._reuses_connection = False
         self._cancelled = False
 
+    @property
+    def reuses_connection(self) -> bool:
+        """Whether its connection has carried another call before."""
+        return self._reuses_connection
+
     @property
     def cancelled(self) -> bool:
         """Whether the call was cancelled."""
@@ -92,12 +106,16 @@
         """Whether any byte of the request may have reached the endpoint."""
         return self._socket is not None
 
-    def register_socket(self, sock: socket.socket) -> None:
-        """Store the socket, just before the request is written to it."""
+    def register_socket(self, sock: socket.socket, reused: bool) -> None:
+        """Store the socket, just before the request is written to it.
+
+        :param reused: whether it has carried another call before.
+        """
         with self._lock:
             if self._cancelled:
                 raise ConnectionAbortedError("the call was cancelled before it was sent")
             self._socket = sock
+            self._reuses_connection = reused
 
     def cancel(self) -> None:
         """Abort the call by shutting down its connection."""
@@ -115,6 +133,10 @@
     A call that must not be retried needs a new connection: the endpoint may close a keep-alive
     connection while the request is being sent, and it would be unknown whether the request ran.
 
+    An endpoint may send a second copy of a response when the connection carries another call. So
+    only connections whose response names the call that it answers are reused, and a response to
+    another call is never delivered.
+
     :param loop_queue: passes received data to the event loop.
     :param connect_timeout_s: time limit for connecting, seconds.
     :param idle_timeout_s: maximum time without data within a response, seconds.
@@ -196,6 +218,13 @@
             retries=False,
             timeout=self._timeout,
         )
+        named = response.headers.get(REQUEST_ID_HEADER)
+        names_call = named is not None and named == _request_id(call)
+        if not names_call and (endpoint_call.reuses_connection or named is not None):
+            response.close()
+            return _End(Execution.MAY_HAVE_RUN, False, "the endpoint answered another call")
+        if isinstance(response.connection, _TrackedConnection):
+            response.connection.reusable = names_call
         headers = tuple((name, value) for name, value in response.headers.items())
         until_close = _ends_with_connection(response)
         self._loop_queue.post(lambda: receiver.set_head(response.status, headers, until_close))
@@ -212,6 +241,13 @@
         return _End(Execution.RAN, True)
 
 
+def _request_id(call: ForwardedCall) -> str | None:
+    """Return the id by which a response may name the call that it answers."""
+    return next(
+        (value for name, value in call.headers if name.lower() == REQUEST_ID_HEADER.lower()), None
+    )
+
+
 def _ends_with_connection(response: urllib3.BaseHTTPResponse) -> bool:
     """Return whether a response's body has neither a length nor chunks."""
     # urllib3 gives a length of 0 to responses that have no body.
--- a/tests/lib/engine.py
+++ b/tests/lib/engine.py
@@ -111,6 +111,12 @@
 
     server: "EngineServer"
 
+    def end_headers(self) -> None:
+        """Name the request that is answered, then end the headers."""
+        if request_id := self.headers.get("X-Request-Id"):
+            self.send_header("X-Request-Id", request_id)
+        super().end_headers()
+
     def do_GET(self) -> None:
         """Serve the journal or a plain call."""
         if self.path == "/_journal":
--- a/tests/unit/test_adapters.py
+++ b/tests/unit/test_adapters.py
@@ -53,6 +53,75 @@
         yield int(listener.getsockname()[1])
 
 
+@contextlib.contextmanager
+def keep_alive_server(script: bytes) -> Iterator[int]:
+    """Serve one connection: respond to each request with the script and the request's number."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        with contextlib.suppress(OSError):
+            connection, _ = listener.accept()
+            listener.close()
+            number = 0
+            request = b""
+            while received := connection.recv(65536):
+                request += received
+                if request.endswith(b"call %d" % number):
+                    connection.sendall(script % number)
+                    number += 1
+
+    threading.Thread(target=serve, daemon=True).start()
+    with listener:
+        yield int(listener.getsockname()[1])
+
+
+class LateCopyServer:
+    """Responds to each request; sends the last response again before the next one.
+
+    A response has the body of its request; to the platform's clients, it is an empty change.
+
+    :param echoes: responses name the request that they answer.
+    :param while_idle: the copy follows its response at once, instead of the next request.
+    """
+
+    def __init__(self, echoes: bool, while_idle: bool) -> None:
+        self._echoes = echoes
+        self._while_idle = while_idle
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.connections = 0
+        self.port = int(self._listener.getsockname()[1])
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                self.connections += 1
+                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        copy = b""
+        with contextlib.suppress(OSError), connection, connection.makefile("rb") as requests:
+            while request_line := requests.readline():
+                headers = {}
+                while (line := requests.readline().strip()) != b"":
+                    name, _, value = line.partition(b":")
+                    headers[name.lower()] = value.strip()
+                body = requests.read(int(headers.get(b"content-length", b"0")))
+                body = body or b'{"revision": %d}' % (500 if b"/vms" in request_line else 3)
+                response = _HEAD + b"Content-Length: %d\r\n" % len(body)
+                if self._echoes:
+                    response += b"X-Request-Id: " + headers[b"x-request-id"] + b"\r\n"
+                response += b"\r\n" + body
+                connection.sendall(copy + response)
+                copy = b"" if self._while_idle else response
+                if self._while_idle:
+                    connection.sendall(response)
+
+
 class RecordingReceiver(ResponseReceiver):
     """Records the response of an endpoint."""
 
@@ -178,6 +247,50 @@
         self.assertEqual(Execution.MAY_HAVE_RUN, received.execution)
 
 
+class LateCopyTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("before_the_next_response", True, False),
+            ("before_the_next_response_without_ids", False, False),
+            ("while_idle", True, True),
+            ("while_idle_without_ids", False, True),
+        ]
+    )
+    def test_a_second_copy_of_a_response_answers_no_other_call(
+        self, _: str, echoes: bool, while_idle: bool
+    ) -> None:
+        server = LateCopyServer(echoes, while_idle)
+        self.addCleanup(server.close)
+        received = asyncio.run(self.call_in_turn(server.port, 6))
+        for number, receiver in enumerate(received):
+            self.assertTrue((b"call %d" % number).startswith(receiver.content), receiver.content)
+        completed = [receiver.complete for receiver in received]
+        # Without ids, each call needs a connection of its own; with them, a copy fails one call.
+        self.assertEqual([True] * 6 if not echoes else [True], completed[: 1 if echoes else 6])
+        wrongly_not_run = [one for one in received if one.execution is Execution.NOT_RUN]
+        self.assertEqual([], wrongly_not_run)
+
+    def test_connections_to_an_endpoint_that_names_its_requests_are_reused(self) -> None:
+        script = _HEAD + b"Content-Length: 4\r\nX-Request-Id: call-%d\r\n\r\nfour"
+        with keep_alive_server(script) as port:
+            received = asyncio.run(self.call_in_turn(port, 4))
+        self.assertEqual([True] * 4, [receiver.complete for receiver in received])
+
+    async def call_in_turn(self, port: int, count: int) -> list[RecordingReceiver]:
+        loop_queue = LoopQueue(asyncio.get_running_loop())
+        client = EndpointClient(Address("127.0.0.1", port), loop_queue, 5.0, 5.0, 2)
+        received = []
+        for number in range(count):
+            receiver = RecordingReceiver()
+            headers = (("X-Request-Id", f"call-{number}"),)
+            call = ForwardedCall("POST", "/x", headers, b"call %d" % number)
+            client.start(call, receiver, fresh=False)
+            await receiver.ended.wait()
+            received.append(receiver)
+        client.close()
+        return received
+
+
 class PlatformContractTest(unittest.TestCase):
     @parameterized.expand(
         [
@@ -204,6 +317,17 @@
     def test_failures_are_returned_not_raised(self, _: str, script: bytes) -> None:
         self.assertFalse(self.read_succeeds(script))
 
+    def test_a_second_copy_of_a_response_is_no_revision_of_another_feed(self) -> None:
+        server = LateCopyServer(echoes=False, while_idle=False)
+        self.addCleanup(server.close)
+        platform = HttpPlatform(f"http://127.0.0.1:{server.port}")
+        revisions = [
+            asyncio.run(platform.changes(feed, 0, 0.0)).unwrap().revision
+            for feed in (FeedName.VMS, FeedName.RECORDS)
+        ]
+        platform.close()
+        self.assertEqual([500, 3], revisions)
+
     def read_succeeds(self, script: bytes) -> bool:
         with scripted_server(script) as port:
             platform = HttpPlatform(f"http://127.0.0.1:{port}")
