Read each feed of the platform on connections of its own

A late second copy of a response on a kept connection was taken for the next read's: a copy of the VM list gave its revision to the records, whose older changes were then ignored. Seen in a test: revision 500 instead of 3. With a connection pool for each feed a copy has at most an older revision of the same feed, which is counted and ignored.

--- a/src/pearshed/_internal/configuration/http_source.py
+++ b/src/pearshed/_internal/configuration/http_source.py
@@ -22,7 +22,8 @@
 
     def __init__(self, url: str) -> None:
         self._url = url
-        self._pool = urllib3.PoolManager(num_pools=1, maxsize=len(FeedName), retries=False)
+        # A late second copy of a response on a kept connection is never taken for another feed's.
+        self._pools = {feed: urllib3.PoolManager(num_pools=1, retries=False) for feed in FeedName}
         self._reads = 0
 
     @property
@@ -39,13 +40,14 @@
 
     def close(self) -> None:
         """Close the idle connections."""
-        self._pool.clear()
+        for pool in self._pools.values():
+            pool.clear()
 
     def _read(self, feed: FeedName, after: int, wait_s: float) -> Result[FeedChange, str]:
         path = f"/v1/{feed.value}"
         timeout = urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=wait_s + _READ_TIMEOUT_MARGIN_S)
         try:
-            response = self._pool.request(
+            response = self._pools[feed].request(
                 "GET",
                 f"{self._url}{path}",
                 fields={"after": str(after), "wait_s": f"{wait_s:.3f}"},
