Use a configuration after a start only once sides have confirmed it

Callers saw: a call with an API key that had been withdrawn was served, for a moment after an entry had restarted, while the platform answered from the past.

Cause: a process that starts takes the first answer of the platform as it is. Sides that outlived the entry know the later state, and send it when they are connected, but the entry authenticated callers before that.

Now a decision of its own (startup_check, with a table) waits until all sides of the entry have reported no newer feeds; after 1 s half of them are enough, after 5 s one. Until then calls get 503, not run, and the entry isn't ready.

If every process restarts while the platform is stale, nobody knows better.

--- a/src/pearshed/_internal/entry/process.py
+++ b/src/pearshed/_internal/entry/process.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from pearshed._internal.admin.server import prepare_server
+from pearshed._internal.configuration.catalogue import Catalogue
 from pearshed._internal.entry.admission import EntryAdmission
 from pearshed._internal.entry.application import CallerApplication
 from pearshed._internal.entry.classifier import Classifier
@@ -21,6 +22,7 @@
 from pearshed._internal.entry.placement import Candidates, create_placement
 from pearshed._internal.entry.request_log import RequestLog
 from pearshed._internal.entry.retry_budget import RetryBudget
+from pearshed._internal.entry.startup_check import StartupCheck
 from pearshed._internal.processes.base import Process
 from pearshed._internal.settings.model import EntrySettings
 from pearshed._internal.telemetry.metrics import HistogramMetric, Metric
@@ -28,6 +30,7 @@
 from pearshed._internal.utils.tls import caller_server_context, peer_client_context
 
 _READ_CHECK_INTERVAL_S = 0.5
+_STARTUP_CHECK_INTERVAL_S = 0.05
 _DRAIN_POLL_INTERVAL_S = 0.05
 _LAST_REQUEST_POLL_INTERVAL_S = 0.01
 #: Time without a request after which connections are closed, seconds.
@@ -47,6 +50,7 @@
         )
         self._peer_tls = self._create_tls_context(settings.peer_tls, peer_client_context)
         self._caller_tls = self._create_tls_context(settings.caller_tls, caller_server_context)
+        self._startup_check = StartupCheck()
         self._health = EndpointHealth()
         self._budget = RetryBudget()
         self._links = LinkTable(
@@ -84,20 +88,31 @@
         )
         self._store.subscribe(self._links.update)
         self._view.subscribe(self._links.update_entries)
+        self._timers.every(_STARTUP_CHECK_INTERVAL_S, self._check_startup)
         self._timers.every(_READ_CHECK_INTERVAL_S, self._server.read_monitor.abort_slow_reads)
         self._metrics.add(self._collect)
 
     def not_ready_reasons(self) -> list[str]:
         """List the reasons why the entry should get no calls."""
         reasons = super().not_ready_reasons()
+        if not self._startup_check.confirmed:
+            reasons.append("sides haven't confirmed the configuration yet")
         if not any(link.connected and link.load.slots for link in self._list_links()):
             reasons.append("no side with slots is connected")
         return reasons
 
+    def _confirmed_catalogue(self) -> Catalogue:
+        """Return the catalogue for callers; an empty one until sides have confirmed it."""
+        return self._store.catalogue if self._startup_check.confirmed else Catalogue()
+
+    def _check_startup(self) -> None:
+        if not self._startup_check.confirmed:
+            self._startup_check.update(len(self._links.links), self._relay.compared_peers)
+
     def _application(self) -> CallerApplication:
         return CallerApplication(
             asyncio.get_running_loop(),
-            Classifier(lambda: self._store.catalogue),
+            Classifier(self._confirmed_catalogue),
             self._admission,
             self._dispatcher,
             lambda: self._store.catalogue,
--- a/src/pearshed/_internal/peers/relay.py
+++ b/src/pearshed/_internal/peers/relay.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
-from pearshed._internal.configuration.feed import Feed
+from pearshed._internal.configuration.feed import Feed, FeedName
 from pearshed._internal.peers import frames
 from pearshed._internal.peers import peer_pb2 as pb
 from pearshed._internal.timers import clock
@@ -26,6 +26,7 @@
         self._peers: dict[int, SendFrame] = {}
         self._last_peer_id = 0
         self._announced_revisions = {name: feed.revision for name, feed in self._feeds.items()}
+        self._reported_revisions: dict[SendFrame, dict[FeedName, int]] = {}
         self._pulls = 0
         self._pulled_at = {name: float("-inf") for name in self._feeds}
 
@@ -34,6 +35,11 @@
         """Number of pulls sent to peers."""
         return self._pulls
 
+    @property
+    def compared_peers(self) -> int:
+        """Number of connected peers that have reported all feeds and have none that is newer."""
+        return sum(self._is_compared(send) for send in self._peers.values())
+
     def join(self, send: SendFrame) -> int:
         """Add a peer connection and send it the state of the feeds.
 
@@ -47,7 +53,9 @@
 
     def leave(self, peer_id: int) -> None:
         """Remove a peer connection."""
-        self._peers.pop(peer_id, None)
+        send = self._peers.pop(peer_id, None)
+        if send is not None:
+            self._reported_revisions.pop(send, None)
 
     def states(self) -> list[pb.Frame]:
         """Return the frames with the state of each feed."""
@@ -79,6 +87,13 @@
             return False
         return True
 
+    def _is_compared(self, send: SendFrame) -> bool:
+        reported = self._reported_revisions.get(send, {})
+        return all(
+            reported.get(name, feed.revision + 1) <= feed.revision
+            for name, feed in self._feeds.items()
+        )
+
     def _find_feed(self, wire_feed: pb.Feed) -> Feed | None:
         name = frames.feed_name(wire_feed)
         return self._feeds.get(name) if name is not None else None
@@ -87,6 +102,7 @@
         feed = self._find_feed(state.feed)
         if feed is None:
             return
+        self._reported_revisions.setdefault(send, {})[feed.name] = state.revision
         if state.revision > feed.revision:
             self._pull(feed, send)
         elif state.revision < feed.revision:
