Tell slow responses from stalled ones at a side

Two faults of one kind, the time without a byte being taken for the whole story. A response that isn't streamed has no byte until it is ready, and was cut after idle_timeout_s (60 s), however long its class allows; the row no_data of the adapter's tests shows the cut. And a non-idempotent run whose endpoint sends a byte now and then was never ended: its caller had been told at its deadline, its slot stayed taken for good.

Now the time until the head is the request's own, the idle limit holds after it, and a run is aborted 30 s after its request's deadline.

--- a/src/pearshed/_internal/side/attempt_manager.py
+++ b/src/pearshed/_internal/side/attempt_manager.py
@@ -32,6 +32,9 @@
 from pearshed._internal.timers.service import TimerService
 
 RESUME_WINDOW_S = 10.0
+#: Time after its request's deadline at which a run is aborted, seconds: an endpoint that sends a
+#: byte now and then would hold its slot for good.
+OVERDUE_RUN_S = 30.0
 _SWEEP_INTERVAL_S = 0.5
 _KEY_SWEEP_INTERVAL_S = 10.0
 _RESPONSE_RETENTION_S = 30.0
@@ -296,7 +299,10 @@
         del self._reservations[key]
         run = Run(attempt, reservation.idempotent)
         tracked = TrackedRun(
-            run, idempotency_key=reservation.idempotency_key, rank=reservation.tier.rank
+            run,
+            idempotency_key=reservation.idempotency_key,
+            rank=reservation.tier.rank,
+            deadline=reservation.deadline,
         )
         self._runs.add(key, tracked)
         if reservation.idempotency_key:
@@ -304,7 +310,10 @@
         self._attach(key, run)
         self._counts["runs"] += 1
         tracked.call = self._client.start(
-            frames.call_of(body), _RunReceiver(self, key, run), fresh=not reservation.idempotent
+            frames.call_of(body),
+            _RunReceiver(self, key, run),
+            fresh=not reservation.idempotent,
+            head_timeout_s=max(0.0, reservation.deadline - clock.now()) + OVERDUE_RUN_S,
         )
 
     def _attach(self, key: AttemptKey, run: Run) -> None:
@@ -393,3 +402,13 @@
             self._runs.remove(key)
         elif tracked.run.detached_s > RESUME_WINDOW_S and not tracked.run.cancelled:
             self._cancel(key, "the entry did not reconnect")
+        if not tracked.run.finished and now > tracked.deadline + OVERDUE_RUN_S:
+            self._abort_overdue(key, tracked)
+
+    def _abort_overdue(self, key: AttemptKey, tracked: TrackedRun) -> None:
+        """Abort a run that goes on long after its caller has left."""
+        if tracked.call is None or tracked.call.cancelled:
+            return
+        logging.warning("aborting attempt %s of entry incarnation %s: overdue", key[1], key[0])
+        self._counts["runs_overdue"] += 1
+        tracked.call.cancel()
--- a/src/pearshed/_internal/side/endpoint_client.py
+++ b/src/pearshed/_internal/side/endpoint_client.py
@@ -117,6 +117,11 @@
             self._socket = sock
             self._reuses_connection = reused
 
+    def set_read_timeout(self, timeout_s: float) -> None:
+        """Limit the time without data from now on."""
+        if self._socket is not None:
+            self._socket.settimeout(timeout_s)
+
     def cancel(self) -> None:
         """Abort the call by shutting down its connection."""
         with self._lock:
@@ -139,7 +144,7 @@
 
     :param loop_queue: passes received data to the event loop.
     :param connect_timeout_s: time limit for connecting, seconds.
-    :param idle_timeout_s: maximum time without data within a response, seconds.
+    :param idle_timeout_s: maximum time without data after the head of a response, seconds.
     :param threads: maximum number of concurrent calls.
     """
 
@@ -153,21 +158,26 @@
     ) -> None:
         self._address = address
         self._loop_queue = loop_queue
-        self._timeout = urllib3.Timeout(connect=connect_timeout_s, read=idle_timeout_s)
+        self._connect_timeout_s = connect_timeout_s
+        self._idle_timeout_s = idle_timeout_s
         self._pool = self._new_pool(threads)
         self._active_calls: set[EndpointCall] = set()
         self._executor = concurrent.futures.ThreadPoolExecutor(
             threads, thread_name_prefix="endpoint"
         )
 
-    def start(self, call: ForwardedCall, receiver: ResponseReceiver, fresh: bool) -> EndpointCall:
+    def start(
+        self, call: ForwardedCall, receiver: ResponseReceiver, fresh: bool, head_timeout_s: float
+    ) -> EndpointCall:
         """Start a call on a thread.
 
         :param fresh: use a new connection rather than one of the pool.
+        :param head_timeout_s: time limit for the head of the response, seconds. An endpoint that
+            doesn't stream is silent until its whole response is ready.
         """
         endpoint_call = EndpointCall()
         self._active_calls.add(endpoint_call)
-        self._executor.submit(self._run, endpoint_call, call, receiver, fresh)
+        self._executor.submit(self._run, endpoint_call, call, receiver, fresh, head_timeout_s)
         return endpoint_call
 
     def close(self) -> None:
@@ -186,11 +196,12 @@
         call: ForwardedCall,
         receiver: ResponseReceiver,
         fresh: bool,
+        head_timeout_s: float,
     ) -> None:
         pool = self._new_pool(1) if fresh else self._pool
         _TrackedConnection.current.call = endpoint_call
         try:
-            end = self._exchange(pool, endpoint_call, call, receiver)
+            end = self._exchange(pool, endpoint_call, call, receiver, head_timeout_s)
         except Exception as error:
             end = _classify_failure(endpoint_call, error)
         finally:
@@ -206,6 +217,7 @@
         endpoint_call: EndpointCall,
         call: ForwardedCall,
         receiver: ResponseReceiver,
+        head_timeout_s: float,
     ) -> _End:
         response = pool.urlopen(
             call.method,
@@ -216,8 +228,9 @@
             decode_content=False,
             redirect=False,
             retries=False,
-            timeout=self._timeout,
+            timeout=urllib3.Timeout(connect=self._connect_timeout_s, read=head_timeout_s),
         )
+        endpoint_call.set_read_timeout(self._idle_timeout_s)
         named = response.headers.get(REQUEST_ID_HEADER)
         names_call = named is not None and named == _request_id(call)
         if not names_call and (endpoint_call.reuses_connection or named is not None):
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -111,6 +111,7 @@
     call: ForwardedCall
     receiver: ResponseReceiver
     fresh: bool
+    head_timeout_s: float
     cancelled: bool = False
     ended: bool = False
 
@@ -132,9 +133,11 @@
 
     started: list[StartedCall] = field(default_factory=list)
 
-    def start(self, call: ForwardedCall, receiver: ResponseReceiver, fresh: bool) -> EndpointCall:
+    def start(
+        self, call: ForwardedCall, receiver: ResponseReceiver, fresh: bool, head_timeout_s: float
+    ) -> EndpointCall:
         """Record a call."""
-        self.started.append(StartedCall(call, receiver, fresh))
+        self.started.append(StartedCall(call, receiver, fresh, head_timeout_s))
         return cast(EndpointCall, self.started[-1])
 
 
--- a/tests/unit/test_adapters.py
+++ b/tests/unit/test_adapters.py
@@ -23,13 +23,16 @@
 _CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 _KEEP_OPEN = b"..."
 _BODY = b"body"
+_IDLE_TIMEOUT_S = 0.3
 
 
 @contextlib.contextmanager
-def scripted_server(script: bytes) -> Iterator[int]:
+def scripted_server(script: bytes, delay_s: float = 0.0) -> Iterator[int]:
     """Serve one connection: read a request, send the script, close.
 
     A script that ends in ``...`` keeps the connection open without sending more data.
+
+    :param delay_s: time from the request to the script, seconds.
     """
     listener = socket.create_server(("127.0.0.1", 0))
 
@@ -43,6 +46,7 @@
                 if not received:
                     break
                 request += received
+            threading.Event().wait(delay_s)
             connection.sendall(script.removesuffix(_KEEP_OPEN))
             if script.endswith(_KEEP_OPEN):
                 connection.recv(65536)
@@ -152,15 +156,19 @@
 
 class EndpointContractTest(unittest.TestCase):
     def call(
-        self, port: int, after_start: Callable[[EndpointCall], None] | None = None
+        self,
+        port: int,
+        after_start: Callable[[EndpointCall], None] | None = None,
+        head_timeout_s: float = 0.3,
     ) -> RecordingReceiver:
         received = RecordingReceiver()
 
         async def run() -> None:
             loop_queue = LoopQueue(asyncio.get_running_loop())
-            client = EndpointClient(Address("127.0.0.1", port), loop_queue, 5.0, 0.3, 2)
+            address = Address("127.0.0.1", port)
+            client = EndpointClient(address, loop_queue, 5.0, _IDLE_TIMEOUT_S, 2)
             endpoint_call = client.start(
-                ForwardedCall("POST", "/x", (), _BODY), received, fresh=False
+                ForwardedCall("POST", "/x", (), _BODY), received, False, head_timeout_s
             )
             if after_start is not None:
                 after_start(endpoint_call)
@@ -228,6 +236,12 @@
             received = self.call(port)
         self.assertEqual((True, until_close), (received.complete, received.until_close))
 
+    def test_an_endpoint_that_is_silent_until_its_response_is_ready_is_awaited(self) -> None:
+        script = _HEAD + b"Content-Length: 4\r\n\r\nfour"
+        with scripted_server(script, delay_s=3 * _IDLE_TIMEOUT_S) as port:
+            received = self.call(port, head_timeout_s=10.0)
+        self.assertEqual((Execution.RAN, True), (received.execution, received.complete))
+
     def test_refused_connection_means_not_run(self) -> None:
         self.assertEqual(Execution.NOT_RUN, self.call(free_port()).execution)
 
@@ -284,7 +298,7 @@
             receiver = RecordingReceiver()
             headers = (("X-Request-Id", f"call-{number}"),)
             call = ForwardedCall("POST", "/x", headers, b"call %d" % number)
-            client.start(call, receiver, fresh=False)
+            client.start(call, receiver, fresh=False, head_timeout_s=5.0)
             await receiver.ended.wait()
             received.append(receiver)
         client.close()
--- a/tests/unit/test_side.py
+++ b/tests/unit/test_side.py
@@ -11,6 +11,7 @@
 from pearshed._internal.models.outcomes import Execution
 from pearshed._internal.models.records import RequestClass, Tier
 from pearshed._internal.peers import peer_pb2 as pb
+from pearshed._internal.side.attempt_manager import OVERDUE_RUN_S
 from pearshed._internal.side.key_ownership import OWNERSHIP_HANDOVER_S, KeyOwnership, OwnedElsewhere
 from pearshed._internal.side.order import FifoOrder, OrderPolicy, Reservation, TieredOrder
 from tests.lib import records
@@ -114,6 +115,25 @@
             self.assertEqual(pb.REFUSAL_LEASE_EXPIRED, self.writer.last(1).refuse.reason)
             self.assertFalse(self.writer.last(1).refuse.may_have_run)
 
+    @parameterized.expand(
+        [
+            ("before_the_deadline", 9.0, True, False),
+            ("soon_after_the_deadline", 10.0 + OVERDUE_RUN_S - 1.0, False, False),
+            ("long_after_the_deadline", 10.0 + OVERDUE_RUN_S + 1.0, False, True),
+        ]
+    )
+    def test_a_run_that_never_ends_is_aborted_long_after_its_deadline(
+        self, _: str, after_s: float, in_time: bool, aborted: bool
+    ) -> None:
+        self.run_one(1, idempotent=False, deadline_ms=10_000)
+        call = self.harness.client.started[0]
+        self.clock.advance(after_s)
+        if not in_time:
+            self.harness.send("e1", 1, cancel=pb.Cancel())
+        self.harness.timers.fire()
+        self.assertEqual(aborted, call.cancelled)
+        self.assertGreaterEqual(call.head_timeout_s, 10.0)
+
     def test_expired_lease_frees_the_slot(self) -> None:
         self.harness.reserve("e1", 1)
         self.harness.reserve("e1", 2)
