Wait until the deadline for work at a side that is only silent

Callers saw: 502, may have run, for a call that could not be repeated, or a stream that ended with an error, though the side that ran it was only paused or cut off for a moment and delivered the response afterwards.

Cause: an entry gave up all attempts at a side after twice its silence limit, also those for which no other side may be tried, and a side dropped what ran for an entry that was silent for 10 s. Only a refused connection or a restart shows that a process has gone.

Now an entry gives up after that window only what may run elsewhere; the rest waits for the side until its own deadline. A side keeps as long what may not run again, and streams that have begun.

--- a/src/pearshed/_internal/entry/attempt.py
+++ b/src/pearshed/_internal/entry/attempt.py
@@ -95,6 +95,11 @@
         """Time since the body was sent, seconds."""
         return clock.now() - self._body_sent_at
 
+    @property
+    def may_run_elsewhere(self) -> bool:
+        """Whether another side may run the request although this one's run may go on."""
+        return not self.body_sent or (self.request.idempotent and not self._delivery_started)
+
     @property
     def open_links(self) -> list[LinkT]:
         """Links on which frames for the attempt may still arrive."""
--- a/src/pearshed/_internal/entry/link.py
+++ b/src/pearshed/_internal/entry/link.py
@@ -301,12 +301,14 @@
     def _check_connection(self) -> None:
         """Send a heartbeat, or replace the connection if it has become unresponsive.
 
-        Without a connection, fail the attempts once the resume window has passed.
+        Without a connection, fail the attempts that may run elsewhere once the resume window has
+        passed. The others wait for their side until their deadline: it may only be silent.
         """
         if self._writer is None:
             window_s = self._settings.silence_s * _RESUME_WINDOW_FACTOR
             if self._attempts and clock.now() - self._lost_at > window_s:
-                self._fail_attempts(self._attempts.values(), LinkLossReason.BROKEN)
+                movable = [one for one in self._attempts.values() if one.may_run_elsewhere]
+                self._fail_attempts(movable, LinkLossReason.BROKEN)
             return
         if clock.now() - self._last_received_at > self._settings.silence_s:
             self._replace_unresponsive_connection()
--- a/src/pearshed/_internal/side/attempt_manager.py
+++ b/src/pearshed/_internal/side/attempt_manager.py
@@ -38,6 +38,8 @@
 _SWEEP_INTERVAL_S = 0.5
 _KEY_SWEEP_INTERVAL_S = 10.0
 _RESPONSE_RETENTION_S = 30.0
+#: Longest time for which a response waits for an entry that is silent, seconds.
+_MAX_RESPONSE_RETENTION_S = 120.0
 
 
 class _RunReceiver(ResponseReceiver):
@@ -397,14 +399,29 @@
             self._runs_changed.set()
 
     def _sweep_run(self, key: AttemptKey, tracked: TrackedRun, now: float) -> None:
-        if tracked.run.finished and now - tracked.finished_at > _RESPONSE_RETENTION_S:
+        if tracked.run.finished and now > self._retained_until(tracked):
             self._counts["answers_unclaimed"] += 1
             self._runs.remove(key)
-        elif tracked.run.detached_s > RESUME_WINDOW_S and not tracked.run.cancelled:
+        elif self._is_unclaimed(tracked, now) and not tracked.run.cancelled:
             self._cancel(key, "the entry did not reconnect")
         if not tracked.run.finished and now > tracked.deadline + OVERDUE_RUN_S:
             self._abort_overdue(key, tracked)
 
+    def _retained_until(self, tracked: TrackedRun) -> float:
+        """Return the clock reading until which a finished run's response is kept."""
+        latest = tracked.finished_at + _MAX_RESPONSE_RETENTION_S
+        return max(tracked.finished_at + _RESPONSE_RETENTION_S, min(tracked.deadline, latest))
+
+    def _is_unclaimed(self, tracked: TrackedRun, now: float) -> bool:
+        """Return whether a run's entry has missed the resume window.
+
+        An entry that can't have the request run elsewhere may come back until its deadline.
+        """
+        if tracked.run.detached_s <= RESUME_WINDOW_S:
+            return False
+        may_run_elsewhere = tracked.run.idempotent and not tracked.run.sent_bytes
+        return may_run_elsewhere or now > tracked.deadline
+
     def _abort_overdue(self, key: AttemptKey, tracked: TrackedRun) -> None:
         """Abort a run that goes on long after its caller has left."""
         if tracked.call is None or tracked.call.cancelled:
--- a/src/pearshed/_internal/side/run.py
+++ b/src/pearshed/_internal/side/run.py
@@ -79,6 +79,11 @@
         """Number of response bytes received."""
         return len(self._content)
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of the response that the entry has, or that were passed to its connection."""
+        return self._sent_bytes
+
     @property
     def running_s(self) -> float:
         """Time since the run started, seconds."""
--- a/src/pearshed/_internal/side/run_table.py
+++ b/src/pearshed/_internal/side/run_table.py
@@ -1,6 +1,5 @@
 """Table of a side's runs and of the attempts that have ended."""
 
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -22,7 +21,7 @@
     :ivar call: the call to the endpoint; None for a replayed response.
     :ivar idempotency_key: the key claimed for the run, or an empty string.
     :ivar rank: rank of the request's tier.
-    :ivar deadline: clock reading at which its caller gives it up.
+    :ivar deadline: clock reading at which its caller gives it up; 0 for a replayed response.
     :ivar finished_at: clock reading of its end; 0 while it is running.
     """
 
@@ -30,7 +29,7 @@
     call: EndpointCall | None = None
     idempotency_key: str = ""
     rank: int = 0
-    deadline: float = math.inf
+    deadline: float = 0.0
     finished_at: float = 0.0
 
 
--- a/tests/unit/test_side.py
+++ b/tests/unit/test_side.py
@@ -115,6 +115,36 @@
             self.assertEqual(pb.REFUSAL_LEASE_EXPIRED, self.writer.last(1).refuse.reason)
             self.assertFalse(self.writer.last(1).refuse.may_have_run)
 
+    @parameterized.expand(
+        [
+            # idempotent, bytes sent, seconds without the entry, response is still there
+            ("may_run_once", False, b"", 15.0, True),
+            ("stream_that_has_begun", True, b"a part", 15.0, True),
+            ("may_run_elsewhere", True, b"", 15.0, False),
+            ("may_run_elsewhere_soon", True, b"", 5.0, True),
+            ("may_run_once_after_its_deadline", False, b"", 65.0, False),
+        ]
+    )
+    def test_the_work_of_a_silent_entry_goes_on(
+        self, _: str, idempotent: bool, sent: bytes, silent_s: float, kept: bool
+    ) -> None:
+        self.run_one(1, idempotent=idempotent, deadline_ms=60_000)
+        call = self.harness.client.started[0]
+        if sent:
+            call.receiver.set_head(200, (), until_close=False)
+            call.receiver.add(sent)
+        self.harness.disconnect("e1")
+        self.clock.advance(silent_s)
+        self.harness.timers.fire()
+        self.assertEqual(not kept and idempotent, call.cancelled)
+        call.receiver.add(b" the rest")
+        call.receiver.finish(Execution.RAN, True, "")
+        writer = self.harness.connect("e1")
+        self.harness.send("e1", 1, resume=pb.Resume(offset=len(sent), head_received=bool(sent)))
+        self.assertEqual(b" the rest" if kept else b"", writer.content(1))
+        end = writer.last(1).end
+        self.assertEqual((kept, kept), (end.complete, end.execution == pb.EXECUTION_RAN))
+
     @parameterized.expand(
         [
             ("before_the_deadline", 9.0, True, False),
