Don't pass on a promise that an engine didn't make

Callers could be told that a request had not run although it had: a 408, 429 or 503 of an engine without its statement that it didn't run the request was relayed as it is, and these statuses promise callers of the platform just that.

Now such a response counts as a failure after a possible run: requests that may be repeated go on elsewhere, others end with a 502 of the gateway.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -35,6 +35,8 @@
 #: Larger responses that aren't streams are refused, bytes; they are held in memory.
 MAX_BUFFERED_RESPONSE_BYTES = 16 * 1024 * 1024
 _MISDIRECTED = 421
+#: Callers take these for the promise that the request was not run.
+_NOT_RUN_STATUSES = frozenset((408, 429, 503))
 #: A request that has generated events for this long is not what crashes its engine, seconds.
 _SUSPECT_RUN_S = 1.0
 _POSSIBLY_COMPLETE = (EndKind.COMPLETE, EndKind.CLOSED)
@@ -218,6 +220,9 @@
             self._cut_off = end.kind is EndKind.TRUNCATED
             self._endpoint.record_failure()
             return Failed(f"the answer broke off: {end.reason}")
+        if head.status in _NOT_RUN_STATUSES:
+            self._endpoint.record_failure()
+            return Failed(f"the endpoint answered {head.status} and may have run the request")
         if head.status in _SERVER_ERRORS:
             self._endpoint.record_failure()
             return Failed(f"the endpoint answered {head.status}", head, body)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -5,6 +5,9 @@
 from parameterized import parameterized
 
 from tests.lib.engine_scripts import (
+    fail_as_busy,
+    fail_as_limited,
+    fail_as_too_late,
     fail_with_500,
     misdirect,
     reject,
@@ -38,6 +41,10 @@
             ("ok", respond_ok, "/lookup/a", 200, b"done", (1, 0)),
             ("failure_retried", fail_with_500, "/lookup/a", 200, b"done", (1, 1)),
             ("failure_forwarded", fail_with_500, "/confirm/a", 500, b"failed", (1, 0)),
+            ("503_that_ran_retried", fail_as_busy, "/lookup/a", 200, b"done", (1, 1)),
+            ("503_that_ran", fail_as_busy, "/confirm/a", 502, None, (1, 0)),
+            ("429_that_ran", fail_as_limited, "/confirm/a", 502, None, (1, 0)),
+            ("408_that_ran", fail_as_too_late, "/confirm/a", 502, None, (1, 0)),
             ("rejected", reject, "/confirm/a", 200, b"done", (1, 1)),
             ("response_lost", reset, "/lookup/a", 200, b"done", (1, 1)),
             ("response_lost_not_retried", reset, "/confirm/a", 502, None, (1, 0)),
--- a/tests/lib/engine_scripts.py
+++ b/tests/lib/engine_scripts.py
@@ -8,6 +8,21 @@
     connection.send_response(request, 500, b"failed")
 
 
+async def fail_as_busy(connection: EngineConnection, request: EngineRequest) -> None:
+    """Run the request and fail with the status of a rejection."""
+    connection.send_response(request, 503, b"failed")
+
+
+async def fail_as_limited(connection: EngineConnection, request: EngineRequest) -> None:
+    """Run the request and fail with the status of a limit."""
+    connection.send_response(request, 429, b"failed")
+
+
+async def fail_as_too_late(connection: EngineConnection, request: EngineRequest) -> None:
+    """Run the request and fail with the status of a timeout of the caller."""
+    connection.send_response(request, 408, b"failed")
+
+
 async def reject(connection: EngineConnection, request: EngineRequest) -> None:
     """Reject the request without running it."""
     connection.send_response(request, 503, b"", {"Pearshed-Not-Executed": "1"})
