Forbid client libraries to repeat a call that has run and failed

An endpoint's error was relayed without X-Should-Retry. Client libraries of the OpenAI interface repeat calls by themselves after 408, 409, 429 and 5xx, so a call that may run once, and had run, was sent again.

Errors relayed for calls that aren't idempotent now carry "false", as the entry's own errors do.

--- a/src/pearshed/_internal/entry/application.py
+++ b/src/pearshed/_internal/entry/application.py
@@ -150,7 +150,7 @@
             body.close()
             return self._refuse(first_event, request.request_id, start_response)
         if isinstance(first_event, RelayedHead):
-            headers = responses.relayed_headers(first_event.headers, request.request_id)
+            headers = responses.relayed_headers(first_event.status, first_event.headers, request)
             if first_event.until_close or (request.streaming and not framing.can_chunk):
                 headers.extend(framing.begin_until_close())
             if not request.streaming:
--- a/src/pearshed/_internal/entry/responses.py
+++ b/src/pearshed/_internal/entry/responses.py
@@ -6,10 +6,12 @@
 from http import HTTPStatus
 
 from pearshed._internal.models.outcomes import Execution, FailureCode, RequestFailure
-from pearshed._internal.models.requests import REQUEST_ID_HEADER
+from pearshed._internal.models.requests import REQUEST_ID_HEADER, RoutedRequest
 
 Headers = list[tuple[str, str]]
 
+SHOULD_RETRY_HEADER = "X-Should-Retry"
+
 _HOP_BY_HOP = frozenset(
     (
         "connection",
@@ -42,10 +44,19 @@
         return f"{status} Unknown"
 
 
-def relayed_headers(headers: Iterable[tuple[str, str]], request_id: str) -> Headers:
-    """Return the end-to-end headers of an endpoint's response, with the request id."""
+def relayed_headers(
+    status: int, headers: Iterable[tuple[str, str]], request: RoutedRequest
+) -> Headers:
+    """Return the end-to-end headers of an endpoint's response, with the request id.
+
+    Client libraries of the OpenAI interface retry errors by themselves; an error of a call that
+    has run and must not run again says that they may not.
+    """
     forwarded = [(name, value) for name, value in headers if name.lower() not in _HOP_BY_HOP]
-    forwarded.append((REQUEST_ID_HEADER, request_id))
+    forwarded.append((REQUEST_ID_HEADER, request.request_id))
+    if status >= HTTPStatus.BAD_REQUEST and not request.idempotent:
+        forwarded = [item for item in forwarded if item[0].lower() != SHOULD_RETRY_HEADER.lower()]
+        forwarded.append((SHOULD_RETRY_HEADER, "false"))
     return forwarded
 
 
@@ -83,7 +94,7 @@
     if failure.execution is not Execution.NOT_RUN or failure.code is FailureCode.MALFORMED:
         # Client libraries of the OpenAI interface honour this header. Without it, they would
         # retry a request that may have run.
-        headers.append(("X-Should-Retry", "false"))
+        headers.append((SHOULD_RETRY_HEADER, "false"))
     return status_line(failure.status), headers, content
 
 
--- a/tests/functional/test_callers.py
+++ b/tests/functional/test_callers.py
@@ -124,6 +124,25 @@
         self.assertIn(b"X-Request-Id: req-", head)
         self.assertEqual("not_run", json.loads(content)["error"]["execution"])
 
+    @parameterized.expand(
+        [
+            (f"{request_class}_{status}", request_class, status, should_retry)
+            for status in (408, 409, 429, 500, 503)
+            for request_class, should_retry in (("order", "false"), ("chat", None))
+        ]
+    )
+    def test_an_endpoints_error_forbids_the_retry_of_a_call_that_may_run_once(
+        self, _: str, request_class: str, status: int, should_retry: str | None
+    ) -> None:
+        for engine in self.site.engines:
+            self.fleet.set(engine, status=status)
+            self.addCleanup(self.fleet.set, engine, status=200)
+        response = self.fleet.call(
+            self.site.entry, "/services/writing/orders", b"once", X_Request_Class=request_class
+        )
+        self.assertEqual(status, response.status)
+        self.assertEqual(should_retry, response.headers.get("X-Should-Retry"))
+
     def test_a_caller_disconnect_cancels_the_run(self) -> None:
         engines = self.site.engines
         before = sum(self.fleet.journal(engine)["cancelled"] for engine in engines)
--- a/tests/lib/engine.py
+++ b/tests/lib/engine.py
@@ -32,6 +32,7 @@
     :ivar cut_after: tokens after which the connection is closed; negative for never.
     :ivar omit_bytes: bytes left out at the end of a stream's last event.
     :ivar until_close: responses have neither a length nor chunks and end with the connection.
+    :ivar status: of the responses to plain calls.
     :ivar hang: runs are suspended while it is set.
     :ivar cancelled: runs whose client disconnected.
     :ivar journal: an entry for each run.
@@ -44,6 +45,7 @@
     cut_after: int = -1
     omit_bytes: int = 0
     until_close: bool = False
+    status: int = 200
     hang: bool = False
     running: int = 0
     max_running: int = 0
@@ -222,7 +224,7 @@
 
     def _respond(self, content: bytes) -> None:
         if not self.server.state.until_close:
-            self.respond(200, content)
+            self.respond(self.server.state.status, content)
             return
         self.close_connection = True
         self.send_response(200)
