Prefer the freshest state when a gateway starts without the store

Callers of public routes reached an engine that had left, for a moment after a gateway had restarted: its store was away, and the first gateway that it asked had been cut off for seconds.

Cause: the first answer that was newer than nothing was applied, however old its confirmation was. Keys were never at risk, since their trust needs a confirmation, but endpoints and routes without keys were.

Now state older than the limit from which a gateway asks others is held until the others of the round have answered, and the freshest is applied.

--- a/src/pearshed/_internal/gateway/peer_sync.py
+++ b/src/pearshed/_internal/gateway/peer_sync.py
@@ -13,6 +13,7 @@
 import random
 import urllib.parse
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from absl import logging
@@ -177,17 +178,24 @@
             self._store_cache.resume_transfer()
 
     async def _sync_with_any(self, count: int, *, only_newer_version: bool) -> bool:
-        """Request state from some gateways in turn; return whether one of them had newer state."""
+        """Request state from some gateways in turn; return whether one of them had newer state.
+
+        State that is itself stale is applied only if no gateway has fresher state: it may list
+        endpoints that have left, and API keys that were withdrawn.
+        """
+        stale: list[_News] = []
         for peer in self._directory.sample(count):
-            outcome = await self._sync_with(peer, only_newer_version)
-            self._outcomes[outcome] += 1
-            if outcome is Outcome.APPLIED:
-                self._backoff.reset()
+            received = await self._request(peer, only_newer_version)
+            if isinstance(received, Outcome):
+                self._outcomes[received] += 1
+            elif received.age_s > STALE_S and not only_newer_version:
+                stale.append(received)
+            elif self._apply(received):
                 return True
-        return False
+        return any(self._apply(news) for news in sorted(stale, key=lambda news: news.age_s))
 
-    async def _sync_with(self, peer: Address, only_newer_version: bool) -> Outcome:
-        """Request state from one gateway and apply it.
+    async def _request(self, peer: Address, only_newer_version: bool) -> "_News | Outcome":
+        """Request state from one gateway.
 
         :param only_newer_version: request it only if its configuration is newer.
         """
@@ -205,45 +213,67 @@
             response = await client.call(SYNC_PATH, request.query(), timeout_s)
         finally:
             client.close()
-        return self._apply(peer, response, requested_at)
-
-    def _apply(
-        self,
-        peer: Address,
-        response: Result[tuple[int, Mapping[str, Any]], str],
-        requested_at: float,
-    ) -> Outcome:
+        return _decode_response(peer, response, requested_at)
+
+    def _apply(self, news: "_News") -> bool:
+        """Apply the state of another gateway; return whether it was newer."""
         store_cache = self._store_cache
-        if not is_successful(response):
-            logging.info(
-                "peer.unreachable",
-                extra={"fields": {"peer": str(peer), "reason": response.failure()}},
-            )
-            return Outcome.UNREACHABLE
-        status, raw = response.unwrap()
-        if status != _OK:
-            return Outcome.NOTHING_NEWER if status == _NOTHING_NEWER else Outcome.REFUSED
-        update = decode_update(raw)
-        if not is_successful(update):
-            logging.warning(
-                "peer.news_malformed",
-                extra={"fields": {"peer": str(peer), "reason": update.failure()}},
-            )
-            return Outcome.MALFORMED
-        if not store_cache.apply_update(update.unwrap(), requested_at):
-            return Outcome.NOTHING_NEWER
+        applied = store_cache.apply_update(news.update, news.requested_at)
+        self._outcomes[Outcome.APPLIED if applied else Outcome.NOTHING_NEWER] += 1
+        if not applied:
+            return False
+        self._backoff.reset()
         logging.info(
             "peer.news",
             extra={
                 "fields": {
-                    "peer": str(peer),
+                    "peer": str(news.peer),
                     "version": store_cache.version,
                     "revision": store_cache.revision,
                     "confirmed_ago_ms": round(store_cache.age_s * clock.MILLISECONDS_PER_SECOND),
                 }
             },
         )
-        return Outcome.APPLIED
+        return True
+
+
+@dataclass(frozen=True, slots=True)
+class _News:
+    """The state of another gateway.
+
+    :ivar requested_at: clock reading when it was requested, seconds.
+    """
+
+    peer: Address
+    update: StoreUpdate
+    requested_at: float
+
+    @property
+    def age_s(self) -> float:
+        """Time since the store confirmed it, seconds."""
+        return clock.now() - self.requested_at + self.update.confirmed_ago_s
+
+
+def _decode_response(
+    peer: Address, response: Result[tuple[int, Mapping[str, Any]], str], requested_at: float
+) -> _News | Outcome:
+    if not is_successful(response):
+        logging.info(
+            "peer.unreachable",
+            extra={"fields": {"peer": str(peer), "reason": response.failure()}},
+        )
+        return Outcome.UNREACHABLE
+    status, raw = response.unwrap()
+    if status != _OK:
+        return Outcome.NOTHING_NEWER if status == _NOTHING_NEWER else Outcome.REFUSED
+    update = decode_update(raw)
+    if not is_successful(update):
+        logging.warning(
+            "peer.news_malformed",
+            extra={"fields": {"peer": str(peer), "reason": update.failure()}},
+        )
+        return Outcome.MALFORMED
+    return _News(peer, update.unwrap(), requested_at)
 
 
 def _is_wanted(update: StoreUpdate, request: SyncRequest) -> bool:
