Confirm an engine's run on the connection that takes a stream up

Callers could get a stream joined from two versions for as long as an engine's entry and its side were older than its restart under the same id with another software version: 0.25 s with a side, until the entry arrived without one, seconds at a gateway that has just started.

Cause: versions come from the store's entries and from the side's last report, both of the past, while the identity stays the same.

Now a stream's later part is sent only after the engine has named its start on the same connection, which belongs to one run. It costs one report, without a slot, for each stream that is taken up or continued. If the start is another one, the request goes to another engine of the version, or is refused as not run.

--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -260,6 +260,7 @@
             await self._handle_request(engine, connection, request)
 
         engine.script = handle_request
+        engine.reports_itself = False
         await engine.start()
         proxy = Proxy(Address(host, 0), engine.address)
         await proxy.start()
@@ -334,6 +335,7 @@
             "kvUsed": running * PROMPT_TOKENS,
             "kvTotal": ENGINE_KV_TOKENS,
             "runs": [],
+            "born": engine.started_at_ms,
         }
         connection.send_response(request, body=json.dumps(report).encode())
 
--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -5,6 +5,7 @@
 
 from absl import logging
 
+from pearshed._internal.gateway.forwarding.run_check import is_listed_run
 from pearshed._internal.gateway.header_codec import (
     ForwardingMetadata,
     HeaderCodec,
@@ -46,6 +47,7 @@
     """Sends a request to an endpoint and relays its response to the caller.
 
     :param timeout_s: longest time to wait for the response head, seconds.
+    :param confirms_run: ask the endpoint first whether it is the run that its entry describes.
     :param on_sent: called when the request is sent.
     :param on_response: called with the response's metadata, unless another endpoint responded.
     :param on_prefilled: called when the endpoint has prefilled the request's prompt.
@@ -58,6 +60,7 @@
         codec: HeaderCodec,
         writer: ResponseWriter,
         timeout_s: float,
+        confirms_run: bool,
         on_sent: Callable[[], None],
         on_response: Callable[[ResponseMetadata], None],
         on_prefilled: Callable[[], None],
@@ -73,6 +76,8 @@
         self._codec = codec
         self._writer = writer
         self._timeout_s = timeout_s
+        self._confirms_run = confirms_run
+        self._connection_reused = False
         self._complete = False
         self._request_handle = 0
         self._first_ms = 0
@@ -139,7 +144,12 @@
         except (OSError, TimeoutError) as error:
             self._endpoint.record_unreachable()
             return NotExecuted(f"can't connect: {error or 'timed out'}", arrived=False)
+        self._connection_reused = connection.has_served
         try:
+            if self._confirms_run and not await is_listed_run(
+                connection, self._codec, self._endpoint.entry
+            ):
+                return NotExecuted("the endpoint is not the run that is listed", arrived=False)
             return await self._exchange(connection)
         finally:
             self._endpoint.finish_request(self._request_handle)
@@ -169,7 +179,7 @@
         if isinstance(first_event, ResponseEnd):
             self._endpoint.record_failure()
             self._cut_off = first_event.kind is EndKind.TRUNCATED
-            if connection.has_served and first_event.kind is EndKind.TRUNCATED:
+            if self._connection_reused and first_event.kind is EndKind.TRUNCATED:
                 self._endpoint.record_idle_drop(idle_s)
             return Failed(first_event.reason)
         assert isinstance(first_event, ResponseHead)
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -436,6 +436,7 @@
             self._codec,
             writer,
             timeout_s,
+            progress.origin is not None,
             record_send,
             record_response,
             record_prefill,
--- a/src/pearshed/_internal/gateway/header_codec.py
+++ b/src/pearshed/_internal/gateway/header_codec.py
@@ -95,7 +95,7 @@
 
 
 class HeaderCodec(abc.ABC):
-    """Converts between headers and metadata."""
+    """Converts between headers and metadata, and asks an endpoint for its run."""
 
     @abc.abstractmethod
     def decode_request(self, headers: Headers) -> RequestMetadata:
@@ -115,3 +115,14 @@
 
         :param retry_after_s: time after which the caller may retry, seconds; 0 for none given.
         """
+
+    @abc.abstractmethod
+    def encode_report_request(self, endpoint: EndpointEntry) -> bytes:
+        """Encode a request for what an endpoint reports of itself."""
+
+    @abc.abstractmethod
+    def decode_report_start(self, report: bytes) -> int:
+        """Return the Unix time of an endpoint's start from its report, milliseconds.
+
+        :returns: 0 if the report doesn't say it.
+        """
--- a/src/pearshed/_internal/platform/headers.py
+++ b/src/pearshed/_internal/platform/headers.py
@@ -2,6 +2,8 @@
 
 import math
 
+import orjson
+
 from pearshed._internal.gateway.header_codec import (
     EndpointLoadReport,
     ForwardingMetadata,
@@ -11,7 +13,7 @@
 )
 from pearshed._internal.http import messages
 from pearshed._internal.http.messages import Header, Headers, ResponseHead
-from pearshed._internal.models.routing import PromptPart
+from pearshed._internal.models.routing import EndpointEntry, PromptPart
 from pearshed._internal.platform import names
 
 #: The platform accepts ranks of one digit.
@@ -79,6 +81,20 @@
             headers.append((names.RETRY_AFTER, b"%.2f" % retry_after_s))
         return headers
 
+    def encode_report_request(self, endpoint: EndpointEntry) -> bytes:
+        """Encode a request for an engine's report."""
+        start = b"GET %s HTTP/1.1" % names.REPORT_PATH.encode()
+        return messages.encode_head(start, ((b"host", str(endpoint.address).encode()),))
+
+    def decode_report_start(self, report: bytes) -> int:
+        """Return when the engine started; 0 for an engine that doesn't say it."""
+        try:
+            raw = orjson.loads(report)
+        except orjson.JSONDecodeError:
+            return 0
+        started_at_ms = raw.get("born") if isinstance(raw, dict) else None
+        return started_at_ms if isinstance(started_at_ms, int) else 0
+
 
 def _parse_milliseconds(value: bytes) -> float | None:
     try:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -243,6 +243,20 @@
         self.assert_refused(await self.resume(1, "r", "s", path="/draft/a"))
         self.assertEqual([], self.arrived("r"))
 
+    @parameterized.expand([("prompts", "/draft/a"), ("without_prompts", "/plain/a")])
+    async def test_an_engine_that_has_just_restarted_under_its_id_gets_no_old_stream(
+        self, _: str, path: str
+    ) -> None:
+        await self.add_versions("v1")
+        await self.start_side()
+        await self.add_gateways(2)
+        self.assertEqual("v1", await self.begin_stream(0, "s", path))
+        # Neither the store nor the side has noticed it.
+        self.engines[0].started_at_ms = 7
+        self.versions[self.engines[0].identity] = "v2"
+        self.assert_refused(await self.resume(1, "r", "s", path=path))
+        self.assertEqual([], self.arrived("r"))
+
     async def test_an_unversioned_engine_is_no_version_of_another_one(self) -> None:
         await self.add_versions("", "")
         await self.start_side()
--- a/tests/lib/gateway_platform.py
+++ b/tests/lib/gateway_platform.py
@@ -1,6 +1,7 @@
 """The platform's configuration for gateway tests, and stand-ins for its engines on loopback."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -217,8 +218,11 @@
 
     :param script: called for each request.
     :param host: of its VM.
+    :ivar reports_itself: whether requests for its report are answered without the script.
     """
 
+    reports_itself = True
+
     def __init__(
         self,
         identity: str,
@@ -230,6 +234,7 @@
         self.service = service
         self.script = script
         self.requests: list[EngineRequest] = []
+        self.started_at_ms = 1_700_000_000_000
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self.address = Address(host, 0)
@@ -258,7 +263,7 @@
             "state": "ready",
             "coldLeftMs": 0,
             "seq": 1,
-            "born": 1_700_000_000_000,
+            "born": self.started_at_ms,
             **overrides,
         }
 
@@ -269,6 +274,10 @@
         connection = EngineConnection(reader, writer)
         try:
             while (request := await connection.read_request()) is not None:
+                if request.target == "/v1/report" and self.reports_itself:
+                    body = json.dumps({"born": self.started_at_ms}).encode()
+                    connection.send_response(request, body=body)
+                    continue
                 self.requests.append(request)
                 await self.script(connection, request)
         except asyncio.CancelledError:
