Test slow streams against those that trickle and never end

At a side the row of a stream whose first token comes after the idle limit passes since the limit begins with the head of the response.

--- a/tests/functional/test_faults.py
+++ b/tests/functional/test_faults.py
@@ -205,6 +205,24 @@
             outcomes = load.finish()
         self.assertEqual([True] * len(outcomes), [outcome.complete for outcome in outcomes])
 
+    @parameterized.expand([("slow_but_sound", 60_000, True), ("never_ends", 1_500, False)])
+    def test_a_slow_stream_ends_with_its_last_token_or_at_its_class_limit(
+        self, _: str, total_ms: int, complete: bool
+    ) -> None:
+        with Fleet() as fleet:
+            site = SmallSite(fleet, endpoints=1, side={"idle_timeout_s": 0.6})
+            document = records.request_class("chat", "standard", total_ms=total_ms)
+            revision = fleet.publish("records", [document])
+            wait_for(
+                lambda: site.entry.dump()["feeds"]["records"]["revision"] == revision, "the class"
+            )
+            fleet.set(site.engines[0], token_ms=200, first_ms=1200)
+            response = fleet.call(site.entry, body=chat_body(max_tokens=16), X_Request_Class="chat")
+            self.assertEqual(complete, response.data.endswith(b"data: [DONE]\n\n"), response.data)
+            if not complete:
+                self.assertIn(b'"code": "deadline_exceeded"', response.data)
+            wait_for(lambda: fleet.journal(site.engines[0])["running"] == 0, "the run to end")
+
     def test_a_stream_that_the_engine_truncates_ends_with_an_error(self) -> None:
         with Fleet() as fleet:
             site = SmallSite(fleet, endpoints=1)
