Begin streams only at the run of an engine that is listed

If the side of an engine was silent, a gateway recorded the version that the store lists, also for an engine that had just restarted under its id with another version. Streams that began there could then be taken up at engines of the old version.

Now a connection whose run no side vouches for is asked once, before the first stream that may be taken up. Before: in the new test a stream began at the version that isn't listed. After: none, until the entry says so.

--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -436,7 +436,9 @@
             self._codec,
             writer,
             timeout_s,
-            progress.origin is not None,
+            # A stream that has begun, or may be taken up later, depends on the engine's version.
+            progress.origin is not None
+            or (call.route.streaming and call.route.retryable and not admitted.started_at_ms),
             record_send,
             record_response,
             record_prefill,
--- a/src/pearshed/_internal/gateway/forwarding/run_check.py
+++ b/src/pearshed/_internal/gateway/forwarding/run_check.py
@@ -25,6 +25,8 @@
     An endpoint that doesn't say when it started counts as the listed one. The connection can be
     used afterwards if the result is true.
     """
+    if connection.run_confirmed:
+        return True
     connection.send(codec.encode_report_request(entry), lambda _: True)
     try:
         async with asyncio.timeout(CHECK_TIMEOUT_S):
@@ -34,7 +36,10 @@
     if report is None or not connection.finish():
         return False
     started_at_ms = codec.decode_report_start(report)
-    return not started_at_ms or not entry.started_at_ms or started_at_ms == entry.started_at_ms
+    if started_at_ms and entry.started_at_ms and started_at_ms != entry.started_at_ms:
+        return False
+    connection.run_confirmed = True
+    return True
 
 
 async def _read_report(connection: EndpointConnection) -> bytes | None:
--- a/src/pearshed/_internal/http/endpoint_connection.py
+++ b/src/pearshed/_internal/http/endpoint_connection.py
@@ -58,9 +58,12 @@
     """Protocol of one connection to an endpoint.
 
     Responses that don't match the request in progress are dropped, and the connection isn't reused.
+
+    :ivar run_confirmed: the endpoint has said on it that it is the run that its entry describes.
     """
 
     def __init__(self) -> None:
+        self.run_confirmed = False
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._events: collections.deque[ResponseEvent] = collections.deque()
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -257,6 +257,25 @@
         self.assert_refused(await self.resume(1, "r", "s", path=path))
         self.assertEqual([], self.arrived("r"))
 
+    async def test_a_stream_begins_only_at_a_run_that_is_listed(self) -> None:
+        await self.add_versions("v1", "v1")
+        await self.add_gateways(2)
+        restarted = self.engines[0]
+        restarted.started_at_ms = 7
+        self.versions[restarted.identity] = "v2"
+        for number in range(6):
+            self.assertEqual("v1", await self.begin_stream(0, f"s{number}"))
+        self.assertEqual([], restarted.requests)
+        self.store.put(f"servers/{restarted.identity}", restarted.entry(version="v2"))
+        await until(
+            lambda: all(
+                7 in {endpoint.entry.started_at_ms for endpoint in gateway.endpoints.endpoints}
+                for gateway in self.gateways
+            )
+        )
+        begun = {await self.begin_stream(0, f"t{number}") for number in range(12)}
+        self.assertEqual({"v1", "v2"}, begun)
+
     async def test_an_unversioned_engine_is_no_version_of_another_one(self) -> None:
         await self.add_versions("", "")
         await self.start_side()
