--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,6 +9,9 @@
     python3 -m pip install --quiet --disable-pip-version-check --target target/deps -r "$requirements"
     cp "$requirements" "$stamp"
 fi
-rm -rf target/deps/pearshed
-cp -r src/pearshed target/deps/pearshed
+# Left alone if nothing has changed: processes may be starting from it.
+if ! diff -rq --exclude=__pycache__ src/pearshed target/deps/pearshed > /dev/null 2>&1; then
+    rm -rf target/deps/pearshed
+    cp -r src/pearshed target/deps/pearshed
+fi
 python3 -m compileall -q target/deps
