Let the soak end all gateways at once, restart after revocations, copy responses

Three faults more: all gateways are killed at once, so that callers take their streams up at new ones; some processes are killed just after a key was revoked; engines send a second copy of a plain response on its connection, just before the next one. The checks of bodies, keys and versions that exist cover them.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,7 +4,7 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from soak.proxy import Proxy
 from soak.testbed import STOP_GRACE_S, Node, Testbed
@@ -50,6 +50,9 @@
             ("send requests that crash engines", self._send_deadly_requests),
             ("isolate a gateway from the store", self._isolate_gateway),
             ("silence engines", self._silence_engines),
+            ("end all gateways", self._end_all_gateways),
+            ("restart after a revocation", self._restart_after_revocation),
+            ("copy responses late", self._copy_responses_late),
         )
 
     async def run(self, duration_s: float) -> None:
@@ -81,6 +84,27 @@
         if not node.running:
             await node.start()
 
+    async def _end_all_gateways(self) -> None:
+        """Kill all gateways at once, so that callers take their streams up at new ones."""
+        await self._restart(self._testbed.gateways)
+
+    async def _restart_after_revocation(self) -> None:
+        """Kill some processes just after a key was revoked."""
+        await self._revoke_key()
+        await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+        nodes = (*self._testbed.gateways, *self._testbed.sides)
+        await self._restart(self._rng.sample(nodes, self._rng.randint(1, len(nodes))))
+
+    async def _restart(self, nodes: Sequence[Node]) -> None:
+        for node in nodes:
+            node.set_process_fault_until(time.monotonic())
+            await node.kill()
+        await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+        for node in nodes:
+            node.set_process_fault_until(time.monotonic())
+            if not node.running:
+                await node.start()
+
     async def _stop_gateway(self) -> None:
         node = self._rng.choice(self._testbed.gateways)
         if node.stopping_since is not None or not node.running:
@@ -219,6 +243,11 @@
         await asyncio.sleep(duration_s)
         self._testbed.break_off_responses = False
 
+    async def _copy_responses_late(self) -> None:
+        self._testbed.copy_responses = True
+        await asyncio.sleep(self._rng.uniform(1.0, 4.0))
+        self._testbed.copy_responses = False
+
     async def _limit_requests(self) -> None:
         """Let one engine, or all of a service, name a limit; change it at times, then end it."""
         service = self._rng.choice(("fleet", "ledger"))
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+import weakref
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -143,6 +144,8 @@
     :ivar response_loss_rate: share of the requests whose engine resets the connection.
     :ivar break_off_responses: engines break off every third response, and send every second one
         with neither a length nor chunks.
+    :ivar copy_responses: engines send a second copy of a response on its connection, just before
+        the next one.
     :ivar rate_limits: requests per second that engines name in their responses.
     :ivar deadly_share: share of the requests that crash their engine.
     :ivar versions: software versions of engines.
@@ -164,11 +167,15 @@
         self.valid_keys = list(API_KEYS)
         self.response_loss_rate = 0.0
         self.break_off_responses = False
+        self.copy_responses = False
         self.rate_limits: dict[EngineStandIn, float] = {}
         self.deadly_share = 0.0
         self.versions: dict[EngineStandIn, str] = {}
         self.silent: set[EngineStandIn] = set()
         self.sources: dict[str, pathlib.Path] = {}
+        self._last_requests: weakref.WeakKeyDictionary[EngineConnection, str] = (
+            weakref.WeakKeyDictionary()
+        )
         self._in_flight: Counter[EngineStandIn] = Counter()
         self._crash_count = 0
         self._directory = directory
@@ -391,6 +398,11 @@
         version = self.versions[engine]
         limit_header = {"Server-Limit": f"{rate_limit}"} if rate_limit is not None else {}
         await asyncio.sleep(_SERVICE_TIME_S)
+        earlier = self._last_requests.get(connection)
+        if self.copy_responses and earlier:
+            body = response_body(earlier)
+            connection.send_response(request, body=body, request_id=earlier)
+        self._last_requests[connection] = request_id
         if len(self.history.runs) % 100 < self.response_loss_rate * 100:
             connection.reset()
             return
