--- a/tests/gateway/test_silent_engines.py
+++ b/tests/gateway/test_silent_engines.py
@@ -6,10 +6,11 @@
 
 from parameterized import parameterized
 
-from pearshed._internal.engine_side.engine_silence import EngineSilence
+from pearshed._internal.engine_side.engine_silence import MAX_SILENCE_S, EngineSilence
 from pearshed._internal.engine_side.monitor import EngineReport, RunningRequest
 from pearshed._internal.engine_side.prefill_speed import ASSUMED_TOKENS_PER_S
 from pearshed._internal.gateway.endpoints import Endpoint
+from pearshed._internal.gateway.placement import UNRESPONSIVE_AFTER_S
 from pearshed._internal.timers import clock
 from tests.lib.admission import QueueTestCase, admission_request
 from tests.lib.engine_side import SilentMonitor
@@ -20,6 +21,7 @@
 from tests.lib.gateway_platform import (
     EngineConnection,
     EngineRequest,
+    EngineStandIn,
     configuration,
     route,
 )
@@ -146,6 +148,8 @@
 class SilentEnginesTest(EnginesWithSidesTestCase):
     """Engines with sides of their own; some engines fall silent, their sides don't."""
 
+    responds_in_silence = False
+
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         routes = [
@@ -155,8 +159,12 @@
         self.store.put("op/config", configuration(2, routes=routes))
 
     async def respond(self, connection: EngineConnection, request: EngineRequest) -> None:
+        if request.request_id.startswith("hung"):
+            await connection.wait_closed()
+            return
         connection.begin_stream(request)
-        await self.monitor_of(request).wait_until_responsive()
+        if not self.responds_in_silence:
+            await self.monitor_of(request).wait_until_responsive()
         connection.send_event(1)
         connection.end_stream()
 
@@ -217,6 +225,50 @@
         }
         self.assertLess(ranks["/urgent/a"], ranks["/bulk/a"])
 
+    async def test_requests_leave_an_engine_whose_report_alone_responds(self) -> None:
+        for _number in range(3):
+            await self.add_engine_with_side(slots=6)
+        await self.start_gateway()
+        await until(lambda: self.has_endpoints("fleet", 3))
+        hung = await self.begin("/bulk/a", "hung-0")
+        hung_engine = await self.first_engine_that_got("hung-0")
+        begun_at = clock.now()
+        await until(lambda: clock.now() - begun_at > UNRESPONSIVE_AFTER_S + 0.1)
+        for number in range(8):
+            caller = await self.begin("/urgent/a", f"urgent-{number}")
+            self.assertEqual(200, await self.read_status(caller))
+        self.assertEqual(1, len(hung_engine.requests))
+        hung.close()
+
+    async def test_requests_reach_an_engine_whose_report_alone_is_silent(self) -> None:
+        await self.add_engine_with_side(slots=6)
+        await self.start_gateway()
+        await until(lambda: self.has_endpoints("fleet", 1))
+        self.responds_in_silence = True
+        self.monitors[0].fall_silent()
+        await until(lambda: self.monitors[0].was_asked)
+        begun_at = clock.now()
+        await until(lambda: clock.now() - begun_at > MAX_SILENCE_S)
+        statuses = [
+            await self.read_status(await self.begin("/bulk/a", f"bulk-{number}"))
+            for number in range(6)
+        ]
+        self.monitors[0].respond_again()
+        self.assertEqual([200] * 6, statuses)
+
+    async def first_engine_that_got(self, request_id: str) -> EngineStandIn:
+        """Wait until an engine has received a request, and return the engine."""
+
+        def receivers() -> list[EngineStandIn]:
+            return [
+                engine
+                for engine in self.engines
+                if any(request.request_id == request_id for request in engine.requests)
+            ]
+
+        await until(lambda: bool(receivers()))
+        return receivers()[0]
+
     async def test_a_silent_engine_is_no_crash_and_the_gateway_stays_ready(self) -> None:
         for _number in range(2):
             await self.add_engine_with_side(slots=2)
