Hold stale state of other gateways only at a gateway's start

Later such state can only be fresher than what the gateway has, and each further gateway that doesn't respond delays it by 0.3 s, of the 4.5 s for which keys are trusted.

--- a/src/pearshed/_internal/entry/http_server.py
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -238,6 +238,7 @@
         self.gateway = _SocketGateway
         self.max_request_header_size = _MAX_HEADER_BYTES
         self.keep_alive_conn_limit = settings.max_connections
+        self._thread_count = threads
         if tls is not None:
             self.ssl_adapter = _TlsAdapter(tls)
         self.read_monitor = ReadTimeoutMonitor(settings.read_timeout_s, _SPARE_THREADS)
@@ -245,7 +246,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether a connection waits for a thread, or a thread reads or serves a request."""
-        return bool(self.requests.qsize) or self.requests.idle < len(self.requests._threads)
+        return bool(self.requests.qsize) or self.requests.idle < self._thread_count
 
     def close_after_responses(self) -> None:
         """Close each connection after its next response, which announces it."""
--- a/src/pearshed/_internal/gateway/peer_sync.py
+++ b/src/pearshed/_internal/gateway/peer_sync.py
@@ -180,15 +180,16 @@
     async def _sync_with_any(self, count: int, *, only_newer_version: bool) -> bool:
         """Request state from some gateways in turn; return whether one of them had newer state.
 
-        State that is itself stale is applied only if no gateway has fresher state: it may list
-        endpoints that have left, and API keys that were withdrawn.
+        At the start, state that is itself stale is applied only if no gateway has fresher state: it
+        may list endpoints that have left. Later it can only be fresher than this gateway's own.
         """
         stale: list[_News] = []
+        starting = self._store_cache.configuration is None
         for peer in self._directory.sample(count):
             received = await self._request(peer, only_newer_version)
             if isinstance(received, Outcome):
                 self._outcomes[received] += 1
-            elif received.age_s > STALE_S and not only_newer_version:
+            elif starting and received.age_s > STALE_S:
                 stale.append(received)
             elif self._apply(received):
                 return True
