--- a/tests/gateway/test_restarts.py
+++ b/tests/gateway/test_restarts.py
@@ -23,6 +23,7 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
+        self.controls: list[Address] = []
         self.old_store = StoreStandIn()
         await self.old_store.start()
         self.addAsyncCleanup(self.old_store.stop)
@@ -46,7 +47,6 @@
         ]
     )
     async def test_what_was_withdrawn_is_not_used_again(self, _: str, stale_first: bool) -> None:
-        self.controls: list[Address] = []
         left = await self.add_engine("ledger", respond_ok)
         stays = await self.add_engine("ledger", respond_ok)
         for engine in (left, stays):
