Don't blame a stopping gateway for what a crashing engine breaks off

The users' rule doesn't count what the engine broke off, and the soak excuses every other kind of it; crashes were left out. They are recorded like the others now, for the moment of the crash.

The reason logged for a connection whose run isn't confirmed says that, also when no report arrived.

--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -376,7 +376,12 @@
             self._in_flight[engine] -= 1
 
     def _crash(self, engine: EngineStandIn) -> None:
-        """End all connections to an engine; it starts again under another identity."""
+        """End all connections to an engine; it starts again under another identity.
+
+        What the engine broke off is no fault of a gateway that stops at that moment.
+        """
+        for node in self.gateways:
+            node.fault_until = max(node.fault_until, time.monotonic())
         self.engine_proxies[self.engines.index(engine)].reset(1.0, random.Random(0))
         self._crash_count += 1
         self.replace(engine, CRASH_GENERATION + self._crash_count)
--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -149,7 +149,7 @@
             if self._confirms_run and not await is_listed_run(
                 connection, self._codec, self._endpoint.entry
             ):
-                return NotExecuted("the endpoint is not the run that is listed", arrived=False)
+                return NotExecuted("the endpoint has not confirmed its run", arrived=False)
             return await self._exchange(connection)
         finally:
             self._endpoint.finish_request(self._request_handle)
