Move what a request has tried, its candidates, retry rules and return times out of the forwarder

Cause: pauses of engines touch four decisions that stood in the forwarder, which had grown to 1,009 lines. Change: Progress, CandidateFinder, RetryRules and ReturnTimes in gateway/forwarding; code moved as it was, names without underscores.

--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -3,13 +3,11 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Sequence
 
 from returns.pipeline import is_successful
 
-from pearshed._internal.decisions.engine_load import Quote
-from pearshed._internal.decisions.retry_time import MAX_LEFT_SHARE, retry_after_s
+from pearshed._internal.decisions.retry_time import MAX_LEFT_SHARE
 from pearshed._internal.decisions.useful_time import CallerNeeds
 from pearshed._internal.engine_side.stream_origins import StreamOrigin
 from pearshed._internal.gateway.admission import (
@@ -24,6 +22,10 @@
 from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
 from pearshed._internal.gateway.engine_limits.cold_engine_monitor import ColdEngineMonitor
+from pearshed._internal.gateway.forwarding.candidates import CandidateFinder
+from pearshed._internal.gateway.forwarding.progress import Progress, shorter_wait
+from pearshed._internal.gateway.forwarding.retry_rules import RetryRules
+from pearshed._internal.gateway.forwarding.return_times import ReturnTimes
 from pearshed._internal.gateway.header_codec import (
     HeaderCodec,
     RequestMetadata,
@@ -44,8 +46,6 @@
     Answered,
     AttemptOutcome,
     Failed,
-    Interrupted,
-    NotExecuted,
     OutOfTime,
     Refusal,
     RoutedCall,
@@ -61,95 +61,20 @@
 )
 from pearshed._internal.http.caller_connection import CallerConnection
 from pearshed._internal.http.messages import HttpRequest
-from pearshed._internal.models.routing import RouteKind
 from pearshed._internal.timers import clock
 
-#: Rejections by endpoints after which a request may still be sent to another.
-_MAX_REJECTIONS = 2
 #: Engines that may refuse admission to a request before the gateway refuses it.
 _MAX_ADMISSION_REFUSALS = 3
 #: Admission refusals after which engines outside the request's usual lane are tried.
 _OVERFLOW_AFTER_REFUSALS = 2
-#: An attempt with less time than this can't succeed.
-_MIN_REMAINING_S = 0.05
 #: Status of a refusal that promises that the request was not run; sent with Retry-After.
 _NOT_RUN_STATUS = 503
 #: Longest wait of an admitted request for another place at a cold engine, seconds: its admission
 #: lapses after 0.6 s if it isn't sent.
 _PLACE_RENEWAL_S = 0.4
-#: Connections that may fail to open for one request before it is refused.
-_MAX_CONNECT_FAILURES = 4
 #: Share of the remaining time in which an endpoint must start its response to an idempotent
 #: request while another endpoint may still be tried.
 _ATTEMPT_TIMEOUT_SHARE = 0.5
-#: Bounds of the jitter of Retry-After, so that refused callers don't all retry at once.
-_RETRY_AFTER_JITTER_S = (0.3, 0.9)
-
-
-@dataclass(slots=True)
-class _Progress:
-    """Attempts made for a request so far.
-
-    :ivar tried: endpoints chosen so far, in order.
-    :ivar endpoints_run: endpoints that may have run it.
-    :ivar rejections: endpoints that received it and rejected it without running it.
-    :ivar connect_failures: endpoints to which no connection could be opened.
-    :ivar admission_refusals: endpoints that refused admission.
-    :ivar wait_s: shortest expected time until an engine can start it, seconds.
-    :ivar without_place: endpoints that took no more requests when they were chosen.
-    :ivar silent: endpoints that were silent when admission was requested.
-    :ivar waits_for_silent: no other endpoint is left, so it waits until a silent one goes on.
-    :ivar waits_for_place: no other endpoint is left, so it waits for a place at the chosen one.
-    :ivar origin: what began the stream; ``None`` before its first event.
-    :ivar reservations: reservations at sides of engines so far, for a service with competing
-        callers; the last one's number.
-    :ivar returned: the caller has come back at the time that it was given with a refusal.
-    :ivar quote: the earliest one of sides that have refused it.
-    :ivar blocked: it isn't sent since such requests crash engines.
-    :ivar unused_place: the place at the endpoint chosen last, until the request is sent there.
-    :ivar data_centres: data centres whose endpoints may run it; ``None`` for all.
-    """
-
-    tried: list[Endpoint] = field(default_factory=list)
-    endpoints_run: int = 0
-    rejections: int = 0
-    connect_failures: int = 0
-    admission_refusals: int = 0
-    wait_s: float = 0.0
-    without_place: list[Endpoint] = field(default_factory=list)
-    silent: list[Endpoint] = field(default_factory=list)
-    waits_for_silent: bool = False
-    waits_for_place: bool = False
-    origin: StreamOrigin | None = None
-    unused_place: Place | None = None
-    reservations: int = 0
-    returned: bool = False
-    quote: Quote | None = None
-    blocked: bool = False
-    last_outcome: AttemptOutcome | None = None
-    data_centres: frozenset[str] | None = None
-
-    def may_use(self, endpoint: Endpoint, started_at_ms: int = 0) -> bool:
-        """Return whether an endpoint is in an allowed region, and the stream may go on there.
-
-        :param started_at_ms: start of the endpoint as its side knows it; 0 if not known.
-        """
-        if self.data_centres is not None and endpoint.entry.data_centre not in self.data_centres:
-            return False
-        return self.origin is None or self.origin == StreamOrigin.of(endpoint.entry, started_at_ms)
-
-    def record_refusal(self, refusal: NotAdmitted) -> None:
-        """Remember the earliest time at which an engine expects to be ready."""
-        wait_s = refusal.wait_s
-        if refusal.quote is not None:
-            if self.quote is None or refusal.quote.ready_ms < self.quote.ready_ms:
-                self.quote = refusal.quote
-            wait_s = refusal.quote.ready_ms / clock.MILLISECONDS_PER_SECOND
-        self.wait_s = _shorter_wait(self.wait_s, wait_s)
-
-    def usable(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
-        """Return those that accept requests and at which the stream may go on."""
-        return [endpoint for endpoint in endpoints if endpoint.accepting and self.may_use(endpoint)]
 
 
 class Forwarder:
@@ -181,11 +106,12 @@
         self._evacuations = evacuations
         self._codec = codec
         self._router = router
-        self._endpoints = endpoints
+        self._candidates = CandidateFinder(endpoints)
         self._plain_placement = plain_placement
         self._prompt_placement = prompt_placement
         self._admission = admission
         self._retry_budget = retry_budget
+        self._retry_rules = RetryRules(retry_budget, crashes, evacuations)
         self._crashes = crashes
         self._rate_limited = rate_limited
         self._cold_engines = cold_engines
@@ -194,7 +120,7 @@
         self._plain_waiting = plain_waiting
         self._request_logger = request_logger
         self._metrics = metrics
-        self._rng = rng
+        self._return_times = ReturnTimes(request_logger, rng)
         self._admission_wait = AdmissionWait()
 
     async def serve(
@@ -240,7 +166,7 @@
     async def _forward(self, call: RoutedCall, writer: ResponseWriter) -> None:
         """Try endpoints until one responds or no further attempt is allowed."""
         progress = self._begin(call)
-        cause = self._exclusion_cause(call, progress)
+        cause = self._candidates.exclusion_cause(call, progress)
         if not cause and call.takes_up_stream:
             cause = await self._find_origin(call, progress)
             if progress.origin is not None:
@@ -253,12 +179,14 @@
                 return
             turn = await self._take_turn(call, progress)
             if isinstance(turn, NoTurn):
-                progress.wait_s = _shorter_wait(progress.wait_s, turn.wait_s)
+                progress.wait_s = shorter_wait(progress.wait_s, turn.wait_s)
                 self._finish_failed(call, writer, progress, "no slot is free in time")
                 return
             decision = turn or self._choose(call, progress)
             if decision is None:
-                self._finish_failed(call, writer, progress, self._describe_lack(call, progress))
+                self._finish_failed(
+                    call, writer, progress, self._candidates.describe_lack(call, progress)
+                )
                 return
             try:
                 if await self._try_with_place(call, decision, writer, progress):
@@ -272,7 +200,7 @@
         call: RoutedCall,
         decision: PlacementDecision,
         writer: ResponseWriter,
-        progress: _Progress,
+        progress: Progress,
     ) -> bool:
         """Take a place at an endpoint and try it; return whether the request has ended."""
         place = await self._evacuations.wait_unless_evacuated(
@@ -282,7 +210,7 @@
         if place is None:
             return False
         if isinstance(place, NoPlace):
-            progress.wait_s = _shorter_wait(progress.wait_s, place.wait_s)
+            progress.wait_s = shorter_wait(progress.wait_s, place.wait_s)
             if progress.waits_for_place:
                 self._finish_failed(call, writer, progress, "the engines are at their limits")
                 return True
@@ -296,7 +224,7 @@
                 self._rate_limited.release(progress.unused_place)
 
     async def _take_turn(
-        self, call: RoutedCall, progress: _Progress
+        self, call: RoutedCall, progress: Progress
     ) -> PlacementDecision | NoTurn | None:
         """Wait for a slot of an endpoint, if such requests wait at the gateway.
 
@@ -307,7 +235,7 @@
         started_at = clock.now()
         turn = await self._plain_waiting.take_turn(
             call,
-            lambda: self._candidates(call, progress),
+            lambda: self._candidates.find(call, progress),
             lambda endpoints: self._plain_placement.choose(call, endpoints),
         )
         waited_s = clock.now() - started_at
@@ -334,7 +262,7 @@
         )
         return turn
 
-    async def _find_origin(self, call: RoutedCall, progress: _Progress) -> str:
+    async def _find_origin(self, call: RoutedCall, progress: Progress) -> str:
         """Find what began the stream that a caller takes up.
 
         :returns: why the stream can't go on; empty if it can.
@@ -347,10 +275,10 @@
             return "the stream's service has changed"
         return ""
 
-    def _begin(self, call: RoutedCall) -> _Progress:
+    def _begin(self, call: RoutedCall) -> Progress:
         """Start the record of a request's attempts, and note if its caller has returned."""
         returned = call.competes and self._returns.take_return(call)
-        progress = _Progress(data_centres=call.data_centres, returned=returned)
+        progress = Progress(data_centres=call.data_centres, returned=returned)
         if not returned:
             return progress
         self._request_logger.write(
@@ -365,11 +293,11 @@
         )
         return progress
 
-    def _choose(self, call: RoutedCall, progress: _Progress) -> PlacementDecision | None:
+    def _choose(self, call: RoutedCall, progress: Progress) -> PlacementDecision | None:
         """Choose the next endpoint; the one with the next place if all others have none."""
         placement = self.placement(call)
         overflow = progress.admission_refusals >= _OVERFLOW_AFTER_REFUSALS
-        candidates = self._candidates(call, progress)
+        candidates = self._candidates.find(call, progress)
         decision = (
             next(iter(placement.rank(call, candidates, 1)), None)
             if call.competes and not overflow
@@ -385,7 +313,7 @@
         progress.without_place.remove(first)
         return placement.choose(call, [first], overflow=overflow)
 
-    def _choose_silent(self, call: RoutedCall, progress: _Progress) -> PlacementDecision | None:
+    def _choose_silent(self, call: RoutedCall, progress: Progress) -> PlacementDecision | None:
         """Choose a silent endpoint to wait for, as no other one is left."""
         silent = progress.usable(progress.silent)
         if not silent or progress.waits_for_silent:
@@ -394,7 +322,7 @@
         return self.placement(call).choose(call, silent, overflow=True)
 
     async def _take_place(
-        self, call: RoutedCall, endpoint: Endpoint, progress: _Progress
+        self, call: RoutedCall, endpoint: Endpoint, progress: Progress
     ) -> Place | NoPlace:
         budget_s = self._wait_budget_s(call, progress) if progress.waits_for_place else 0.0
         started_at = clock.now()
@@ -413,7 +341,7 @@
         return place
 
     async def _renew_place(
-        self, call: RoutedCall, endpoint: Endpoint, progress: _Progress
+        self, call: RoutedCall, endpoint: Endpoint, progress: Progress
     ) -> Place | NoPlace:
         """Take another place if the one at a cold engine lapsed in the wait for admission."""
         place = progress.unused_place
@@ -434,7 +362,7 @@
         call: RoutedCall,
         decision: PlacementDecision,
         writer: ResponseWriter,
-        progress: _Progress,
+        progress: Progress,
     ) -> bool:
         """Request admission and make an attempt; return whether the request has ended."""
         if call.competes:
@@ -467,7 +395,7 @@
             return False
         if isinstance(admission, NotAdmitted):
             progress.admission_refusals += 1
-            progress.wait_s = _shorter_wait(progress.wait_s, admission.wait_s)
+            progress.wait_s = shorter_wait(progress.wait_s, admission.wait_s)
             if progress.admission_refusals >= _MAX_ADMISSION_REFUSALS:
                 self._finish_failed(call, writer, progress, "the engines are busy")
                 return True
@@ -479,7 +407,7 @@
         call: RoutedCall,
         decision: PlacementDecision,
         writer: ResponseWriter,
-        progress: _Progress,
+        progress: Progress,
         admitted: Admitted,
     ) -> bool:
         """Make an attempt after admission; return whether the request has ended."""
@@ -489,7 +417,7 @@
         renewed = await self._renew_place(call, decision.endpoint, progress)
         if isinstance(renewed, NoPlace):
             self._admission.notify_finished(admitted, decision.endpoint)
-            progress.wait_s = _shorter_wait(progress.wait_s, renewed.wait_s)
+            progress.wait_s = shorter_wait(progress.wait_s, renewed.wait_s)
             if progress.waits_for_place:
                 self._finish_failed(call, writer, progress, "the engines are at their limits")
                 return True
@@ -498,13 +426,13 @@
         outcome = await self._attempt(call, decision, writer, progress, admitted)
         if isinstance(outcome, Answered):
             return True
-        if not self._may_retry(call, decision.endpoint, outcome, progress):
+        if not self._retry_rules.may_retry(call, decision.endpoint, outcome, progress):
             self._finish_failed(call, writer, progress, "no other attempt is allowed")
             return True
         return False
 
     async def _finish_early(
-        self, call: RoutedCall, writer: ResponseWriter, progress: _Progress
+        self, call: RoutedCall, writer: ResponseWriter, progress: Progress
     ) -> bool:
         """End a request that may not be sent to any endpoint now; return whether it has ended."""
         if self._finish_blocked(call, writer, progress):
@@ -515,7 +443,7 @@
         return True
 
     async def _admit_at_several(
-        self, call: RoutedCall, first: PlacementDecision, progress: _Progress
+        self, call: RoutedCall, first: PlacementDecision, progress: Progress
     ) -> tuple[PlacementDecision, Admitted] | None:
         """Let the request wait at several engines; return the one that takes it."""
         needs = self._needs(call, progress)
@@ -526,7 +454,7 @@
 
         def remaining() -> Sequence[Endpoint]:
             excluded = (*engines.asked, *without_place)
-            candidates = self._candidates(call, progress)
+            candidates = self._candidates.find(call, progress)
             return [endpoint for endpoint in candidates if endpoint not in excluded]
 
         def rank() -> Sequence[PlacementDecision]:
@@ -536,7 +464,7 @@
             taken = await self._rate_limited.take_place(call, endpoint, 0.0)
             if isinstance(taken, Place):
                 return taken
-            progress.wait_s = _shorter_wait(progress.wait_s, taken.wait_s)
+            progress.wait_s = shorter_wait(progress.wait_s, taken.wait_s)
             without_place.append(endpoint)
             return None
 
@@ -585,9 +513,7 @@
         progress.unused_place = used.place
         return used.decision, admitted
 
-    def _finish_refused(
-        self, call: RoutedCall, writer: ResponseWriter, progress: _Progress
-    ) -> bool:
+    def _finish_refused(self, call: RoutedCall, writer: ResponseWriter, progress: Progress) -> bool:
         """End a request that no engine takes in time, unless some may still take it later.
 
         :returns: whether it has ended.
@@ -598,7 +524,7 @@
             self._finish_failed(call, writer, progress, "no engine was ready in time")
             return True
         only_silent = bool(progress.silent) and not progress.admission_refusals
-        if self._candidates(call, progress) and not only_silent:
+        if self._candidates.find(call, progress) and not only_silent:
             # The remaining engines promise nothing in time, or the search took too long.
             self._finish_failed(call, writer, progress, "the engines are busy")
             return True
@@ -626,9 +552,7 @@
             quote_age_ms=_milliseconds(now - item.quoted_at) if quote is not None else None,
         )
 
-    def _finish_blocked(
-        self, call: RoutedCall, writer: ResponseWriter, progress: _Progress
-    ) -> bool:
+    def _finish_blocked(self, call: RoutedCall, writer: ResponseWriter, progress: Progress) -> bool:
         """End a request if it, or a part of its prompt, crashes engines; return whether it does."""
         blocked_s = self._crashes.blocked_s(call)
         if not blocked_s:
@@ -638,54 +562,16 @@
         self._finish_failed(call, writer, progress, "such requests crash engines")
         return True
 
-    def _may_retry(
-        self, call: RoutedCall, endpoint: Endpoint, outcome: AttemptOutcome, progress: "_Progress"
-    ) -> bool:
-        """Count an attempt without a complete response; return whether to make another."""
-        retry_budget = self._retry_budget(call.service)
-        if isinstance(outcome, NotExecuted):
-            if outcome.withheld:
-                # Nothing was sent. The endpoint isn't chosen again for this request.
-                self._evacuations.record_withheld()
-                return True
-            if outcome.misdirected:
-                endpoint.mark_misdirected()
-            if not isinstance(progress.last_outcome, Failed):
-                progress.last_outcome = outcome
-            if not outcome.arrived:
-                progress.connect_failures += 1
-                return progress.connect_failures <= _MAX_CONNECT_FAILURES
-            progress.rejections += 1
-            return progress.rejections <= _MAX_REJECTIONS and retry_budget.try_spend()
-        progress.last_outcome = outcome
-        progress.endpoints_run += not isinstance(outcome, OutOfTime) or outcome.sent
-        return (
-            isinstance(outcome, Failed | Interrupted)
-            and call.route.retryable
-            and progress.endpoints_run < call.route.max_endpoints
-            and call.remaining_s > _MIN_REMAINING_S
-            and self._crashes.may_retry(call)
-            and retry_budget.try_spend()
-        )
-
-    def _has_alternative(self, call: RoutedCall, progress: "_Progress") -> bool:
-        """Return whether another endpoint may be tried if the current one is slow."""
-        return (
-            call.route.kind is RouteKind.IDEMPOTENT
-            and progress.endpoints_run + 1 < call.route.max_endpoints
-            and bool(self._candidates(call, progress))
-        )
-
-    async def _admit(
-        self, call: RoutedCall, endpoint: Endpoint, progress: "_Progress"
-    ) -> Admission:
+    async def _admit(self, call: RoutedCall, endpoint: Endpoint, progress: Progress) -> Admission:
         if not call.route.has_prompt:
             return Admitted("")
         requested_at = clock.now()
         attempt = len(progress.tried)
         needs = self._needs(call, progress)
         budget_s = self._wait_budget_s(call, progress)
-        has_alternative = not progress.waits_for_silent and bool(self._candidates(call, progress))
+        has_alternative = not progress.waits_for_silent and bool(
+            self._candidates.find(call, progress)
+        )
         admission = await self._admission.admit(
             call, endpoint, attempt, budget_s, has_alternative, needs
         )
@@ -704,7 +590,7 @@
         )
         return admission
 
-    def _wait_budget_s(self, call: RoutedCall, progress: _Progress) -> float:
+    def _wait_budget_s(self, call: RoutedCall, progress: Progress) -> float:
         """Return how long a request may still wait before it is sent, seconds."""
         needs = self._needs(call, progress)
         if needs is not None:
@@ -714,7 +600,7 @@
         started_at = clock.now() if progress.endpoints_run else call.request.received_at
         return self._admission_wait.wait_s(call, started_at)
 
-    def _needs(self, call: RoutedCall, progress: _Progress) -> CallerNeeds | None:
+    def _needs(self, call: RoutedCall, progress: Progress) -> CallerNeeds | None:
         """Return what the caller needs if callers compete for the service, else ``None``."""
         if not call.competes:
             return None
@@ -727,25 +613,16 @@
         """Return the placement for a request."""
         return self._prompt_placement if call.route.has_prompt else self._plain_placement
 
-    def _candidates(self, call: RoutedCall, progress: _Progress) -> list[Endpoint]:
-        """List the endpoints that may still get a request: at a stream, of its version only."""
-        excluded = (*progress.tried, *progress.without_place)
-        return [
-            endpoint
-            for endpoint in self._endpoints.of_service(call.service)
-            if endpoint not in excluded and progress.may_use(endpoint)
-        ]
-
     async def _attempt(
         self,
         call: RoutedCall,
         decision: PlacementDecision,
         writer: ResponseWriter,
-        progress: "_Progress",
+        progress: Progress,
         admitted: Admitted,
     ) -> AttemptOutcome:
         timeout_s = call.remaining_s
-        if self._has_alternative(call, progress):
+        if self._candidates.has_alternative(call, progress):
             timeout_s *= _ATTEMPT_TIMEOUT_SHARE
 
         entry = decision.endpoint.entry
@@ -817,7 +694,7 @@
         return outcome
 
     def _finish_failed(
-        self, call: RoutedCall, writer: ResponseWriter, progress: "_Progress", cause: str
+        self, call: RoutedCall, writer: ResponseWriter, progress: Progress, cause: str
     ) -> None:
         """End a request after its last attempt: write an error, or abort a started stream."""
         last_outcome = progress.last_outcome
@@ -846,40 +723,13 @@
         elif progress.endpoints_run:
             refusal = Refusal(502, reason)
         else:
-            refusal = Refusal(503, cause, self._refusal_retry_after_s(call, progress))
+            refusal = Refusal(503, cause, self._return_times.after_refusal_s(call, progress))
         self._refuse(writer, call.metadata, refusal, call)
         if call.competes and refusal.status == _NOT_RUN_STATUS and not progress.blocked:
             # A caller comes back after a third of its remaining time at the latest.
             left_s = call.remaining_s * MAX_LEFT_SHARE
             self._returns.record_refusal(call, min(refusal.retry_after_s, left_s))
 
-    def _exclusion_cause(self, call: RoutedCall, progress: _Progress) -> str:
-        """Return why evacuations or regions leave a request no endpoint; empty if they do not."""
-        excluded = call.data_centres is not None or bool(
-            self._endpoints.evacuated_of_service(call.service)
-        )
-        if not excluded or self._candidates(call, progress):
-            return ""
-        return self._describe_lack(call, progress)
-
-    def _describe_lack(self, call: RoutedCall, progress: _Progress) -> str:
-        """Describe why no endpoint is left for a request."""
-        if call.competes and progress.admission_refusals:
-            return "the engines are busy"
-        if progress.silent:
-            return "the engines are silent"
-        listed = self._endpoints.of_service(call.service)
-        evacuated = self._endpoints.evacuated_of_service(call.service)
-        if evacuated and not any(call.may_run_in(one.entry.data_centre) for one in listed):
-            return "the data centres of the service are evacuated"
-        if call.data_centres is not None and not any(
-            call.may_run_in(one.entry.data_centre) for one in (*listed, *evacuated)
-        ):
-            return "no endpoint is in an allowed region"
-        if progress.origin is not None:
-            return "no engine of the stream's software version is available"
-        return "no endpoint is available"
-
     def _refuse(
         self,
         writer: ResponseWriter,
@@ -889,7 +739,7 @@
     ) -> None:
         retry_after_s = refusal.retry_after_s
         if refusal.status == _NOT_RUN_STATUS and not retry_after_s:
-            retry_after_s = self._retry_after_s()
+            retry_after_s = self._return_times.spread_s()
         self._metrics.record_refusal(refusal.status, refusal.reason)
         self._request_logger.write(
             "request.refused",
@@ -906,34 +756,6 @@
         headers = self._codec.encode_refusal(metadata.request_id, retry_after_s)
         writer.write_response(refusal.status, None, headers, refusal.reason.encode() + b"\n")
 
-    def _refusal_retry_after_s(self, call: RoutedCall, progress: _Progress) -> float:
-        if not call.competes or progress.blocked:
-            return self._retry_after_s(progress.wait_s)
-        seconds = retry_after_s(
-            progress.quote, progress.wait_s, call.rank, call.remaining_s, self._rng.random()
-        )
-        quote = progress.quote
-        self._request_logger.write(
-            "request.retry_time",
-            call.request_id,
-            failed=True,
-            rank=call.rank,
-            retry_after_s=round(seconds, 2),
-            quoted_ms=quote.ready_ms if quote is not None else None,
-            expected_wait_ms=_milliseconds(progress.wait_s),
-            pending_tokens=quote.load.pending_tokens if quote is not None else None,
-            waiting_tokens=quote.load.waiting_tokens if quote is not None else None,
-            tokens_per_s=quote.load.tokens_per_s if quote is not None else None,
-            left_ms=_milliseconds(call.remaining_s),
-            asked=progress.reservations,
-        )
-        return round(seconds, 2)
-
-    def _retry_after_s(self, wait_s: float = 0.0) -> float:
-        """Return the expected wait plus jitter, so that refused callers spread their retries."""
-        min_s, max_s = _RETRY_AFTER_JITTER_S
-        return round(wait_s + self._rng.uniform(min_s, max_s), 2)
-
     def _record_attempt(
         self,
         call: RoutedCall,
@@ -998,11 +820,6 @@
     return round(seconds * clock.MILLISECONDS_PER_SECOND)
 
 
-def _shorter_wait(wait_s: float, other_s: float) -> float:
-    """Return the shorter of two expected waits; 0 means that the first isn't known."""
-    return min(wait_s or other_s, other_s)
-
-
 def _admission_outcome(admission: Admission) -> str:
     if isinstance(admission, NotAdmitted):
         return "engine silent" if admission.engine_silent else "refused"
