Let waits at an endpoint be interrupted by what they wait at, not by data centre only

Cause: waits for admission at an engine that asks for a pause must end like those in an evacuated data centre. Change: InterruptibleWaits, on asyncio.timeout, so that no wait needs a task of its own; evacuations use it.

--- a/src/pearshed/_internal/gateway/availability/evacuations.py
+++ b/src/pearshed/_internal/gateway/availability/evacuations.py
@@ -10,6 +10,7 @@
 
 from absl import logging
 
+from pearshed._internal.gateway.availability.interruptible_waits import InterruptibleWaits
 from pearshed._internal.telemetry.metrics import Metric, Sample, counter
 from pearshed._internal.timers import clock
 
@@ -94,10 +95,9 @@
         self._confirmed_at = -math.inf
         self._untrusted_since: float | None = None
         self._confirmed = asyncio.Event()
-        self._waits: dict[asyncio.Future[Any], str] = {}
+        self._waits: InterruptibleWaits[str] = InterruptibleWaits()
         self._callbacks: list[Callable[[frozenset[str]], None]] = []
         self._withheld = 0
-        self._moved = 0
 
     @property
     def followed(self) -> bool:
@@ -228,9 +228,8 @@
             _log("evacuation.withdrawn", data_centre=data_centre, revision=revision)
         if in_force == before:
             return
-        for wait, data_centre in tuple(self._waits.items()):
-            if data_centre in in_force:
-                wait.cancel()
+        for data_centre in in_force - before:
+            self._waits.interrupt(data_centre)
         for callback in self._callbacks:
             callback(in_force)
 
@@ -246,20 +245,7 @@
         if self.is_evacuated(data_centre):
             operation.close()
             return None
-        wait = asyncio.ensure_future(operation)
-        self._waits[wait] = data_centre
-        try:
-            return await wait
-        except asyncio.CancelledError:
-            task = asyncio.current_task()
-            if task is not None and task.cancelling():
-                raise
-            if not self.is_evacuated(data_centre):
-                raise
-            self._moved += 1
-            return None
-        finally:
-            del self._waits[wait]
+        return await self._waits.wait(data_centre, operation)
 
     async def wait_until_trusted(self) -> bool:
         """Wait for a confirmation of the store for a moment, if the last one is too old.
@@ -313,7 +299,7 @@
         yield counter(
             "pearshed_gateway_evacuation_moved_total",
             "Waits for an endpoint that ended since its data centre was evacuated",
-            self._moved,
+            self._waits.interrupted,
         )
         yield counter(
             "pearshed_gateway_evacuation_withheld_total",
