Send an engine nothing in the pause that it asks for with Retry-After in a 503

What callers saw: an engine alone that asked for 2.5 s got all requests of the gateway meanwhile, and its callers 502, or 503 with a time of 0.3 to 0.9 s, at which they were turned away again. Cause: the header was decoded nowhere, so the engine stayed a candidate. Change: decisions/engine_pauses bounds the value, PauseTable keeps it by the engine's run, and a pausing engine is no candidate. Waits at it end, and a request is withheld right before it is written. While all engines pause, callers get 503 with the time until the first one goes on. Why it works: all ways to an engine go through Endpoint.accepting or the check before the bytes are written.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -91,6 +91,7 @@
         self._sent_at = 0.0
         self._first_event_at: float | None = None
         self._cut_off = False
+        self._asked_pause = False
 
     @property
     def sent_at(self) -> float:
@@ -204,6 +205,9 @@
             self._on_response(metadata)
             if metadata.leaving:
                 self._endpoint.mark_leaving()
+            if metadata.pause is not None:
+                self._asked_pause = True
+                self._endpoint.record_pause(metadata.pause)
         try:
             async with asyncio.timeout(max(0.0, self._call.remaining_s)):
                 return await self._relay_response(connection, first_event, metadata)
@@ -244,7 +248,8 @@
             self._endpoint.record_failure()
             return Failed(f"the answer broke off: {end.reason}")
         if head.status in _NOT_RUN_STATUSES:
-            self._endpoint.record_failure()
+            if not self._asked_pause:
+                self._endpoint.record_failure()
             return Failed(f"the endpoint answered {head.status} and may have run the request")
         if head.status in _SERVER_ERRORS:
             self._endpoint.record_failure()
--- a/src/pearshed/_internal/gateway/endpoints.py
+++ b/src/pearshed/_internal/gateway/endpoints.py
@@ -5,7 +5,9 @@
 from absl import logging
 
 from pearshed._internal.decisions.engine_load import Quote
+from pearshed._internal.decisions.engine_pauses import PauseRequest
 from pearshed._internal.gateway.availability.evacuations import EvacuationTable
+from pearshed._internal.gateway.availability.pauses import PauseTable
 from pearshed._internal.gateway.header_codec import EndpointLoadReport
 from pearshed._internal.gateway.idle_reuse_limit import IdleReuseLimit
 from pearshed._internal.gateway.leaving_endpoints import LeavingEndpoints
@@ -38,6 +40,7 @@
     :param idle_reuse_limit: of the service's connections.
     :param leaving_endpoints: the runs of all endpoints that have announced that they leave.
     :param evacuations: the evacuated data centres.
+    :param pauses: the pauses that engines have asked for.
     """
 
     def __init__(
@@ -46,8 +49,10 @@
         idle_reuse_limit: IdleReuseLimit | None = None,
         leaving_endpoints: LeavingEndpoints | None = None,
         evacuations: EvacuationTable | None = None,
+        pauses: PauseTable | None = None,
     ) -> None:
         self._evacuations = evacuations if evacuations is not None else EvacuationTable()
+        self._pauses = pauses if pauses is not None else PauseTable()
         self._entry = entry
         self._idle_reuse_limit = idle_reuse_limit or IdleReuseLimit(entry.service)
         self._leaving_endpoints = (
@@ -122,14 +127,14 @@
     def accepting(self) -> bool:
         """Whether the endpoint may get new requests.
 
-        It is listed as ready, not retired, hasn't announced that it leaves, and its data centre is
-        not evacuated.
+        It is listed as ready, not retired, hasn't announced that it leaves, doesn't pause, and its
+        data centre is not evacuated.
         """
-        return self.accepts_otherwise and not self.evacuated
+        return self.accepts_otherwise and not self.evacuated and not self.pause_s
 
     @property
     def accepts_otherwise(self) -> bool:
-        """Whether the endpoint may get new requests, or could but for an evacuation."""
+        """Whether the endpoint may get new requests, or could but for an evacuation or pause."""
         return not self._retired and not self._leaving and self._entry.state is EndpointState.READY
 
     @property
@@ -137,6 +142,11 @@
         """Whether the endpoint's data centre is evacuated."""
         return self._evacuations.is_evacuated(self._entry.data_centre)
 
+    @property
+    def pause_s(self) -> float:
+        """Rest of the pause that the endpoint has asked for, seconds; 0 without one."""
+        return self._pauses.remaining_s(self._entry)
+
     @property
     def failure_share(self) -> float:
         """Recent share of requests that failed, 0 to 1."""
@@ -201,6 +211,10 @@
                 },
             )
 
+    def record_pause(self, asked: PauseRequest) -> None:
+        """Stop new requests for the time that the endpoint asks for."""
+        self._pauses.record(self._entry, asked)
+
     async def acquire(self, retryable: bool) -> EndpointConnection:
         """Return an idle connection or open one.
 
@@ -333,10 +347,14 @@
     """The endpoints that the platform lists, by service.
 
     :param evacuations: the evacuated data centres.
+    :param pauses: the pauses that engines have asked for.
     """
 
-    def __init__(self, evacuations: EvacuationTable | None = None) -> None:
+    def __init__(
+        self, evacuations: EvacuationTable | None = None, pauses: PauseTable | None = None
+    ) -> None:
         self._evacuations = evacuations if evacuations is not None else EvacuationTable()
+        self._pauses = pauses if pauses is not None else PauseTable()
         self._evacuations.on_change(self._close_evacuated)
         self._endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, tuple[Endpoint, ...]] = {}
@@ -359,10 +377,17 @@
         return tuple(endpoint for endpoint in endpoints if endpoint.accepting)
 
     def evacuated_of_service(self, service: str) -> tuple[Endpoint, ...]:
-        """List the endpoints of a service that get no requests only due to an evacuation."""
+        """List the endpoints of a service in evacuated data centres that could get requests."""
         endpoints = self._by_service.get(service, ())
         return tuple(one for one in endpoints if one.accepts_otherwise and one.evacuated)
 
+    def paused_of_service(self, service: str) -> tuple[Endpoint, ...]:
+        """List the endpoints of a service that get no requests only since they pause."""
+        endpoints = self._by_service.get(service, ())
+        return tuple(
+            one for one in endpoints if one.accepts_otherwise and not one.evacuated and one.pause_s
+        )
+
     def update(self, entries: Mapping[str, EndpointEntry]) -> None:
         """Apply the entries that the platform lists now."""
         for identity in self._endpoints.keys() - entries.keys():
@@ -390,7 +415,7 @@
 
     def _create(self, entry: EndpointEntry) -> Endpoint:
         limit = self._idle_reuse_limits.setdefault(entry.service, IdleReuseLimit(entry.service))
-        return Endpoint(entry, limit, self._leaving, self._evacuations)
+        return Endpoint(entry, limit, self._leaving, self._evacuations, self._pauses)
 
     def _close_evacuated(self, data_centres: frozenset[str]) -> None:
         """Close the idle connections to evacuated data centres."""
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -19,10 +19,12 @@
 from pearshed._internal.gateway.admission_wait import AdmissionWait
 from pearshed._internal.gateway.attempt import Attempt
 from pearshed._internal.gateway.availability.evacuations import EvacuationTable
+from pearshed._internal.gateway.availability.pauses import PauseTable
 from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
 from pearshed._internal.gateway.engine_limits.cold_engine_monitor import ColdEngineMonitor
 from pearshed._internal.gateway.forwarding.candidates import CandidateFinder
+from pearshed._internal.gateway.forwarding.endpoint_waits import EndpointWaits
 from pearshed._internal.gateway.forwarding.progress import Progress, shorter_wait
 from pearshed._internal.gateway.forwarding.retry_rules import RetryRules
 from pearshed._internal.gateway.forwarding.return_times import ReturnTimes
@@ -102,6 +104,7 @@
         metrics: RequestMetrics,
         rng: random.Random,
         evacuations: EvacuationTable,
+        pauses: PauseTable,
     ) -> None:
         self._evacuations = evacuations
         self._codec = codec
@@ -111,7 +114,8 @@
         self._prompt_placement = prompt_placement
         self._admission = admission
         self._retry_budget = retry_budget
-        self._retry_rules = RetryRules(retry_budget, crashes, evacuations)
+        self._waits = EndpointWaits(evacuations, pauses)
+        self._retry_rules = RetryRules(retry_budget, crashes, self._waits)
         self._crashes = crashes
         self._rate_limited = rate_limited
         self._cold_engines = cold_engines
@@ -203,9 +207,8 @@
         progress: Progress,
     ) -> bool:
         """Take a place at an endpoint and try it; return whether the request has ended."""
-        place = await self._evacuations.wait_unless_evacuated(
-            decision.endpoint.entry.data_centre,
-            self._take_place(call, decision.endpoint, progress),
+        place = await self._waits.wait(
+            decision.endpoint, self._take_place(call, decision.endpoint, progress)
         )
         if place is None:
             return False
@@ -372,9 +375,8 @@
             decision, admitted = granted
             return await self._try_admitted(call, decision, writer, progress, admitted)
         progress.tried.append(decision.endpoint)
-        admission = await self._evacuations.wait_unless_evacuated(
-            decision.endpoint.entry.data_centre,
-            self._admit(call, decision.endpoint, progress),
+        admission = await self._waits.wait(
+            decision.endpoint, self._admit(call, decision.endpoint, progress)
         )
         if admission is None:
             # The cancelled wait has already released the reservation at the side.
@@ -628,11 +630,6 @@
         entry = decision.endpoint.entry
         rate_limit = self._rate_limited.effective_per_s(entry)
 
-        def withheld_reason() -> str:
-            if decision.endpoint.evacuated:
-                return "the data centre is evacuated"
-            return "" if self._evacuations.trusted else "the evacuations known are too old"
-
         def record_send() -> bool:
             place = progress.unused_place
             if place is not None and self._rate_limited.needs_new_place(entry, place):
@@ -666,7 +663,7 @@
             # A stream that has begun, or may be taken up later, depends on the engine's version.
             progress.origin is not None
             or (call.route.streaming and call.route.retryable and not admitted.started_at_ms),
-            withheld_reason,
+            lambda: self._waits.withheld_reason(decision.endpoint),
             record_send,
             record_response,
             record_prefill,
@@ -723,7 +720,9 @@
         elif progress.endpoints_run:
             refusal = Refusal(502, reason)
         else:
-            refusal = Refusal(503, cause, self._return_times.after_refusal_s(call, progress))
+            pause_s = self._candidates.pause_s(call, progress)
+            retry_after_s = self._return_times.after_refusal_s(call, progress, pause_s)
+            refusal = Refusal(503, cause, retry_after_s)
         self._refuse(writer, call.metadata, refusal, call)
         if call.competes and refusal.status == _NOT_RUN_STATUS and not progress.blocked:
             # A caller comes back after a third of its remaining time at the latest.
--- a/src/pearshed/_internal/gateway/forwarding/candidates.py
+++ b/src/pearshed/_internal/gateway/forwarding/candidates.py
@@ -38,8 +38,20 @@
             return ""
         return self.describe_lack(call, progress)
 
+    def pause_s(self, call: RoutedCall, progress: Progress) -> float:
+        """Return the time until the first of its endpoints ends its pause, seconds.
+
+        :returns: 0 if not all endpoints that may run the request pause.
+        """
+        if any(progress.may_use(one) for one in self._endpoints.of_service(call.service)):
+            return 0.0
+        paused = self._endpoints.paused_of_service(call.service)
+        return min((one.pause_s for one in paused if progress.may_use(one)), default=0.0)
+
     def describe_lack(self, call: RoutedCall, progress: Progress) -> str:
         """Describe why no endpoint is left for a request."""
+        if self.pause_s(call, progress):
+            return "the engines ask for a pause"
         if call.competes and progress.admission_refusals:
             return "the engines are busy"
         if progress.silent:
--- a/src/pearshed/_internal/gateway/forwarding/destination.py
+++ b/src/pearshed/_internal/gateway/forwarding/destination.py
@@ -187,6 +187,8 @@
 
     def _reason(self, endpoint: Endpoint, candidates: Sequence[Endpoint]) -> str:
         now = clock.now()
+        if endpoint.pause_s:
+            return f"asked for a pause, {endpoint.pause_s:.1f} s left"
         if endpoint not in candidates:
             return f"gets nothing new (listed as {endpoint.entry.state.value})"
         if endpoint.is_ejected(now):
--- a/src/pearshed/_internal/gateway/forwarding/retry_rules.py
+++ b/src/pearshed/_internal/gateway/forwarding/retry_rules.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from pearshed._internal.gateway.availability.evacuations import EvacuationTable
 from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import Endpoint
+from pearshed._internal.gateway.forwarding.endpoint_waits import EndpointWaits
 from pearshed._internal.gateway.forwarding.progress import Progress
 from pearshed._internal.gateway.routed_call import (
     AttemptOutcome,
@@ -34,11 +34,11 @@
         self,
         retry_budget: Callable[[str], ServiceRetryBudget],
         crashes: CrashDetector,
-        evacuations: EvacuationTable,
+        waits: EndpointWaits,
     ) -> None:
         self._retry_budget = retry_budget
         self._crashes = crashes
-        self._evacuations = evacuations
+        self._waits = waits
 
     def may_retry(
         self, call: RoutedCall, endpoint: Endpoint, outcome: AttemptOutcome, progress: Progress
@@ -48,7 +48,7 @@
         if isinstance(outcome, NotExecuted):
             if outcome.withheld:
                 # Nothing was sent. The endpoint isn't chosen again for this request.
-                self._evacuations.record_withheld()
+                self._waits.record_withheld(endpoint)
                 return True
             if outcome.misdirected:
                 endpoint.mark_misdirected()
--- a/src/pearshed/_internal/gateway/forwarding/return_times.py
+++ b/src/pearshed/_internal/gateway/forwarding/return_times.py
@@ -19,8 +19,13 @@
         self._request_logger = request_logger
         self._rng = rng
 
-    def after_refusal_s(self, call: RoutedCall, progress: Progress) -> float:
-        """Return the time after which the caller of a refused request may come back, seconds."""
+    def after_refusal_s(self, call: RoutedCall, progress: Progress, pause_s: float) -> float:
+        """Return the time after which the caller of a refused request may come back, seconds.
+
+        :param pause_s: time for which all engines get no requests, seconds; 0 if some do.
+        """
+        if pause_s:
+            return self.spread_s(pause_s)
         if not call.competes or progress.blocked:
             return self.spread_s(progress.wait_s)
         seconds = retry_after_s(
--- a/src/pearshed/_internal/gateway/header_codec.py
+++ b/src/pearshed/_internal/gateway/header_codec.py
@@ -3,6 +3,7 @@
 import abc
 from dataclasses import dataclass, field
 
+from pearshed._internal.decisions.engine_pauses import PauseRequest
 from pearshed._internal.http.messages import Header, Headers, ResponseHead
 from pearshed._internal.models.routing import EndpointEntry, PromptPart
 from pearshed._internal.utils.addresses import Address
@@ -91,6 +92,7 @@
         ``None`` if it names no limit.
     :ivar cold_s: rest of the time for which the endpoint is cold, seconds; ``None`` if it doesn't
         say so.
+    :ivar pause: the pause that the endpoint asks this gateway for; ``None`` if it asks for none.
     """
 
     request_id: str
@@ -100,6 +102,7 @@
     leaving: bool = False
     rate_limit: float | None = None
     cold_s: float | None = None
+    pause: PauseRequest | None = None
 
 
 class HeaderCodec(abc.ABC):
--- a/src/pearshed/_internal/gateway/leaving_endpoints.py
+++ b/src/pearshed/_internal/gateway/leaving_endpoints.py
@@ -2,13 +2,11 @@
 
 import collections
 
-from pearshed._internal.models.routing import EndpointEntry
+from pearshed._internal.models.routing import EndpointEntry, EndpointRun
 
 #: Runs of endpoints that are remembered; a restart or a new address begins another run.
 MAX_RUNS = 4096
 
-_Run = tuple[str, str, int]
-
 
 class LeavingEndpoints:
     """Runs of endpoints that have announced in a response that they leave.
@@ -19,7 +17,7 @@
     """
 
     def __init__(self) -> None:
-        self._runs: collections.OrderedDict[_Run, None] = collections.OrderedDict()
+        self._runs: collections.OrderedDict[EndpointRun, None] = collections.OrderedDict()
         self._announcements = 0
 
     @property
@@ -29,7 +27,7 @@
 
     def is_leaving(self, entry: EndpointEntry) -> bool:
         """Return whether an endpoint's run has announced that it leaves."""
-        return _run_of(entry) in self._runs
+        return entry.run in self._runs
 
     def add(self, entry: EndpointEntry) -> bool:
         """Record an announcement.
@@ -39,11 +37,7 @@
         if self.is_leaving(entry):
             return False
         self._announcements += 1
-        self._runs[_run_of(entry)] = None
+        self._runs[entry.run] = None
         if len(self._runs) > MAX_RUNS:
             self._runs.popitem(last=False)
         return True
-
-
-def _run_of(entry: EndpointEntry) -> _Run:
-    return entry.identity, str(entry.address), entry.started_at_ms
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -24,6 +24,7 @@
     EvacuationSettings,
     EvacuationTable,
 )
+from pearshed._internal.gateway.availability.pauses import PauseTable
 from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.engine_limits import cold_engine_monitor
@@ -115,7 +116,8 @@
         self._store_cache = StoreCache(store, decoder, self._rng, self._evacuations)
         self._directory = PeerDirectory(settings.control, settings.seeds, self._rng)
         self._peer_sync = PeerSync(self._store_cache, self._directory, self._rng)
-        self._endpoints = EndpointTable(self._evacuations)
+        self._pauses = PauseTable()
+        self._endpoints = EndpointTable(self._evacuations, self._pauses)
         self._store_cache.on_endpoints(self._apply_endpoints)
         self._retry_budgets: dict[str, ServiceRetryBudget] = {}
         self._connections: set[CallerConnection] = set()
@@ -190,7 +192,9 @@
             self._request_metrics,
             self._rng,
             self._evacuations,
+            self._pauses,
         )
+        self._pauses.on_begin(self._plain_waiting.process)
         self._pages = OperatorPages(
             settings.name,
             self._store_cache,
@@ -224,6 +228,7 @@
         metrics.add(self._cold_engines.collect)
         metrics.add(self._stream_versions.collect)
         metrics.add(self._evacuations.collect)
+        metrics.add(self._pauses.collect)
         metrics.add(self._returns.collect)
         metrics.add(self._plain_waiting.collect)
 
--- a/src/pearshed/_internal/models/routing.py
+++ b/src/pearshed/_internal/models/routing.py
@@ -204,6 +204,10 @@
     DRAINING = "draining"
 
 
+#: Identity, address and start of an endpoint, which tell its runs apart.
+EndpointRun = tuple[str, Address, int]
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointEntry:
     """Entry of one endpoint in the platform's store.
@@ -225,6 +229,11 @@
     started_at_ms: int
     software_version: str = ""
 
+    @property
+    def run(self) -> EndpointRun:
+        """What tells this run from one after a restart, and from another endpoint's."""
+        return self.identity, self.address, self.started_at_ms
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
--- a/src/pearshed/_internal/platform/headers.py
+++ b/src/pearshed/_internal/platform/headers.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from pearshed._internal.decisions.engine_pauses import PauseRequest, parse_pause
 from pearshed._internal.gateway.header_codec import (
     EndpointLoadReport,
     ForwardingMetadata,
@@ -72,6 +73,7 @@
             leaving=values.get(names.LEAVING) == b"1",
             rate_limit=_parse_rate(values.get(names.RATE_LIMIT, b"")),
             cold_s=_parse_seconds(values.get(names.COLD_MS, b"")),
+            pause=_parse_pause(head.status, values.get(names.RETRY_AFTER, b"")),
         )
 
     def encode_refusal(self, request_id: str, retry_after_s: float) -> list[Header]:
@@ -98,6 +100,11 @@
         return started_at_ms if isinstance(started_at_ms, int) else 0
 
 
+def _parse_pause(status: int, value: bytes) -> PauseRequest | None:
+    """Return the pause that an engine asks for; only a 503 asks the gateway, others the caller."""
+    return parse_pause(value) if status == 503 and value else None
+
+
 def _parse_milliseconds(value: bytes) -> float | None:
     try:
         return float(value) if value else None
--- a/src/pearshed/_internal/platform/names.py
+++ b/src/pearshed/_internal/platform/names.py
@@ -24,6 +24,8 @@
 LENGTH_HINT = b"pearshed-length-hint"
 RANK = b"pearshed-request-priority"
 FETCH_FROM = b"kv-fetch"
+# With an engine's 503: seconds for which the engine wants nothing from the gateway that it answers.
+# With a gateway's own refusal: seconds after which the caller may come back.
 RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 AUTHORIZATION_SCHEME = "token "
--- a/tests/gateway/test_engine_pauses.py
+++ b/tests/gateway/test_engine_pauses.py
@@ -246,7 +246,7 @@
     TARGETS_MS = (500, 1000)
 
     async def stream(self, connection: EngineConnection, request: EngineRequest) -> None:
-        if request.request_id == "first":
+        if self.run_count == 1:
             self.pausing = next(engine for engine in self.engines if request in engine.requests)
             await self.release.wait()
             connection.send_response(request, 503, b"", pause_headers())
