Let a side keep the pause that its endpoint asks for

Cause: a side relays an endpoint's 503 with Retry-After to the caller and goes on granting its slots. Change: the side grants nothing until the end, refuses leases and those that may not wait so long, with the time that is left; a protected tier waits. The value is bounded as at gateways. Result: EndpointPauseTest passes; on the code before, 7 of its 10 rows failed (those that ask for no pause passed). unit.test_side, unit.test_dispatch and functional.test_callers pass.

--- a/src/pearshed/_internal/side/attempt_manager.py
+++ b/src/pearshed/_internal/side/attempt_manager.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Iterable
 
 from absl import logging
 
 from pearshed._internal.configuration.catalogue import Catalogue
+from pearshed._internal.decisions.engine_pauses import parse_pause
 from pearshed._internal.errors import InvariantBrokenError
 from pearshed._internal.models.outcomes import Execution
 from pearshed._internal.models.records import Endpoint
@@ -36,6 +38,8 @@
 #: byte now and then would hold its slot for good.
 OVERDUE_RUN_S = 30.0
 _SWEEP_INTERVAL_S = 0.5
+#: Status with which an endpoint may ask for a pause.
+_TURNED_AWAY_STATUS = 503
 _KEY_SWEEP_INTERVAL_S = 10.0
 _RESPONSE_RETENTION_S = 30.0
 #: Longest time for which a response waits for an entry that is silent, seconds.
@@ -55,6 +59,8 @@
     ) -> None:
         """Store the status, the headers and the framing."""
         self._run.set_head(status, headers, until_close)
+        if status == _TURNED_AWAY_STATUS:
+            self._attempt_manager.on_turned_away(headers)
 
     def add(self, content: bytes) -> None:
         """Append bytes of the body."""
@@ -194,6 +200,20 @@
             frames.refuse(reservation.attempt, reason, retry_after_s=retry_after_s),
         )
 
+    def on_turned_away(self, headers: Iterable[tuple[str, str]]) -> None:
+        """Pause if the endpoint asks for it in the response to a run."""
+        value = next((value for name, value in headers if name.lower() == "retry-after"), "")
+        if not value:
+            return
+        asked = parse_pause(value.encode("latin-1", "replace"))
+        logging.info(
+            "the endpoint asks for a pause of %s s: granting nothing for %.2f s",
+            asked.text,
+            asked.pause_s,
+        )
+        self._counts["pauses"] += 1
+        self._scheduler.pause(asked.pause_s)
+
     def on_run_finished(self, key: AttemptKey) -> None:
         """Free the slot of a run that has ended."""
         tracked = self._runs.get(key)
--- a/src/pearshed/_internal/side/process.py
+++ b/src/pearshed/_internal/side/process.py
@@ -120,6 +120,7 @@
             "running": scheduler.running,
             "queued": scheduler.queued,
             "draining": scheduler.draining,
+            "pause_s": round(scheduler.pause_s, 3),
             "service_s": round(scheduler.service_s, 3),
             "answers_kept": self._attempt_manager.retained_runs,
             "keys": len(self._keys),
--- a/src/pearshed/_internal/side/scheduler.py
+++ b/src/pearshed/_internal/side/scheduler.py
@@ -56,6 +56,7 @@
         self._leases: set[Reservation] = set()
         self._queued_by_class: Counter[str] = Counter()
         self._draining = False
+        self._paused_until = float("-inf")
         self._service_s = _INITIAL_SERVICE_S
         self._grants = 0
         self._expired = 0
@@ -81,6 +82,11 @@
         """Whether the endpoint gets no new work."""
         return self._draining
 
+    @property
+    def pause_s(self) -> float:
+        """Rest of the pause that the endpoint has asked for, seconds; 0 without one."""
+        return max(0.0, self._paused_until - clock.now())
+
     @property
     def service_s(self) -> float:
         """Smoothed time for which a request occupies a slot, seconds."""
@@ -118,6 +124,25 @@
             self._leases.discard(reservation)
             self._refuse(reservation, pb.REFUSAL_DRAINING)
 
+    def pause(self, pause_s: float) -> None:
+        """Grant nothing for a time that the endpoint asks for; of several the latest end counts.
+
+        Leased reservations are refused, and queued ones that may not wait so long.
+
+        :param pause_s: seconds.
+        """
+        if pause_s <= self.pause_s:
+            return
+        self._paused_until = clock.now() + pause_s
+        for reservation in list(self._leases):
+            self._leases.discard(reservation)
+            self._refuse(reservation, pb.REFUSAL_LEASE_EXPIRED)
+        for reservation in list(self._policy.queued()):
+            if self._waits_too_long(reservation):
+                self._remove_queued(reservation)
+                self._refuse(reservation, pb.REFUSAL_DEADLINE)
+        self._timers.after(pause_s, self._grant_free_slots)
+
     def reserve(self, reservation: Reservation) -> None:
         """Queue a reservation, or refuse it at once if it can't be served in time."""
         reason = self._refusal_reason(reservation)
@@ -167,12 +192,10 @@
 
     def expected_wait_s(self, reservation: Reservation) -> float:
         """Estimate a new reservation's wait from the number of reservations ahead of it."""
-        if not self._slots:
-            return 0.0
-        if self.running < self._slots and not len(self._policy):
-            return 0.0
+        if not self._slots or (self.running < self._slots and not len(self._policy)):
+            return self.pause_s
         ahead = self._policy.count_ahead(reservation.tier.rank)
-        return (ahead + 1) * self._service_s / self._slots
+        return self.pause_s + (ahead + 1) * self._service_s / self._slots
 
     def _expire_leases(self) -> None:
         """Refuse reservations whose lease has expired and free their slots."""
@@ -204,10 +227,15 @@
             return pb.REFUSAL_QUEUE_FULL
         if len(self._policy) >= _MAX_QUEUE_LENGTH:
             return pb.REFUSAL_QUEUE_FULL
-        if self.expected_wait_s(reservation) > _max_wait_s(request_class):
+        if self._waits_too_long(reservation):
             return pb.REFUSAL_DEADLINE
         return None
 
+    def _waits_too_long(self, reservation: Reservation) -> bool:
+        if reservation.tier.protected:
+            return False
+        return self.expected_wait_s(reservation) > _max_wait_s(reservation.request_class)
+
     def _displace_lower_tier(self, reservation: Reservation) -> pb.RefusalReason | None:
         """Displace the newest reservation of the lowest-priority tier for a protected one."""
         if len(self._policy) < _MAX_QUEUE_LENGTH:
@@ -220,7 +248,7 @@
         return None
 
     def _grant_free_slots(self) -> None:
-        while not self._draining and self.running < self._slots:
+        while not (self._draining or self.pause_s) and self.running < self._slots:
             reservation = self._policy.pop()
             if reservation is None:
                 return
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -119,10 +119,16 @@
         """Record the cancellation."""
         self.cancelled = True
 
-    def respond(self, content: bytes = b"answer", complete: bool = True) -> None:
+    def respond(
+        self,
+        content: bytes = b"answer",
+        complete: bool = True,
+        status: int = 200,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> None:
         """Send a complete or an interrupted response."""
         self.ended = True
-        self.receiver.set_head(200, (), until_close=False)
+        self.receiver.set_head(status, headers, until_close=False)
         self.receiver.add(content)
         self.receiver.finish(Execution.RAN if complete else Execution.MAY_HAVE_RUN, complete, "")
 
--- a/tests/unit/test_side.py
+++ b/tests/unit/test_side.py
@@ -276,6 +276,80 @@
             self.assertGreater(refusal.retry_after_ms, 0)
 
 
+class EndpointPauseTest(unittest.TestCase):
+    """An endpoint turns a run away and asks for a pause; it has two slots."""
+
+    def setUp(self) -> None:
+        self.clock = FakeClock(self)
+        own = records.endpoint("engine-1", "writing", 1, slots=2)
+        self.harness = AttemptManagerHarness([*records.base_records(), own])
+        self.writer = self.harness.connect("e1")
+
+    def turn_away(self, value: str = "3", status: int = 503) -> None:
+        self.harness.reserve("e1", 1)
+        self.harness.body("e1", 1)
+        self.harness.client.started[0].respond(status=status, headers=(("Retry-After", value),))
+
+    def test_a_lease_is_not_used_in_the_pause(self) -> None:
+        self.harness.reserve("e1", 2)
+        self.turn_away()
+        self.assertEqual(["grant", "refuse"], self.writer.kinds(2))
+        self.assertFalse(self.writer.last(2).refuse.may_have_run)
+        self.harness.body("e1", 2)
+        self.assertEqual(1, len(self.harness.client.started))
+
+    @parameterized.expand(
+        [
+            ("protected_waits", "notice", True),
+            ("within_its_wait", "chat", True),
+            ("others_are_refused", "draft", False),
+        ]
+    )
+    def test_new_requests_wait_or_are_refused_with_the_time_that_is_left(
+        self, _: str, class_name: str, waits: bool
+    ) -> None:
+        self.turn_away("100" if class_name == "draft" else "2")
+        self.clock.advance(0.5)
+        self.harness.reserve("e1", 2, class_name)
+        if not waits:
+            self.assertGreaterEqual(self.writer.last(2).refuse.retry_after_ms, 59_000)
+            return
+        self.assertEqual([], self.writer.kinds(2))
+        self.clock.advance(1.6)
+        self.harness.timers.fire()
+        self.assertEqual(["grant"], self.writer.kinds(2))
+
+    def test_queued_requests_that_may_not_wait_so_long_are_refused_at_once(self) -> None:
+        for attempt in (2, 3, 4):
+            self.harness.reserve("e1", attempt, "draft")
+        self.harness.body("e1", 2)
+        self.harness.body("e1", 3)
+        headers = (("Retry-After", "100"),)
+        self.harness.client.started[0].respond(status=503, headers=headers)
+        self.assertEqual(["refuse"], self.writer.kinds(4))
+
+    @parameterized.expand(
+        [
+            ("another_status", "3", 429),
+            ("negative", "-3", 503),
+            ("nothing", "", 503),
+        ]
+    )
+    def test_what_asks_for_no_pause(self, _: str, value: str, status: int) -> None:
+        self.turn_away(value, status)
+        self.harness.reserve("e1", 2)
+        self.assertEqual(["grant"], self.writer.kinds(2))
+
+    @parameterized.expand([("huge", "9" * 400, 301.0), ("date", "Sat, 05 Dec 2026", 1.1)])
+    def test_odd_values_are_bounded(self, _: str, value: str, ended_s: float) -> None:
+        self.turn_away(value)
+        self.harness.reserve("e1", 2, "notice", deadline_ms=1_000_000)
+        self.assertEqual([], self.writer.kinds(2))
+        self.clock.advance(ended_s)
+        self.harness.timers.fire()
+        self.assertEqual(["grant"], self.writer.kinds(2))
+
+
 def create_key(clock: FakeClock, age_s: float) -> str:
     """Create a UUIDv7 key of a given age."""
     created_ms = clock.unix_ms() - round(age_s * 1000)
