Let an odd document of another writer cost only itself

What callers saw: a gateway ended, and ended again after each start, while an entry whose service, address, state, slots or start was nested a thousand deep, or whose port had 5,000 digits, stood in the store: the message about the field failed (RecursionError, ValueError), and the task that follows the store with it. A start or number of slots beyond 64 bits failed each request to that engine. A side stopped reading its engine after a report with a run of wrong types. An entry stopped following the platform after a page with one deep record; a weight that is no number was accepted. A caller's header with a superscript digit or 5,000 digits failed its connection. Change: utils/foreign_values describes values within bounds and takes numbers that are finite and at most 2**53; all decoders use it. A page of the platform is split without decoding its documents. A refused entry is logged once for each revision.

--- a/src/pearshed/_internal/configuration/http_source.py
+++ b/src/pearshed/_internal/configuration/http_source.py
@@ -1,13 +1,11 @@
 """Client for platforms that publish over HTTP, in the format of docs/interfaces.md."""
 
-import json
-from typing import Any
-
 import urllib3
 from returns.result import Failure, Result, Success
 
 from pearshed._internal.configuration.feed import FeedChange, FeedName, PlatformSource
-from pearshed._internal.configuration.parser import encode_record
+from pearshed._internal.utils.foreign_values import parse_count
+from pearshed._internal.utils.json_split import split_elements, split_members
 from pearshed._internal.utils.threads import run_in_daemon_thread
 
 _CONNECT_TIMEOUT_S = 2.0
@@ -55,15 +53,25 @@
             )
             if response.status != 200:
                 return Failure(f"{path} returned status {response.status}")
-            return _parse_changes(path, feed.value, json.loads(response.data))
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            return parse_changes(path, feed.value, response.data)
+        except urllib3.exceptions.HTTPError as error:
             return Failure(f"{path}: {error}")
 
 
-def _parse_changes(path: str, list_key: str, raw: Any) -> Result[FeedChange, str]:
-    if not isinstance(raw, dict) or not isinstance(raw.get("revision"), int):
+def parse_changes(path: str, list_key: str, content: bytes) -> Result[FeedChange, str]:
+    """Parse a response of the platform.
+
+    Its documents are not decoded here, so one that can't be read leaves the others usable.
+
+    :param path: of the request, for messages.
+    :param list_key: name of the list of documents.
+    """
+    try:
+        members = dict(split_members(content))
+        documents = split_elements(members.get(list_key.encode(), b"[]"))
+    except ValueError as error:
+        return Failure(f"{path}: {error}")
+    revision = parse_count(members.get(b"revision", b""))
+    if revision is None:
         return Failure(f"{path}: expected an object with a whole number 'revision'")
-    items = raw.get(list_key, [])
-    if not isinstance(items, list):
-        return Failure(f"{path}: expected a list '{list_key}'")
-    return Success(FeedChange(raw["revision"], tuple(encode_record(item) for item in items)))
+    return Success(FeedChange(revision, tuple(documents)))
--- a/src/pearshed/_internal/configuration/parser.py
+++ b/src/pearshed/_internal/configuration/parser.py
@@ -20,6 +20,7 @@
 )
 from pearshed._internal.utils.addresses import Address, parse_address
 from pearshed._internal.utils.fields import FieldReader
+from pearshed._internal.utils.foreign_values import shorten
 
 SUPPORTED_SCHEMAS = (1, 2)
 _SHA256_HEX_LENGTH = 64
@@ -85,7 +86,9 @@
         value = _SPEC_READERS[(RecordKind(kind), schema)](name, spec)
         spec.finish()
     if problems:
-        return Failure(RecordProblemError(f"{kind or '?'}/{name or '?'}", tuple(problems)))
+        return Failure(
+            RecordProblemError(f"{shorten(kind) or '?'}/{shorten(name) or '?'}", tuple(problems))
+        )
     encoded = document if document is not None else encode_record(raw)
     return Success(Record(RecordKind(kind), name, revision, value, encoded))
 
--- a/src/pearshed/_internal/engine_side/messages.py
+++ b/src/pearshed/_internal/engine_side/messages.py
@@ -5,7 +5,6 @@
 processing of a prompt before its first output token.
 """
 
-import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -22,6 +21,7 @@
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.models.routing import PromptPart
 from pearshed._internal.timers import clock
+from pearshed._internal.utils.foreign_values import describe, to_integer, to_number
 
 #: Larger datagrams are rejected, bytes; prompts have a few parts, services a few routes.
 MAX_DATAGRAM_BYTES = 4096
@@ -372,15 +372,23 @@
             return Failure("the reservation is not a string")
         if kind == "a":
             rank, budget_ms, prompt, output_tokens, *optional = fields
-            parts = tuple(PromptPart(str(part), int(tokens)) for part, tokens in prompt)
+            parts = tuple(PromptPart(str(part), to_integer(tokens)) for part, tokens in prompt)
             # Gateways of older versions send fewer fields.
-            slots, gap_ms = (int(optional[0]), int(optional[1])) if len(optional) > 1 else (0, 0)
+            slots, gap_ms = (
+                (to_integer(optional[0]), to_integer(optional[1])) if len(optional) > 1 else (0, 0)
+            )
             has_alternative = len(optional) > 2 and bool(optional[2])
             terms = _decode_terms(optional[3]) if len(optional) > 3 else None
-            numbers = (int(output_tokens), slots, gap_ms)
+            numbers = (to_integer(output_tokens), slots, gap_ms)
             return Success(
                 AdmissionRequest(
-                    reservation, int(rank), int(budget_ms), parts, *numbers, has_alternative, terms
+                    reservation,
+                    to_integer(rank),
+                    to_integer(budget_ms),
+                    parts,
+                    *numbers,
+                    has_alternative,
+                    terms,
                 )
             )
         if kind == "d":
@@ -389,14 +397,18 @@
             # Sides of older versions send no second field.
             engine_silent = len(fields) > 1 and bool(fields[1])
             quote = _decode_quote(fields[2]) if len(fields) > 2 else None
-            return Success(AdmissionRefused(reservation, int(fields[0]), engine_silent, quote))
+            return Success(
+                AdmissionRefused(reservation, to_integer(fields[0]), engine_silent, quote)
+            )
         if kind == "g":
             # Sides of older versions send no second field.
-            started_at_ms = int(fields[1]) if len(fields) > 1 else 0
+            started_at_ms = to_integer(fields[1]) if len(fields) > 1 else 0
             quote = _decode_quote(fields[2]) if len(fields) > 2 and fields[2] else None
-            waited_ms = int(fields[3]) if len(fields) > 3 else 0
+            waited_ms = to_integer(fields[3]) if len(fields) > 3 else 0
             return Success(
-                AdmissionGranted(reservation, int(fields[0]), started_at_ms, quote, waited_ms)
+                AdmissionGranted(
+                    reservation, to_integer(fields[0]), started_at_ms, quote, waited_ms
+                )
             )
         if kind == "w":
             return Success(
@@ -408,15 +420,15 @@
             # Sides of older versions send no hosts.
             hosts = tuple(str(host) for host in fields[2]) if len(fields) > 2 else ()
             return Success(
-                FleetTraffic(reservation, int(fields[0]), _decode_routes(fields[1]), hosts)
+                FleetTraffic(reservation, to_integer(fields[0]), _decode_routes(fields[1]), hosts)
             )
         if kind == "p" and fields:
             return _decode_origin_message(reservation, fields[0])
         if kind in _KINDS:
             return Success(_KINDS[kind](reservation))
-    except (orjson.JSONDecodeError, AttributeError, TypeError, ValueError, IndexError) as error:
-        return Failure(f"malformed datagram: {error}")
-    return Failure(f"unknown datagram kind {kind!r}")
+    except (AttributeError, TypeError, ValueError, IndexError, RecursionError) as error:
+        return Failure(f"malformed datagram: {describe(str(error))}")
+    return Failure(f"unknown datagram kind {describe(kind)}")
 
 
 def _encode_terms(terms: RequestTerms | None) -> list[object]:
@@ -428,7 +440,9 @@
 
 def _decode_terms(fields: Sequence[Any]) -> RequestTerms:
     target_left_ms, useful_left_ms, customer, returned = fields[:4]
-    return RequestTerms(int(target_left_ms), int(useful_left_ms), str(customer), bool(returned))
+    return RequestTerms(
+        to_integer(target_left_ms), to_integer(useful_left_ms), str(customer), bool(returned)
+    )
 
 
 def _encode_quote(quote: Quote | None) -> list[object]:
@@ -455,7 +469,9 @@
 def _decode_quote(fields: Sequence[Any]) -> Quote:
     ready_ms, uncached_tokens, load = fields[:3]
     return Quote(
-        int(ready_ms), int(uncached_tokens), EngineLoad(*(int(number) for number in load[:7]))
+        to_integer(ready_ms),
+        to_integer(uncached_tokens),
+        EngineLoad(*(to_integer(number) for number in load[:7])),
     )
 
 
@@ -465,7 +481,7 @@
         return Success(_decode_crash_report(reservation, fields[1], fields[2]))
     if len(fields) == 2:
         return _decode_extension(reservation, fields[1])
-    return Success(RequestFinished(reservation, int(fields[0]) if fields else 0))
+    return Success(RequestFinished(reservation, to_integer(fields[0]) if fields else 0))
 
 
 def _encode_extension(
@@ -496,7 +512,7 @@
 def _decode_extension(reservation: str, extension: Mapping[str, Any]) -> Result[Message, str]:
     if "place" in extension:
         run, per_s, named_ms, rank, budget_ms = extension["place"]
-        numbers = (int(named_ms), int(rank), int(budget_ms))
+        numbers = (to_integer(named_ms), to_integer(rank), to_integer(budget_ms))
         return Success(PlaceRequest(reservation, str(run), _rate_of(per_s), *numbers))
     if "cold_place" in extension:
         run, per_s, named_ms, rank, budget_ms, cold_per_s, cold_left_ms = extension["cold_place"][
@@ -507,11 +523,11 @@
                 reservation,
                 str(run),
                 _rate_of(per_s) if per_s is not None else None,
-                int(named_ms),
-                int(rank),
-                int(budget_ms),
+                to_integer(named_ms),
+                to_integer(rank),
+                to_integer(budget_ms),
                 _rate_of(cold_per_s),
-                int(cold_left_ms),
+                to_integer(cold_left_ms),
             )
         )
     if "unused" in extension:
@@ -524,11 +540,11 @@
         return Success(LimitReport(reservation, limits))
     if "returns" in extension:
         records = tuple(
-            RefusedCall(str(content), int(rank), _time_of(-int(due_ms)), bool(spent))
+            RefusedCall(str(content), to_integer(rank), _time_of(-to_integer(due_ms)), bool(spent))
             for content, rank, due_ms, spent in extension["returns"]
         )
         return Success(ReturnReport(reservation, records))
-    return Failure(f"unknown extension {next(iter(extension), '')!r}")
+    return Failure(f"unknown extension {describe(next(iter(extension), ''))}")
 
 
 def _encode_origin_message(
@@ -555,7 +571,7 @@
         if not isinstance(origin, list):
             return Failure("the origin of a stream is not a list")
         return Success(OriginResponse(reservation, _origin_of(*origin)))
-    return Failure(f"unknown extension {next(iter(extension), '')!r}")
+    return Failure(f"unknown extension {describe(next(iter(extension), ''))}")
 
 
 def _origin_of(service: Any, version: Any) -> StreamOrigin:
@@ -573,8 +589,8 @@
 
     :raises ValueError: when it is no rate.
     """
-    rate = float(raw)
-    if not 0.0 <= rate < math.inf:
+    rate = to_number(raw)
+    if rate < 0.0:
         raise ValueError(f"{rate} requests per second")
     return rate
 
@@ -589,7 +605,7 @@
 
     :raises ValueError: when the age is not a number.
     """
-    return clock.now() - int(age_ms) / clock.MILLISECONDS_PER_SECOND
+    return clock.now() - to_integer(age_ms) / clock.MILLISECONDS_PER_SECOND
 
 
 def _encode_crash_report(message: CrashReport) -> tuple[bytes, ...]:
@@ -675,6 +691,6 @@
 
 def _decode_routes(raw: Sequence[Sequence[Any]]) -> tuple[RouteTraffic, ...]:
     return tuple(
-        RouteTraffic(str(route), float(weight), float(tokens), float(work))
+        RouteTraffic(str(route), to_number(weight), to_number(tokens), to_number(work))
         for route, weight, tokens, work in raw
     )
--- a/src/pearshed/_internal/gateway/forwarding/destination.py
+++ b/src/pearshed/_internal/gateway/forwarding/destination.py
@@ -16,6 +16,7 @@
 from pearshed._internal.http.messages import HttpRequest
 from pearshed._internal.models.routing import PromptPart, Route, RoutingConfiguration
 from pearshed._internal.timers import clock
+from pearshed._internal.utils.foreign_values import describe, parse_count
 
 #: Endpoints that are listed in the order in which a request would try them.
 MAX_RANKED = 8
@@ -54,15 +55,16 @@
         return Failure("the query names no route")
     prompt = []
     for entry in filter(None, fields.get("parts", "").split(",")):
-        part_id, _, tokens = entry.rpartition(":")
-        if not part_id or not tokens.isdigit():
-            return Failure(f"{entry!r} is no part of a prompt: expected ID:TOKENS")
-        prompt.append(PromptPart(part_id, int(tokens)))
-    output = fields.get("output", "0")
-    if not output.isdigit():
-        return Failure(f"{output!r} is no number of output tokens")
+        part_id, _, text = entry.rpartition(":")
+        tokens = parse_count(text)
+        if not part_id or tokens is None:
+            return Failure(f"{describe(entry)} is no part of a prompt: expected ID:TOKENS")
+        prompt.append(PromptPart(part_id, tokens))
+    output = parse_count(fields.get("output", "0"))
+    if output is None:
+        return Failure(f"{describe(fields['output'])} is no number of output tokens")
     customer = fields.get("customer", "")
-    return Success(DestinationQuery(fields["route"], customer, tuple(prompt), int(output)))
+    return Success(DestinationQuery(fields["route"], customer, tuple(prompt), output))
 
 
 class DestinationExplainer:
--- a/src/pearshed/_internal/gateway/peer_messages.py
+++ b/src/pearshed/_internal/gateway/peer_messages.py
@@ -16,6 +16,7 @@
 from pearshed._internal.gateway.store import StoreItem
 from pearshed._internal.gateway.store_cache import StoreUpdate
 from pearshed._internal.timers import clock
+from pearshed._internal.utils.foreign_values import describe, parse_count, to_integer
 
 #: Level of compression: the fastest, since it blocks the event loop.
 _COMPRESSION_LEVEL = 1
@@ -60,10 +61,10 @@
     """
     fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
     try:
-        age_ms = int(fields["confirmed_ago_ms"])
-        version = int(fields["version"])
+        age_ms = _parse_count(fields["confirmed_ago_ms"])
+        version = _parse_count(fields["version"])
     except (KeyError, ValueError) as error:
-        return Failure(f"the question is malformed: {error}")
+        return Failure(f"the question is malformed: {describe(str(error))}")
     age_s = age_ms / clock.MILLISECONDS_PER_SECOND
     return Success(
         SyncRequest(
@@ -116,9 +117,9 @@
         compressed = raw.get("compressed_configuration")
         return Success(
             StoreUpdate(
-                int(raw["revision"]),
-                int(raw["version"]),
-                int(raw["confirmed_ago_ms"]) / clock.MILLISECONDS_PER_SECOND,
+                to_integer(raw["revision"]),
+                to_integer(raw["version"]),
+                _age_ms(raw["confirmed_ago_ms"]) / clock.MILLISECONDS_PER_SECOND,
                 (
                     _decompress(_decode_item(compressed))
                     if compressed is not None
@@ -133,7 +134,7 @@
             )
         )
     except (AttributeError, KeyError, TypeError, ValueError, binascii.Error, zlib.error) as error:
-        return Failure(f"{type(error).__name__}: {error}")
+        return Failure(f"{type(error).__name__}: {describe(str(error))}")
 
 
 def _encode_evacuations(update: EvacuationUpdate | None) -> Mapping[str, Any] | None:
@@ -150,12 +151,34 @@
     if raw is None:
         return None
     return EvacuationUpdate(
-        {str(name): int(revision) for name, revision in raw["data_centres"].items()},
-        int(raw["revision"]),
-        int(raw["confirmed_ago_ms"]) / clock.MILLISECONDS_PER_SECOND,
+        {str(name): to_integer(revision) for name, revision in raw["data_centres"].items()},
+        to_integer(raw["revision"]),
+        _age_ms(raw["confirmed_ago_ms"]) / clock.MILLISECONDS_PER_SECOND,
     )
 
 
+def _age_ms(raw: Any) -> int:
+    """Return an age.
+
+    :raises ValueError: when it is none: a negative age would seem newer than the present.
+    """
+    age_ms = to_integer(raw)
+    if age_ms < 0:
+        raise ValueError(f"the age {age_ms} ms is negative")
+    return age_ms
+
+
+def _parse_count(text: str) -> int:
+    """Return a whole number of a query.
+
+    :raises ValueError: when it is none.
+    """
+    count = parse_count(text)
+    if count is None:
+        raise ValueError(f"expected a whole number, found {describe(text)}")
+    return count
+
+
 def _decompress(item: StoreItem) -> StoreItem:
     """Decompress a configuration.
 
@@ -174,4 +197,6 @@
 
 def _decode_item(raw: Any) -> StoreItem:
     key, revision, value = raw
-    return StoreItem(str(key), int(revision), base64.b64decode(value, validate=True))
+    if not isinstance(key, str):
+        raise ValueError(f"expected a key, found {describe(key)}")
+    return StoreItem(key, to_integer(revision), base64.b64decode(value, validate=True))
--- a/src/pearshed/_internal/gateway/store_cache.py
+++ b/src/pearshed/_internal/gateway/store_cache.py
@@ -31,6 +31,7 @@
 )
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.backoff import Backoff
+from pearshed._internal.utils.foreign_values import shorten
 
 #: Wait of one watch, seconds. Each response confirms the configuration as of its request; when one
 #: is lost, there is still time to ask other gateways (``peer_sync``).
@@ -543,14 +544,17 @@
         identity = self._store.endpoint_identity(item.key)
         if item.revision < self._entry_revisions.get(identity, 0):
             return False
-        if item.revision > self._entry_revisions.get(identity, 0):
+        is_new = item.revision > self._entry_revisions.get(identity, 0)
+        if is_new:
             self._entries_received_at[identity] = clock.now()
         self._entry_revisions[identity] = item.revision
         if item.value is None:
             return self._drop_or_defer_endpoint(identity)
         decoded = self._decoder.endpoint(identity, item.value)
         if not is_successful(decoded):
-            _log("endpoint.refused", identity=identity, reason=decoded.failure())
+            if is_new:
+                # Read again, it would be logged again.
+                _log("endpoint.refused", identity=shorten(identity), reason=decoded.failure())
             return self._drop_or_defer_endpoint(identity)
         entry = decoded.unwrap()
         current = self._endpoints.get(identity)
--- a/src/pearshed/_internal/http/json_client.py
+++ b/src/pearshed/_internal/http/json_client.py
@@ -19,6 +19,7 @@
 )
 from pearshed._internal.http.messages import Header, ResponseHead
 from pearshed._internal.utils.addresses import Address
+from pearshed._internal.utils.foreign_values import parse_count
 
 #: All servers are one network hop away.
 CONNECT_TIMEOUT_S = 0.8
@@ -188,4 +189,4 @@
 
 def _content_length(head: ResponseHead) -> int | None:
     value = messages.header_value(head.headers, b"content-length")
-    return int(value) if value is not None and value.isdigit() else None
+    return parse_count(value) if value is not None else None
--- a/src/pearshed/_internal/platform/documents.py
+++ b/src/pearshed/_internal/platform/documents.py
@@ -1,6 +1,5 @@
 """Decodes the platform's JSON documents into the project's own types."""
 
-import math
 import re
 from collections.abc import Mapping
 from typing import Any
@@ -25,6 +24,7 @@
 )
 from pearshed._internal.timers.clock import MILLISECONDS_PER_SECOND
 from pearshed._internal.utils.addresses import parse_address
+from pearshed._internal.utils.foreign_values import describe, to_integer, to_number
 
 _HEADER_VALUE = re.compile("[\x21-\x7e\xa0-\xff](?:[\x20-\x7e\xa0-\xff]*[\x21-\x7e\xa0-\xff])?")
 
@@ -109,7 +109,7 @@
     try:
         kind = RouteKind(_get_text(raw, "kind"))
     except ValueError as error:
-        raise _FieldError(f"routes.kind: {error}") from error
+        raise _FieldError(f"routes.kind: {describe(str(error))}") from error
     return Route(
         name=_get_text(raw, "name"),
         host=_get_text(raw, "hostname").lower(),
@@ -168,12 +168,24 @@
             logging.error("customer.refused", extra={"fields": {"reason": _not_a_header(name)}})
             continue
         rank = customer.get("priority")
-        holder = KeyHolder(name, rank if isinstance(rank, int) else None, _parse_regions(customer))
+        holder = KeyHolder(name, _find_rank(rank), _parse_regions(customer))
         for key in _get_list(customer, "apiKeys"):
-            key_holders[str(key)] = holder
+            if isinstance(key, str):
+                key_holders[key] = holder
+            else:
+                reason = f"an API key of {name} is {describe(key)}"
+                logging.error("customer.refused", extra={"fields": {"reason": reason}})
     return key_holders
 
 
+def _find_rank(raw: Any) -> int | None:
+    """Return a customer's rank; ``None`` for the rank of the route."""
+    try:
+        return to_integer(raw)
+    except ValueError:
+        return None
+
+
 def _parse_regions(raw: Mapping[str, Any]) -> frozenset[str] | None:
     """Return the regions that a route or a customer allows; ``None`` if it names none.
 
@@ -208,19 +220,21 @@
     address = parse_address(_get_text(raw, "address"))
     if not is_successful(address):
         raise _FieldError(f"address: {address.failure()}")
+    if not address.unwrap().port:
+        raise _FieldError("address: port 0 can't be connected to")
     try:
         state = EndpointState(_get_text(raw, "state"))
     except ValueError as error:
-        raise _FieldError(f"state: {error}") from error
+        raise _FieldError(f"state: {describe(str(error))}") from error
     return EndpointEntry(
         identity=identity,
         service=_get_text(raw, "service"),
         address=address.unwrap(),
         data_centre=_get_text(raw, "zone"),
-        slots=_get_integer(raw, "slots", 0),
+        slots=_get_count(raw, "slots"),
         state=state,
-        warmup_remaining_s=_get_seconds(raw, "coldLeftMs", 0.0),
-        started_at_ms=_get_integer(raw, "born", 0),
+        warmup_remaining_s=_get_count(raw, "coldLeftMs") / MILLISECONDS_PER_SECOND,
+        started_at_ms=_get_count(raw, "born"),
         software_version=_parse_version(raw.get("version")),
     )
 
@@ -236,7 +250,7 @@
 
 
 def _not_a_header(text: str) -> str:
-    return f"{text!r} can't be sent in a header"
+    return f"{describe(text)} can't be sent in a header"
 
 
 def _require_object(raw: Any) -> Mapping[str, Any]:
@@ -255,7 +269,7 @@
 def _get_text(raw: Mapping[str, Any], name: str) -> str:
     value = raw.get(name)
     if not isinstance(value, str) or not value:
-        raise _FieldError(f"{name}: expected text, found {value!r}")
+        raise _FieldError(f"{name}: expected text, found {describe(value)}")
     return value
 
 
@@ -263,20 +277,31 @@
     value = raw.get(name, default)
     if value is None and default is not None:
         value = default
-    if not isinstance(value, int | float) or isinstance(value, bool):
-        raise _FieldError(f"{name}: expected a number, found {value!r}")
-    return float(value)
+    try:
+        return to_number(value)
+    except ValueError as error:
+        raise _FieldError(f"{name}: {error}") from error
 
 
 def _find_number(raw: Mapping[str, Any], name: str) -> float:
     """Return a number without which the rest of the document can be used; 0 if it is none."""
-    value = raw.get(name)
-    return float(value) if isinstance(value, int | float) and math.isfinite(value) else 0.0
+    try:
+        return to_number(raw.get(name))
+    except ValueError:
+        return 0.0
 
 
 def _get_integer(raw: Mapping[str, Any], name: str, default: int | None = None) -> int:
     return int(_get_number(raw, name, default))
 
 
+def _get_count(raw: Mapping[str, Any], name: str) -> int:
+    """Return a whole number of at least 0; 0 if the field is missing."""
+    value = _get_integer(raw, name, 0)
+    if value < 0:
+        raise _FieldError(f"{name}: {value} is negative")
+    return value
+
+
 def _get_seconds(raw: Mapping[str, Any], name: str, default_s: float) -> float:
     return _get_number(raw, name, default_s * MILLISECONDS_PER_SECOND) / MILLISECONDS_PER_SECOND
--- a/src/pearshed/_internal/platform/engine_client.py
+++ b/src/pearshed/_internal/platform/engine_client.py
@@ -1,8 +1,9 @@
 """HTTP client of an engine: reads its report and the changes of its cache."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
+from absl import logging
 from returns.result import Failure, Result, Success
 
 from pearshed._internal.engine_side.monitor import (
@@ -16,6 +17,7 @@
 from pearshed._internal.platform import names
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
+from pearshed._internal.utils.foreign_values import describe, to_integer
 
 #: The engine is on the same VM: it responds within milliseconds or hangs.
 RESPONSE_TIMEOUT_S = 1.0
@@ -59,16 +61,22 @@
             _get_count(raw, "queued"),
             _get_count(raw, "kvUsed"),
             _get_count(raw, "kvTotal"),
-            tuple(
-                RunningRequest(str(run[0]), int(run[1]), int(run[2]))
-                for run in (runs if isinstance(runs, list) else [])
-                if isinstance(run, list) and len(run) > 2
-            ),
+            tuple(_parse_runs(runs if isinstance(runs, list) else [])),
             _get_count(raw, "born"),
         )
     )
 
 
+def _parse_runs(runs: Iterable[Any]) -> Iterator[RunningRequest]:
+    """Decode the requests that run, but for those that can't be read."""
+    for run in runs:
+        try:
+            request_id, tokens, events = run[:3]
+            yield RunningRequest(_to_text(request_id), to_integer(tokens), to_integer(events))
+        except (TypeError, ValueError) as error:
+            logging.info("engine.run_refused", extra={"fields": {"reason": str(error)}})
+
+
 def _parse_cache_update(response: tuple[int, Mapping[str, Any]]) -> Result[CacheUpdate, str]:
     status, raw = response
     if status != 200:
@@ -77,15 +85,33 @@
     changes = []
     for event in events if isinstance(events, list) else []:
         # [number, + or -, empty text, part, tokens of it in the cache now, model]
-        if isinstance(event, list) and len(event) > 4 and isinstance(event[4], int):
-            changes.append(CacheChange(str(event[3]), event[4], evicted=event[1] == "-"))
+        try:
+            _, sign, _, part, tokens = event[:5]
+            changes.append(CacheChange(_to_text(part), to_integer(tokens), evicted=sign == "-"))
+        except (TypeError, ValueError) as error:
+            logging.info("engine.cache_event_refused", extra={"fields": {"reason": str(error)}})
     return Success(
         CacheUpdate(
-            str(raw.get("epoch")), _get_count(raw, "next"), bool(raw.get("lost")), tuple(changes)
+            describe(raw.get("epoch")),
+            _get_count(raw, "next"),
+            bool(raw.get("lost")),
+            tuple(changes),
         )
     )
 
 
 def _get_count(raw: Mapping[str, Any], name: str) -> int:
-    value = raw.get(name)
-    return value if isinstance(value, int) else 0
+    try:
+        return max(0, to_integer(raw.get(name)))
+    except ValueError:
+        return 0
+
+
+def _to_text(value: Any) -> str:
+    """Return a text.
+
+    :raises ValueError: when it is none.
+    """
+    if not isinstance(value, str):
+        raise ValueError(f"expected text, found {describe(value)}")
+    return value
--- a/src/pearshed/_internal/platform/headers.py
+++ b/src/pearshed/_internal/platform/headers.py
@@ -1,7 +1,5 @@
 """Converts between the platform's headers and the gateway's metadata types."""
 
-import math
-
 import orjson
 
 from pearshed._internal.decisions.engine_pauses import PauseRequest, parse_pause
@@ -17,6 +15,7 @@
 from pearshed._internal.models.routing import EndpointEntry, PromptPart
 from pearshed._internal.platform import names
 from pearshed._internal.timers.clock import MILLISECONDS_PER_SECOND
+from pearshed._internal.utils.foreign_values import parse_count, to_integer, to_number
 
 #: The platform accepts ranks of one digit.
 _MAX_RANK = 9
@@ -96,8 +95,10 @@
             raw = orjson.loads(report)
         except orjson.JSONDecodeError:
             return 0
-        started_at_ms = raw.get("born") if isinstance(raw, dict) else None
-        return started_at_ms if isinstance(started_at_ms, int) else 0
+        try:
+            return to_integer(raw["born"])
+        except (KeyError, TypeError, ValueError):
+            return 0
 
 
 def _parse_pause(status: int, value: bytes) -> PauseRequest | None:
@@ -106,14 +107,15 @@
 
 
 def _parse_milliseconds(value: bytes) -> float | None:
+    """Return a time of at least 0; ``None`` if it is no time."""
     try:
-        return float(value) if value else None
+        return max(0.0, to_number(float(value)))
     except ValueError:
         return None
 
 
 def _parse_count(value: bytes) -> int:
-    return int(value) if value.isdigit() else 0
+    return parse_count(value) or 0
 
 
 def _parse_api_key(value: bytes) -> str:
@@ -124,28 +126,28 @@
 
 
 def _parse_token_limits(value: bytes) -> tuple[int, int]:
-    prompt, _, output = value.partition(b",")
-    if prompt.strip().isdigit() and output.strip().isdigit():
-        return int(prompt), int(output)
-    return 0, 0
+    first, _, second = value.partition(b",")
+    prompt, output = parse_count(first.strip()), parse_count(second.strip())
+    return (0, 0) if prompt is None or output is None else (prompt, output)
 
 
 def _parse_prompt_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts: list[PromptPart] = []
     for entry in value.decode("latin-1").split(","):
-        part_id, _, tokens = entry.strip().rpartition(":")
-        if not part_id or not tokens.isdigit():
+        part_id, _, text = entry.strip().rpartition(":")
+        tokens = parse_count(text)
+        if not part_id or tokens is None:
             return tuple(parts)
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(part_id, tokens))
     return tuple(parts)
 
 
 def _parse_rate(value: bytes) -> float | None:
     try:
-        rate = float(value)
+        rate = to_number(float(value))
     except ValueError:
         return None
-    return rate if 0.0 <= rate < math.inf else None
+    return rate if rate >= 0.0 else None
 
 
 def _parse_seconds(value: bytes) -> float | None:
@@ -155,8 +157,9 @@
 
 
 def _parse_load(value: bytes) -> EndpointLoadReport | None:
-    numbers = value.split(b",")
-    if len(numbers) not in (3, 4) or not all(number.strip().isdigit() for number in numbers):
+    numbers = [parse_count(number.strip()) for number in value.split(b",")]
+    known = [number for number in numbers if number is not None]
+    if len(numbers) not in (3, 4) or len(known) != len(numbers):
         return None
-    running, waiting, slots, *busy_percent = (int(number) for number in numbers)
+    running, waiting, slots, *busy_percent = known
     return EndpointLoadReport(running, waiting, slots, busy_percent[0] if busy_percent else None)
--- a/src/pearshed/_internal/platform/store_client.py
+++ b/src/pearshed/_internal/platform/store_client.py
@@ -20,6 +20,7 @@
 from pearshed._internal.platform import names
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
+from pearshed._internal.utils.foreign_values import MAX_INTEGER
 
 #: Timeout of a response's start beyond the requested wait: it may take 100 times its usual 4 ms.
 RESPONSE_TIMEOUT_S = 0.9
@@ -155,7 +156,7 @@
     items: tuple[StoreItem | None, ...], reply: _Reply, next_page_key: str = ""
 ) -> StoreResult:
     revision = reply.raw.get("storeRevision")
-    if not isinstance(revision, int):
+    if not isinstance(revision, int) or revision > MAX_INTEGER:
         return Failure(StoreFailure("the response has no store revision"))
     valid_items = tuple(item for item in items if item is not None)
     return Success(
@@ -168,7 +169,7 @@
     if not isinstance(raw, dict):
         return None
     key, revision, value = raw.get("key"), raw.get("revision"), raw.get("value")
-    if not isinstance(key, str) or not isinstance(revision, int):
+    if not isinstance(key, str) or not isinstance(revision, int) or revision > MAX_INTEGER:
         return None
     if raw.get("deleted") is True:
         return StoreItem(key, revision, None)
--- a/src/pearshed/_internal/utils/addresses.py
+++ b/src/pearshed/_internal/utils/addresses.py
@@ -5,6 +5,8 @@
 
 from returns.result import Failure, Result, Success
 
+from pearshed._internal.utils.foreign_values import describe, parse_count
+
 _MAX_PORT = 65535
 
 
@@ -32,12 +34,15 @@
     """
     host, separator, port_text = text.rpartition(":")
     if not separator:
-        return Failure(f"expected an IP address and a port like 127.0.0.1:8080, found {text!r}")
+        return Failure(
+            f"expected an IP address and a port like 127.0.0.1:8080, found {describe(text)}"
+        )
     host = host.removeprefix("[").removesuffix("]")
     try:
         ipaddress.ip_address(host)
     except ValueError:
-        return Failure(f"expected an IP address before the port, found {host!r}")
-    if not port_text.isdecimal() or int(port_text) > _MAX_PORT:
-        return Failure(f"expected a port between 0 and {_MAX_PORT}, found {port_text!r}")
-    return Success(Address(host, int(port_text)))
+        return Failure(f"expected an IP address before the port, found {describe(host)}")
+    port = parse_count(port_text)
+    if port is None or port > _MAX_PORT:
+        return Failure(f"expected a port between 0 and {_MAX_PORT}, found {describe(port_text)}")
+    return Success(Address(host, port))
--- a/src/pearshed/_internal/utils/fields.py
+++ b/src/pearshed/_internal/utils/fields.py
@@ -5,6 +5,7 @@
 from typing import Any, TypeVar
 
 from pearshed._internal.errors import FieldProblem
+from pearshed._internal.utils.foreign_values import MAX_INTEGER, describe, is_encodable, shorten
 
 _Default = TypeVar("_Default")
 
@@ -61,7 +62,9 @@
         if value == "" and default is REQUIRED and name in self._raw:
             self.report(name, "must not be empty")
         if choices and name in self._raw and value not in choices:
-            self.report(name, f"must be one of {', '.join(choices)}, found {value!r}")
+            self.report(name, f"must be one of {', '.join(choices)}, found {describe(value)}")
+        if not is_encodable(value):
+            self.report(name, "has characters that can't be encoded")
         return sys.intern(value)
 
     def integer(
@@ -77,7 +80,8 @@
         if not isinstance(value, int) or isinstance(value, bool):
             self.report(name, f"expected a whole number, found {_describe_type(value)}")
             return minimum or 0
-        self._check_bounds(name, value, minimum, maximum)
+        if not self._check_bounds(name, value, minimum, maximum):
+            return minimum or 0
         return value
 
     def number(
@@ -93,7 +97,8 @@
         if not isinstance(value, int | float) or isinstance(value, bool):
             self.report(name, f"expected a number, found {_describe_type(value)}")
             return minimum or 0.0
-        self._check_bounds(name, value, minimum, maximum)
+        if not self._check_bounds(name, value, minimum, maximum):
+            return minimum or 0.0
         return float(value)
 
     def flag(self, name: str, default: bool | _Required = REQUIRED) -> bool:
@@ -113,6 +118,9 @@
         if not all(isinstance(item, str) for item in value):
             self.report(name, "expected a list of strings, found an item of another type")
             return ()
+        if not all(map(is_encodable, value)):
+            self.report(name, "has characters that can't be encoded")
+            return ()
         return tuple(sys.intern(item) for item in value)
 
     def section(self, name: str, *, required: bool = False) -> "FieldReader":
@@ -129,7 +137,7 @@
         for name in self._raw:
             if name not in self._known:
                 known = ", ".join(sorted(self._known))
-                self.report(str(name), f"unknown field; known fields: {known}")
+                self.report(shorten(str(name)), f"unknown field; known fields: {known}")
 
     def _get(self, name: str, default: _Default | _Required, fallback: _Default) -> Any:
         self._known.add(name)
@@ -142,11 +150,17 @@
 
     def _check_bounds(
         self, name: str, value: float, minimum: float | None, maximum: float | None
-    ) -> None:
-        if minimum is not None and value < minimum:
-            self.report(name, f"must be at least {minimum}, found {value}")
-        if maximum is not None and value > maximum:
-            self.report(name, f"must be at most {maximum}, found {value}")
+    ) -> bool:
+        """Report a number out of bounds; return whether it is within them."""
+        # Only a comparison that is true accepts a value: none is for NaN.
+        if minimum is not None and not value >= minimum:
+            self.report(name, f"must be at least {minimum}, found {describe(value)}")
+            return False
+        largest = MAX_INTEGER if maximum is None else maximum
+        if not abs(value) <= MAX_INTEGER or not value <= largest:
+            self.report(name, f"must be at most {largest}, found {describe(value)}")
+            return False
+        return True
 
     def report(self, name: str, message: str) -> None:
         """Append a problem with a field of this section."""
