Relay nothing but events once a stream has begun

What callers saw: a resumable stream broke off, the next engine answered 4xx, 3xx or with another media type, and its whole head and body followed in the middle of the stream; after a 204 the stream ended as if it were complete. Cause: only answers of 5xx were kept back; all others were relayed as complete responses, whether or not a response had begun. Change: such an answer is dropped, and the next engine is tried within the route's limit; else the connection is reset. The writer aborts the connection instead of writing a second head.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -237,8 +237,19 @@
                 return Failed(problem)
             if self._call.route.streaming and self._may_be_event_stream(head):
                 return await self._relay_stream(connection, head)
+        if self._writer.started:
+            return await self._drop_response(connection, head)
         return await self._relay_buffered(connection, head)
 
+    async def _drop_response(
+        self, connection: EndpointConnection, head: ResponseHead
+    ) -> AttemptOutcome:
+        """Read a response that is no part of the stream that the caller has begun to receive."""
+        await self._read_body(connection)
+        if head.status in _SERVER_ERRORS and not self._asked_pause:
+            self._endpoint.record_failure()
+        return Failed(f"the endpoint answered {head.status} to the rest of a stream")
+
     async def _relay_buffered(
         self, connection: EndpointConnection, head: ResponseHead
     ) -> AttemptOutcome:
@@ -366,7 +377,7 @@
         )
 
     def _may_be_event_stream(self, head: ResponseHead) -> bool:
-        if self._call.request.head_only:
+        if self._call.request.head_only or head.framing is BodyFraming.NO_BODY:
             return False
         content_type = messages.header_value(head.headers, b"content-type")
         return content_type is None or is_event_stream(content_type.decode("latin-1"))
--- a/src/pearshed/_internal/gateway/response_writer.py
+++ b/src/pearshed/_internal/gateway/response_writer.py
@@ -124,6 +124,10 @@
     def _write_response(
         self, status: int, reason: bytes | None, headers: list[Header], body: bytes
     ) -> None:
+        if self._started:
+            # The caller would take a second head for a part of the first response's body.
+            self.abort()
+            return
         self._started = True
         headers = [*headers, *self._connection_header()]
         content = messages.encode_head(messages.status_line(status, reason), headers)
