Take no late refusal for an engine's report of its run

Cause: the question that a connection is asked before a later part of a stream took any response for the answer, so an earlier refusal that a faulty engine writes once more counted as a report without a start, and the run as confirmed. Change: a response that names a request is no report.

--- a/src/pearshed/_internal/gateway/forwarding/run_check.py
+++ b/src/pearshed/_internal/gateway/forwarding/run_check.py
@@ -27,7 +27,10 @@
     """
     if connection.run_confirmed:
         return True
-    connection.send(codec.encode_report_request(entry), lambda _: True)
+    # A response that names a request is a late one to that request.
+    connection.send(
+        codec.encode_report_request(entry), lambda head: not codec.decode_response(head).request_id
+    )
     try:
         async with asyncio.timeout(CHECK_TIMEOUT_S):
             report = await _read_report(connection)
--- a/tests/unit/test_adapters.py
+++ b/tests/unit/test_adapters.py
@@ -19,6 +19,7 @@
 from pearshed._internal.utils.loop_queue import LoopQueue
 from tests.lib.fleet import free_port, wait_for
 
+_REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\n"
 _HEAD = b"HTTP/1.1 200 OK\r\n"
 _CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 _KEEP_OPEN = b"..."
@@ -86,9 +87,11 @@
 
     :param echoes: responses name the request that they answer.
     :param while_idle: the copy follows its response at once, instead of the next request.
+    :param refuses_first: the first response on a connection is a refusal.
     """
 
-    def __init__(self, echoes: bool, while_idle: bool) -> None:
+    def __init__(self, echoes: bool, while_idle: bool, refuses_first: bool = False) -> None:
+        self._refuses_first = refuses_first
         self._echoes = echoes
         self._while_idle = while_idle
         self._listener = socket.create_server(("127.0.0.1", 0))
@@ -108,6 +111,7 @@
 
     def _serve(self, connection: socket.socket) -> None:
         copy = b""
+        refuses = self._refuses_first
         with contextlib.suppress(OSError), connection, connection.makefile("rb") as requests:
             while request_line := requests.readline():
                 headers = {}
@@ -116,7 +120,9 @@
                     headers[name.lower()] = value.strip()
                 body = requests.read(int(headers.get(b"content-length", b"0")))
                 body = body or b'{"revision": %d}' % (500 if b"/vms" in request_line else 3)
-                response = _HEAD + b"Content-Length: %d\r\n" % len(body)
+                head = _REFUSAL if refuses else _HEAD
+                refuses = False
+                response = head + b"Content-Length: %d\r\n" % len(body)
                 if self._echoes:
                     response += b"X-Request-Id: " + headers[b"x-request-id"] + b"\r\n"
                 response += b"\r\n" + body
@@ -268,12 +274,16 @@
             ("before_the_next_response_without_ids", False, False),
             ("while_idle", True, True),
             ("while_idle_without_ids", False, True),
+            ("refusal_before_the_next_response", True, False, True),
+            ("refusal_before_the_next_response_without_ids", False, False, True),
+            ("refusal_while_idle", True, True, True),
+            ("refusal_while_idle_without_ids", False, True, True),
         ]
     )
     def test_a_second_copy_of_a_response_answers_no_other_call(
-        self, _: str, echoes: bool, while_idle: bool
+        self, _: str, echoes: bool, while_idle: bool, refuses_first: bool = False
     ) -> None:
-        server = LateCopyServer(echoes, while_idle)
+        server = LateCopyServer(echoes, while_idle, refuses_first)
         self.addCleanup(server.close)
         received = asyncio.run(self.call_in_turn(server.port, 6))
         for number, receiver in enumerate(received):
