Break off streams that an entry can't finish, without an error event

What callers saw: after a stream that broke off, an event with the error's text, then the last chunk, so that by its framing the response was complete. Change: the connection ends without the last chunk; a response without chunks is reset, for which cheroot's shutdown of the socket is left out, as it would end such a response as complete. The format of the error event went away with the event.

--- a/src/pearshed/_internal/entry/application.py
+++ b/src/pearshed/_internal/entry/application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import concurrent.futures
+import errno
 import json
 import socket
 import time
@@ -199,9 +200,9 @@
         self._request_log = request_log
         self._admission = admission
         self._started_at = time.monotonic()
-        self._last_bytes = responses.EVENT_END
         self._write: WriteBytes | None = None
         self._finished = False
+        self._broken_off = False
         self._closed = False
 
     def __iter__(self) -> Iterator[bytes]:
@@ -214,8 +215,11 @@
                 event = None if self._finished else self._sink.get_nowait()
             content = b"".join(chunks)
             if content:
-                self._last_bytes = content[-2:]
                 yield content
+            if self._broken_off:
+                # Closes the connection: neither the body's end nor an error follows what was sent.
+                self._framing.break_off()
+                raise ConnectionAbortedError(errno.ECONNABORTED, "the response broke off")
             if self._write is not None and not self._finished:
                 self._sink.enable_direct_writes(self._write_chunk, self._socket)
 
@@ -250,7 +254,7 @@
         if self._closed:
             return
         self._closed = True
-        if self._finished:
+        if self._finished and not self._broken_off:
             self._framing.end_until_close()
         self._sink.close()
         self._dispatch.cancel()
@@ -258,7 +262,6 @@
 
     def _write_chunk(self, content: bytes) -> None:
         if self._write is not None:
-            self._last_bytes = content[-2:]
             self._write(content)
 
     def _next_event(self) -> RelayedEvent:
@@ -280,7 +283,7 @@
             self._request_log.record_complete(self._request, time.monotonic() - self._started_at)
         if isinstance(event, RequestFailure):
             self.finish_failed(event)
-            return responses.error_event(event, self._request.request_id, self._last_bytes)
+            self._broken_off = True
         return b""
 
 
--- a/src/pearshed/_internal/entry/http_server.py
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -125,6 +125,8 @@
     """A connection that stops the read timeout when its thread stops serving it."""
 
     RequestHandlerClass = _TimedRequest
+    #: Whether the response in progress is not complete and must not seem so.
+    breaks_off = False
 
     def communicate(self) -> Any:
         """Serve one request of the connection."""
@@ -133,6 +135,11 @@
         finally:
             self.server.read_monitor.finish_read(self.socket)
 
+    def _close_kernel_socket(self) -> None:
+        """End the connection, but for one that is reset when its socket is closed."""
+        if not self.breaks_off:
+            super()._close_kernel_socket()  # type: ignore[misc]
+
 
 class ResponseFraming:
     """What marks the end of a response's body: a length or chunks, or the end of its connection.
@@ -162,6 +169,11 @@
         set_reset_on_close(self._request.conn.socket, True)
         return [("Connection", "close")]
 
+    def break_off(self) -> None:
+        """Let the connection end without the end of the response's body."""
+        # In chunks, the missing last chunk shows it, and what was sent before still arrives.
+        self._request.conn.breaks_off = self._until_close
+
     def end_until_close(self) -> None:
         """Let the connection be closed instead of reset, if it marks the end of the body."""
         if self._until_close:
--- a/src/pearshed/_internal/entry/responses.py
+++ b/src/pearshed/_internal/entry/responses.py
@@ -1,4 +1,4 @@
-"""Formats responses, errors and error events for callers."""
+"""Formats responses and errors for callers."""
 
 import json
 import math
@@ -30,7 +30,6 @@
 )
 _ERROR_TYPES = {4: "invalid_request_error", 5: "server_error"}
 _CLIENT_CLOSED_REQUEST = 499
-EVENT_END = b"\n\n"
 _MILLISECONDS_PER_SECOND = 1000
 
 
@@ -96,13 +95,3 @@
         # retry a request that may have run.
         headers.append((SHOULD_RETRY_HEADER, "false"))
     return status_line(failure.status), headers, content
-
-
-def error_event(failure: RequestFailure, request_id: str, last_bytes: bytes) -> bytes:
-    """Return the server-sent event that ends an interrupted stream.
-
-    :param last_bytes: last bytes sent to the caller; an unfinished event is terminated first.
-    """
-    start = b"" if last_bytes.endswith(EVENT_END) else EVENT_END
-    document = json.dumps(error_document(failure, request_id))
-    return start + f"data: {document}".encode() + EVENT_END
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -253,6 +253,20 @@
             preload_content=preload_content,
         )
 
+    def call_until_broken(self, entry: Node, **fields: Any) -> bytes:
+        """Call an entry and return what arrives before the response breaks off.
+
+        :raises AssertionError: when the response is complete.
+        """
+        response = self.call(entry, preload_content=False, **fields)
+        received = b""
+        try:
+            for piece in response.stream(1):
+                received += piece
+        except urllib3.exceptions.HTTPError:
+            return received
+        raise AssertionError(f"the response is complete: {received!r}")
+
     def _journal_path(self, name: str) -> pathlib.Path:
         return pathlib.Path(self._directory.name) / f"{name}.journal"
 
