Let engines of the soak ask for pauses and write refusals once more

Engines turn requests away and ask for 0.7 to 3 s; the soak checks that each gateway sends at most two requests later than 0.5 s into it. A refusal comes once more before the next response on its connection, and another writer leaves odd entries.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """Injects random faults, which may overlap."""
 
 import asyncio
+import json
 import random
 import signal
 import time
@@ -9,6 +10,7 @@
 from soak.invariants import EVACUATION_TIMEOUT_S
 from soak.proxy import Proxy
 from soak.testbed import REGIONS, STOP_GRACE_S, Node, Testbed
+from tests.lib.hostile import VALUES
 
 _Fault = Callable[[], Awaitable[None]]
 
@@ -54,6 +56,8 @@
             ("end all gateways", self._end_all_gateways),
             ("restart after a revocation", self._restart_after_revocation),
             ("copy responses late", self._copy_responses_late),
+            ("ask for pauses", self._ask_for_pauses),
+            ("leave an odd entry", self._leave_odd_entry),
         )
 
     async def run(self, duration_s: float) -> None:
@@ -175,6 +179,9 @@
         proxy = self._random_proxy()
         duration_s = self._rng.uniform(0.5, 5.0)
         self._record_fault(duration_s)
+        if proxy in self._testbed.engine_proxies:
+            now = time.monotonic()
+            self._testbed.history.link_faults.append((now, now + duration_s))
         setattr(proxy, attribute, value)
         await asyncio.sleep(duration_s)
         proxy.clear_faults()
@@ -283,6 +290,27 @@
         for engine in limited:
             self._testbed.rate_limits.pop(engine, None)
 
+    async def _ask_for_pauses(self) -> None:
+        """Let engines turn requests away and ask for a pause, which may outlast this fault."""
+        engines = self._testbed.engines
+        asking = self._rng.sample(engines, self._rng.randint(1, len(engines)))
+        for engine in asking:
+            self._testbed.pauses[engine] = self._rng.choice((0.7, 1.5, 3.0))
+        await asyncio.sleep(self._rng.uniform(0.2, 5.0))
+        for engine in asking:
+            self._testbed.pauses.pop(engine, None)
+
+    async def _leave_odd_entry(self) -> None:
+        """Let another writer leave an entry among those of the engines, and delete it later."""
+        key = f"servers/odd-{len(self.injected)}"
+        entry = self._rng.choice(self._testbed.engines).entry()
+        field = self._rng.choice(sorted(entry))
+        content = json.dumps({**entry, field: "@"}).encode()
+        value = self._rng.choice(sorted(VALUES.values())).encode()
+        self._testbed.store.put(key, content.replace(b'"@"', value))
+        await asyncio.sleep(self._rng.uniform(0.5, 5.0))
+        self._testbed.store.delete(key)
+
     async def _silence_engines(self) -> None:
         """Let some engines leave requests without a response for a second or so, and go on."""
         engines = self._testbed.engines
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -23,6 +23,10 @@
 LIMIT_EXCESS = 5
 #: A gateway counts once it has passed on a response with the limit for this long.
 LIMIT_TOLD_S = 0.5
+#: Requests that reach an endpoint later than this in a pause that it has asked for count, and so
+#: many of them are allowed (the platform's bound).
+PAUSE_GRACE_S = 0.5
+MAX_ARRIVALS_IN_PAUSE = 2
 #: A request that has ended as many endpoints is sent to as many more at most.
 MAX_CRASHES = 3
 
@@ -91,6 +95,19 @@
     withdrawn_at: float = math.inf
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached an endpoint.
+
+    :ivar pause_s: pause that the endpoint asked for as it turned the request away; 0 for none.
+    """
+
+    request_id: str
+    endpoint: str
+    at: float
+    pause_s: float = 0.0
+
+
 @dataclass
 class History:
     """Everything observed in one run of the soak."""
@@ -102,6 +119,9 @@
     #: Revoked keys, with the time at which the store accepted the change.
     revoked_at: dict[str, float] = field(default_factory=dict)
     evacuations: list[Evacuation] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    #: Start and end of each fault of the connections to endpoints.
+    link_faults: list[tuple[float, float]] = field(default_factory=list)
     #: Start and end of each fault of the store or of the connections to it.
     store_faults: list[tuple[float, float]] = field(default_factory=list)
     #: Configuration versions that each incarnation of a gateway reported, in order.
@@ -131,6 +151,7 @@
         *_repeated_crashes(history),
         *_mixed_versions(history),
         *_runs_after_evacuation(history),
+        *_arrivals_in_pauses(history),
     ]
 
 
@@ -289,3 +310,31 @@
         if run.data_centre == one.data_centre
         and one.set_at + EVACUATION_TIMEOUT_S < received_at < one.withdrawn_at
     ]
+
+
+def _arrivals_in_pauses(history: History) -> list[str]:
+    """Check the requests of each gateway that an endpoint has asked for a pause."""
+    gateways = {
+        outcome.request_id: outcome.gateway
+        for outcome in history.outcomes
+        if not outcome.gateway_was_disturbed
+    }
+    arrivals: dict[tuple[str, str], list[Arrival]] = {}
+    for arrival in history.arrivals:
+        if arrival.request_id in gateways:
+            key = arrival.endpoint, gateways[arrival.request_id]
+            arrivals.setdefault(key, []).append(arrival)
+    violations = []
+    for (endpoint, gateway), received in arrivals.items():
+        for asked in received:
+            end = asked.at + asked.pause_s
+            late = [one for one in received if asked.at + PAUSE_GRACE_S < one.at < end]
+            # What is held up on a link arrives late.
+            held_up = any(since < end and until > asked.at for since, until in history.link_faults)
+            if len(late) > MAX_ARRIVALS_IN_PAUSE and not held_up:
+                violations.append(
+                    f"endpoint {endpoint} asked {gateway} for {asked.pause_s} s and received "
+                    f"{len(late)} requests in it: request {late[-1].request_id}"
+                )
+                break
+    return violations
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -17,7 +17,7 @@
 
 from pearshed._internal.utils.addresses import Address
 from soak.datagrams import DatagramRelay
-from soak.invariants import Evacuation, History, Run
+from soak.invariants import Arrival, Evacuation, History, Run
 from soak.proxy import Proxy
 from tests.lib.gateway_fixture import free_address
 from tests.lib.gateway_platform import (
@@ -150,6 +150,7 @@
         with neither a length nor chunks.
     :ivar copy_responses: engines send a second copy of a response on its connection, just before
         the next one.
+    :ivar pauses: pauses that engines ask for as they turn requests away, seconds.
     :ivar rate_limits: requests per second that engines name in their responses.
     :ivar deadly_share: share of the requests that crash their engine.
     :ivar versions: software versions of engines.
@@ -173,6 +174,7 @@
         self.response_loss_rate = 0.0
         self.break_off_responses = False
         self.copy_responses = False
+        self.pauses: dict[EngineStandIn, float] = {}
         self.rate_limits: dict[EngineStandIn, float] = {}
         self.deadly_share = 0.0
         self.versions: dict[EngineStandIn, str] = {}
@@ -180,7 +182,7 @@
         self.ignores_evacuations = False
         self.data_centres: dict[EngineStandIn, str] = {}
         self.sources: dict[str, pathlib.Path] = {}
-        self._last_requests: weakref.WeakKeyDictionary[EngineConnection, str] = (
+        self._last_requests: weakref.WeakKeyDictionary[EngineConnection, tuple[str, bool]] = (
             weakref.WeakKeyDictionary()
         )
         self._in_flight: Counter[EngineStandIn] = Counter()
@@ -393,6 +395,14 @@
             connection.send_response(request, 421, b"", {"Pearshed-Response-Signature": ""})
             return
         request_id = request.request_id
+        pause_s = self.pauses.get(engine, 0.0)
+        arrival = Arrival(request_id, engine.identity, time.monotonic(), pause_s)
+        self.history.arrivals.append(arrival)
+        if pause_s:
+            headers = {"Pearshed-Not-Executed": "busy", "Retry-After": f"{pause_s}"}
+            connection.send_response(request, 503, b"", headers)
+            self._last_requests[connection] = request_id, True
+            return
         retryable = not request.target.startswith(("/confirm", "/explain"))
         customer = request.headers.get("pearshed-tenant", "")
         crashed_by = request.target if request.body == DEADLY_BODY else ""
@@ -448,10 +458,14 @@
         limit_header = {"Server-Limit": f"{rate_limit}"} if rate_limit is not None else {}
         await asyncio.sleep(_SERVICE_TIME_S)
         earlier = self._last_requests.get(connection)
-        if self.copy_responses and earlier:
-            body = response_body(earlier)
-            connection.send_response(request, body=body, request_id=earlier)
-        self._last_requests[connection] = request_id
+        if earlier and earlier[1]:
+            # An earlier refusal once more.
+            refused = {"Pearshed-Not-Executed": "busy"}
+            connection.send_response(request, 503, b"", refused, request_id=earlier[0])
+        elif earlier and self.copy_responses:
+            body = response_body(earlier[0])
+            connection.send_response(request, body=body, request_id=earlier[0])
+        self._last_requests[connection] = request_id, False
         if len(self.history.runs) % 100 < self.response_loss_rate * 100:
             connection.reset()
             return
--- a/tests/unit/test_soak_invariants.py
+++ b/tests/unit/test_soak_invariants.py
@@ -13,6 +13,7 @@
     EVACUATION_TIMEOUT_S,
     REVOCATION_TIMEOUT_S,
     STORE_SETTLE_S,
+    Arrival,
     Evacuation,
     History,
     RequestOutcome,
@@ -127,6 +128,27 @@
     return lambda history: _add_runs(history, times, disturbed, crashed_by="/a")
 
 
+def _paused(
+    times: Sequence[float], *, gateway: str = "g#1", disturbed: bool = False, fault_at: float = 0.0
+) -> "_Change":
+    """Ask gateway g#1 for 3 s at 100 s; requests of a gateway arrive after that, seconds."""
+
+    def change(history: History) -> None:
+        for number, after_s in enumerate((0.0, *times)):
+            request_id = f"r{number + 2}"
+            pause_s = 0.0 if number else 3.0
+            history.arrivals.append(Arrival(request_id, "i-2", 100.0 + after_s, pause_s))
+            outcome = dataclasses.replace(make_outcome(502), request_id=request_id)
+            sender = gateway if number else "g#1"
+            history.outcomes.append(
+                dataclasses.replace(outcome, gateway=sender, gateway_was_disturbed=disturbed)
+            )
+        if fault_at:
+            history.link_faults.append((fault_at, fault_at + 1.0))
+
+    return change
+
+
 def _fail_recovery(history: History) -> None:
     history.recovery = (12, 2)
 
@@ -177,6 +199,7 @@
             ),
             ("crashes", _crashed([0, 1, 2, 6, 7, 8, 9]), "sent to 4 more"),
             ("evacuated", _evacuated(EVACUATION_TIMEOUT_S + 0.1), "tacoma was evacuated"),
+            ("pause", _paused([0.6, 1.0, 2.9]), "asked g#1 for 3.0 s and received 3 requests"),
         ]
     )
     def test_violation_is_detected(
@@ -208,6 +231,10 @@
             ("crashes_at_once", _crashed([0, 1, 2, 3, 4, 4.5, 4.9])),
             ("crashes_later", _crashed([0, 1, 2, 6, 130, 500])),
             ("crashes_by_a_disturbed_gateway", _crashed([0, 1, 2, 6, 7, 8, 9], True)),
+            ("pause_kept_but_for_two", _paused([0.1, 0.2, 0.3, 0.4, 0.6, 2.9, 3.1, 3.2])),
+            ("pause_of_another_gateway", _paused([0.6, 1.0, 2.9], gateway="g#2")),
+            ("pause_of_a_disturbed_gateway", _paused([0.6, 1.0, 2.9], disturbed=True)),
+            ("pause_behind_a_link_fault", _paused([0.6, 1.0, 2.9], fault_at=101.0)),
             ("evacuated_in_time", _evacuated(EVACUATION_TIMEOUT_S - 0.1)),
             ("evacuation_withdrawn", _evacuated(EVACUATION_TIMEOUT_S + 1.0, withdrawn_ago_s=0.1)),
             ("another_evacuated", _evacuated(EVACUATION_TIMEOUT_S + 1.0, data_centre="olympia")),
