Trust keys during a long transfer if another gateway has the same ones

Cause: the only confirmation of keys came at the end of the store's transfer, or of another gateway's copy, which takes seconds too on a slow enough link. Change: a gateway asks others for a confirmation by a digest of the keys, a hundred bytes. Keys are trusted while it is within the bound of revocation and the configuration within 8 s; unknown routes aren't called unknown by then.

--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -12,6 +12,7 @@
 from absl import logging
 
 import pearshed
+from pearshed._internal.decisions.key_trust import are_keys_trusted
 from pearshed._internal.engine_side.messages import (
     CrashReport,
     FleetTraffic,
@@ -24,6 +25,7 @@
     EvacuationSettings,
     EvacuationTable,
 )
+from pearshed._internal.gateway.availability.key_confirmation import KEYS_PATH, KeyConfirmation
 from pearshed._internal.gateway.availability.pauses import PauseTable
 from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import EndpointTable
@@ -67,8 +69,6 @@
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import TimerService
 
-#: Keys stop being trusted this long before the revocation bound: checks and clocks are not exact.
-REVOCATION_MARGIN_S = 0.5
 #: The load balancer stops routing callers here after two failed readiness checks, a second apart.
 BALANCER_REMOVAL_S = 2.6
 #: Time for which a connection stays open for a request that is on its way, seconds. The others were
@@ -118,6 +118,7 @@
         self._peer_sync = PeerSync(self._store_cache, self._directory, self._rng)
         self._pauses = PauseTable()
         self._endpoints = EndpointTable(self._evacuations, self._pauses)
+        self._key_confirmation = KeyConfirmation(self._store_cache, self._directory)
         self._store_cache.on_endpoints(self._apply_endpoints)
         self._retry_budgets: dict[str, ServiceRetryBudget] = {}
         self._connections: set[CallerConnection] = set()
@@ -170,6 +171,7 @@
             RequestRouter(
                 lambda: self._store_cache.configuration,
                 self._keys_trusted,
+                self._routes_trusted,
                 self._rng,
                 lambda: self._settings.regions,
             ),
@@ -255,6 +257,7 @@
         if self._settings.control.port:
             await self._page_server.listen(self._settings.control)
             self._timers.every(CHECK_INTERVAL_S, self._peer_sync.start_if_stale)
+            self._timers.every(CHECK_INTERVAL_S, self._key_confirmation.start_if_due)
         callers = await Listener.open(self._settings.callers, self._create_connection)
         self._listeners.append(callers)
         store_task = loop.create_task(self._store_cache.run())
@@ -357,6 +360,7 @@
         for connection in tuple(self._connections):
             connection.abort()
         self._peer_sync.close()
+        self._key_confirmation.close()
         self._admission.close()
         self._store.close()
         self._log_stream.drain()
@@ -364,6 +368,8 @@
     def _find_page(self, target: str) -> tuple[int, bytes]:
         if target.startswith(SYNC_PATH):
             return self._peer_sync.respond(target)
+        if target.partition("?")[0] == KEYS_PATH:
+            return self._key_confirmation.respond(target)
         if page_name(target) == "where":
             status, content = self._destinations.page(target.partition("?")[2])
             return status, orjson.dumps(content)
@@ -520,7 +526,16 @@
     def _keys_trusted(self) -> bool:
         if not self._settings.keys_fail_closed:
             return True
-        return self._store_cache.age_s < self._settings.revocation_s - REVOCATION_MARGIN_S
+        return are_keys_trusted(
+            self._settings.revocation_s, self._store_cache.age_s, self._key_confirmation.age_s
+        )
+
+    def _routes_trusted(self) -> bool:
+        """Return whether the configuration is fresh enough to say that a route doesn't exist."""
+        age_s = self._store_cache.age_s
+        return not self._settings.keys_fail_closed or are_keys_trusted(
+            self._settings.revocation_s, age_s, age_s
+        )
 
     def _caller_limits(self) -> CallerLimits:
         configuration = self._store_cache.configuration
--- a/src/pearshed/_internal/gateway/request_router.py
+++ b/src/pearshed/_internal/gateway/request_router.py
@@ -19,6 +19,7 @@
 
     :param configuration: returns the current configuration, or ``None`` before the first.
     :param keys_trusted: returns whether the configuration is fresh enough to accept API keys.
+    :param routes_trusted: returns whether it is fresh enough to say that a route doesn't exist.
     :param regions: returns the region of each data centre.
     """
 
@@ -26,12 +27,14 @@
         self,
         configuration: Callable[[], RoutingConfiguration | None],
         keys_trusted: Callable[[], bool],
+        routes_trusted: Callable[[], bool],
         rng: random.Random,
         regions: Callable[[], Mapping[str, str]] = dict,
     ) -> None:
         self._regions = regions
         self._configuration = configuration
         self._keys_trusted = keys_trusted
+        self._routes_trusted = routes_trusted
         self._rng = rng
 
     def route(self, request: HttpRequest, metadata: RequestMetadata) -> Result[RoutedCall, Refusal]:
@@ -47,7 +50,7 @@
         host_name = host.decode("latin-1").partition(":")[0].lower()
         route = configuration.match(host_name, request.path)
         if route is None:
-            if not self._keys_trusted():
+            if not self._routes_trusted():
                 return Failure(Refusal(503, "the routes known are too old"))
             return Failure(Refusal(404, "no route matches host and path"))
         if not metadata.request_id:
--- a/src/pearshed/_internal/gateway/store_cache.py
+++ b/src/pearshed/_internal/gateway/store_cache.py
@@ -190,6 +190,11 @@
         """Time for which a response of the store is being received, seconds; 0 without one."""
         return self._store.receiving_s
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a response of the store is being received, or paused for another copy."""
+        return self._store.receiving_s > 0.0 or self._transfer_paused is not None
+
     @property
     def failed_calls(self) -> Mapping[str, int]:
         """Number of calls to the store that failed, by phase."""
--- a/tests/gateway/test_slow_links.py
+++ b/tests/gateway/test_slow_links.py
@@ -1,9 +1,16 @@
 """Transfers of the store's state that take longer than its usual response times."""
 
+import asyncio
 import random
+import unittest
+from unittest import mock
 
 from parameterized import parameterized
 
+from pearshed._internal.decisions.key_trust import are_keys_trusted
+from pearshed._internal.gateway.peer_sync import PeerSync
+from pearshed._internal.gateway.process import GatewayProcess
+from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
 from tests.lib.fault_proxy import FaultProxy, SharedLink
 from tests.lib.gateway_fixture import GatewayTestCase, gateway_settings, until
@@ -99,3 +106,77 @@
             lambda: slow.pages.dump()["configuration"] == 3 or bool(slow.not_ready_reasons())
         )
         self.assertEqual([], slow.not_ready_reasons())
+
+
+class KeysDuringTransferTest(GatewayTestCase):
+    """A configuration arrives over a slow link, and no gateway has a copy that arrives sooner."""
+
+    async def start_slow(self, bytes_per_s: int) -> GatewayProcess:
+        await self.add_engine("ledger", respond_ok)
+        await self.start_gateway()
+        patcher = mock.patch.object(PeerSync, "start_if_stale")
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        store = FaultProxy(self.store.address.port, bytes_per_s)
+        settings = gateway_settings(
+            Address("127.0.0.1", store.port),
+            name="edge-tacoma-1",
+            seeds=(self.settings.control,),
+        )
+        slow, _ = self.run_gateway(lambda: settings)
+        self.slow_settings = settings
+        await until(lambda: not slow.not_ready_reasons())
+        return slow
+
+    async def status_at_slow(self, path: str) -> int | None:
+        self.settings = self.slow_settings
+        return await self.status(path)
+
+    async def test_keys_that_still_hold_are_trusted_until_it_has_arrived(self) -> None:
+        slow = await self.start_slow(70_000)
+        self.store.put("op/config", large_configuration(2))
+        oldest_s = 0.0
+        while slow.pages.dump()["configuration"] != 2:
+            oldest_s = max(oldest_s, slow.store_cache.age_s)
+            self.assertEqual([], slow.not_ready_reasons())
+            self.assertEqual(200, await self.status_at_slow("/lookup/a"))
+            await asyncio.sleep(0.05)
+        self.assertGreater(oldest_s, 4.5)
+
+    async def test_keys_that_have_changed_are_refused_in_time(self) -> None:
+        slow = await self.start_slow(70_000)
+        tenants = [{"name": "guild", "apiKeys": ["another-key"], "priority": 1}]
+        self.store.put("op/config", {**large_configuration(2), "tenants": tenants})
+        put_at = clock.now()
+        served_at = put_at
+        while slow.pages.dump()["configuration"] != 2:
+            if await self.status_at_slow("/lookup/a") == 200:
+                served_at = clock.now()
+            await asyncio.sleep(0.05)
+        self.assertLess(served_at - put_at, 5.0)
+        self.assertGreater(clock.now() - put_at, 5.0)
+
+    async def test_a_route_is_not_called_unknown_by_an_old_configuration(self) -> None:
+        slow = await self.start_slow(70_000)
+        self.store.put("op/config", large_configuration(2))
+        await until(lambda: slow.store_cache.age_s > 4.6)
+        self.assertEqual([], slow.not_ready_reasons())
+        self.assertEqual(503, await self.status_at_slow("/extra-1/a"))
+
+
+class KeyTrustTest(unittest.TestCase):
+    @parameterized.expand(
+        [
+            # age of the configuration, age of its keys, trusted; revoked keys end after 5 s
+            ("fresh", 1.0, 1.0, True),
+            ("old", 4.6, 4.6, False),
+            ("keys_confirmed_later", 6.0, 2.0, True),
+            ("keys_old_too", 6.0, 4.6, False),
+            ("routes_too_old", 8.1, 0.5, False),
+            ("never_confirmed", float("inf"), float("inf"), False),
+        ]
+    )
+    def test_are_keys_trusted(
+        self, _: str, configuration_age_s: float, keys_age_s: float, trusted: bool
+    ) -> None:
+        self.assertEqual(trusted, are_keys_trusted(5.0, configuration_age_s, keys_age_s))
