End the last accepts of a stopping entry although callers come back at once

Cause: before it closes the listening socket, the entry accepts what the kernel has established, on the event loop, until nothing is left. Its threads refused callers meanwhile, who came back at once, so the loop never ended; the event loop stood still, and the state page with it (stacks of all threads after 25 s). Change: a filter on the socket drops the first packet of new handshakes, those that have begun get 50 ms to end, then what waits is accepted. The same at the gateway's listener. With listen(0) alone one of three runs cut a request.

--- a/src/pearshed/_internal/entry/http_server.py
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -1,5 +1,6 @@
 """The HTTP server for callers, based on cheroot, with read timeouts for slow callers."""
 
+import asyncio
 import contextlib
 import io
 import math
@@ -20,7 +21,11 @@
 from pearshed._internal.models.outcomes import FailureCode, RequestFailure
 from pearshed._internal.settings.model import EntrySettings
 from pearshed._internal.timers import clock
-from pearshed._internal.utils.sockets import set_reset_on_close
+from pearshed._internal.utils.sockets import (
+    HANDSHAKE_S,
+    drop_new_connections,
+    set_reset_on_close,
+)
 
 SOCKET_KEY = "pearshed.socket"
 RESPONSE_FRAMING_KEY = "pearshed.response_framing"
@@ -264,11 +269,13 @@
         """Close each connection after its next response, which announces it."""
         self.keep_alive_conn_limit = 0
 
-    def stop_accepting(self) -> None:
+    async def stop_accepting(self) -> None:
         """Accept the connections that are established in the kernel, then stop listening.
 
         Closing the socket alone would reset them, with the requests that callers have sent.
         """
+        drop_new_connections(self.socket)
+        await asyncio.sleep(HANDSHAKE_S)
         connections = self._connections  # type: ignore[attr-defined]  # not in cheroot's stubs
         self.socket.setblocking(False)
         while (connection := connections._from_server_socket(self.socket)) is not None:
--- a/src/pearshed/_internal/entry/process.py
+++ b/src/pearshed/_internal/entry/process.py
@@ -136,7 +136,7 @@
 
     async def _answer_last_requests(self) -> None:
         """Stop listening, and refuse what still arrives on the connections that are open."""
-        self._server.stop_accepting()
+        await self._server.stop_accepting()
         quiet_since = clock.now()
         deadline = quiet_since + _LAST_REQUESTS_TIMEOUT_S
         while clock.now() < min(deadline, quiet_since + _LAST_REQUEST_WAIT_S):
--- a/src/pearshed/_internal/http/listener.py
+++ b/src/pearshed/_internal/http/listener.py
@@ -9,6 +9,7 @@
 
 from pearshed._internal.errors import AddressInUseError
 from pearshed._internal.utils.addresses import Address
+from pearshed._internal.utils.sockets import HANDSHAKE_S, drop_new_connections
 
 LISTEN_BACKLOG = 1024
 
@@ -53,6 +54,8 @@
         Closing the socket alone would reset them, with the requests that callers have sent.
         """
         loop = asyncio.get_running_loop()
+        drop_new_connections(self._socket)
+        await asyncio.sleep(HANDSHAKE_S)
         loop.remove_reader(self._socket.fileno())
         # Connections accepted in the last turn of the event loop need the server until the next.
         await asyncio.sleep(0)
