Let a side's reads of its engine keep the engine's pause too

Cause: the side read its engine four times a second on, whatever Retry-After came with a 503. Change: neither the report nor the cache's changes are read until the pause ends. Result: EngineReadTest passes in both rows; before, each of its twelve reads would have been sent (not run: there was no code for it). test_platform_adapter, test_json_client, test_silent_engines and test_prefill pass.

--- a/src/pearshed/_internal/http/json_client.py
+++ b/src/pearshed/_internal/http/json_client.py
@@ -17,7 +17,7 @@
     ResponseEnd,
     connect,
 )
-from pearshed._internal.http.messages import Header, ResponseHead
+from pearshed._internal.http.messages import Header, Headers, ResponseHead
 from pearshed._internal.utils.addresses import Address
 from pearshed._internal.utils.foreign_values import parse_count
 
@@ -64,6 +64,7 @@
         self._body_bytes: int | None = None
         self._transfer_s = 0.0
         self._receiving_since: float | None = None
+        self._headers: Headers = ()
         self._failures: collections.Counter[str] = collections.Counter()
 
     @property
@@ -76,6 +77,11 @@
         """Number of failed calls by the phase in which they failed."""
         return self._failures
 
+    @property
+    def response_headers(self) -> Headers:
+        """Headers of the last response; empty if the last call got none."""
+        return self._headers
+
     @property
     def transfer_s(self) -> float:
         """Time from the head of the last response to its end, seconds."""
@@ -114,6 +120,7 @@
         self._phase = CallPhase.CONNECTING
         self._received_bytes = 0
         self._body_bytes = None
+        self._headers = ()
         target = f"{path}?{urllib.parse.urlencode(query)}" if query else path
         try:
             async with asyncio.timeout(self._connect_timeout_s + timeout_s) as timeout:
@@ -165,6 +172,7 @@
             if isinstance(event, ResponseHead):
                 self._receiving_since = started_at = now
                 status = event.status
+                self._headers = event.headers
                 self._phase = CallPhase.RECEIVING
                 self._body_bytes = _content_length(event)
             elif isinstance(event, ResponseEnd):
--- a/src/pearshed/_internal/platform/engine_client.py
+++ b/src/pearshed/_internal/platform/engine_client.py
@@ -4,8 +4,10 @@
 from typing import Any
 
 from absl import logging
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from pearshed._internal.decisions.engine_pauses import parse_pause
 from pearshed._internal.engine_side.monitor import (
     CacheChange,
     CacheUpdate,
@@ -13,6 +15,7 @@
     EngineReport,
     RunningRequest,
 )
+from pearshed._internal.http import messages
 from pearshed._internal.http.json_client import JsonClient
 from pearshed._internal.platform import names
 from pearshed._internal.timers import clock
@@ -21,29 +24,53 @@
 
 #: The engine is on the same VM: it responds within milliseconds or hangs.
 RESPONSE_TIMEOUT_S = 1.0
+_TURNED_AWAY = 503
+_PAUSED: Result[Any, str] = Failure("the engine asks for a pause")
 
 
 class PlatformEngineMonitor(EngineMonitor):
-    """Reads an engine over two connections, since a wait for changes occupies one."""
+    """Reads an engine over two connections, since a wait for changes occupies one.
+
+    While the engine asks for a pause, it is not read.
+    """
 
     def __init__(self, address: Address) -> None:
+        self._paused_until = float("-inf")
         self._report_client = JsonClient(address, max_transfer_s=RESPONSE_TIMEOUT_S)
         self._cache_event_client = JsonClient(address, max_transfer_s=RESPONSE_TIMEOUT_S)
 
     async def report(self) -> Result[EngineReport, str]:
         """Read the engine's load."""
+        if clock.now() < self._paused_until:
+            return _PAUSED
         response = await self._report_client.call(names.REPORT_PATH, {}, RESPONSE_TIMEOUT_S)
+        self._record_pause(response, self._report_client)
         return response.bind(_parse_report)
 
     async def next_cache_update(self, since: int, wait_s: float) -> Result[CacheUpdate, str]:
         """Wait for changes of the engine's cache."""
+        if clock.now() < self._paused_until:
+            return _PAUSED
         wait_ms = int(wait_s * clock.MILLISECONDS_PER_SECOND)
         headers = ((names.WAIT_MS, b"%d" % wait_ms),)
         response = await self._cache_event_client.call(
             names.CACHE_EVENTS_PATH, {"since": str(since)}, wait_s + RESPONSE_TIMEOUT_S, headers
         )
+        self._record_pause(response, self._cache_event_client)
         return response.bind(_parse_cache_update)
 
+    def _record_pause(
+        self, response: Result[tuple[int, Mapping[str, Any]], str], client: JsonClient
+    ) -> None:
+        """Record the pause that the engine asks for as it turns a read away."""
+        value = messages.header_value(client.response_headers, names.RETRY_AFTER)
+        if not value or not is_successful(response) or response.unwrap()[0] != _TURNED_AWAY:
+            return
+        asked = parse_pause(value)
+        self._paused_until = max(self._paused_until, clock.now() + asked.pause_s)
+        fields = {"value": asked.text, "for_s": asked.pause_s}
+        logging.info("engine.paused", extra={"fields": fields})
+
     def close(self) -> None:
         """Close the connections."""
         self._report_client.close()
--- a/tests/gateway/test_engine_pauses.py
+++ b/tests/gateway/test_engine_pauses.py
@@ -1,14 +1,18 @@
 """Engines that turn requests away and ask the gateway for a pause."""
 
 import asyncio
+import unittest
 from collections.abc import Mapping
 
 from parameterized import parameterized
+from returns.pipeline import is_successful
 
 from pearshed._internal.engine_side.messages import AdmissionRequest, Message
+from pearshed._internal.platform.engine_client import PlatformEngineMonitor
 from pearshed._internal.utils.addresses import Address
 from tests.gateway.test_waiting import PROMPT, WaitingTestCase
 from tests.lib import side_stand_in
+from tests.lib.fakes import FakeClock
 from tests.lib.gateway_caller import Caller, CallerResponse
 from tests.lib.gateway_fixture import GatewayTestCase, free_address, until
 from tests.lib.gateway_fleet import GatewayFleetTestCase
@@ -355,3 +359,40 @@
         responses = await asyncio.gather(second, *held)
         self.assertEqual([503] * 5, [response.status for response in responses])
         self.assertEqual(before, len(self.pausing.requests))
+
+
+class EngineReadTest(unittest.IsolatedAsyncioTestCase):
+    """The side's reads of its engine: its report, and the changes of its cache."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = FakeClock(self)
+
+    @parameterized.expand([("report",), ("cache_changes",)])
+    async def test_an_engine_is_not_read_in_the_pause_that_it_asked_for(self, asking: str) -> None:
+        async def respond(connection: EngineConnection, request: EngineRequest) -> None:
+            if len(engine.requests) == 1:
+                connection.send_response(request, 503, b"", pause_headers())
+            else:
+                connection.send_response(request, body=b'{"events": [], "next": 1}')
+
+        engine = EngineStandIn("i-1", "fleet", respond)
+        engine.reports_itself = False
+        await engine.start()
+        self.addAsyncCleanup(engine.stop)
+        monitor = PlatformEngineMonitor(engine.address)
+        self.addCleanup(monitor.close)
+
+        async def read() -> list[bool]:
+            report = await monitor.report()
+            update = await monitor.next_cache_update(0, 0.0)
+            return [is_successful(report), is_successful(update)]
+
+        if asking == "report":
+            await monitor.report()
+        else:
+            await monitor.next_cache_update(0, 0.0)
+        for _ in range(_BURST):
+            self.assertEqual([False, False], await read())
+        self.assertEqual(1, len(engine.requests))
+        self.clock.advance(PAUSE_S + 0.1)
+        self.assertEqual([True, True], await read())
