--- a/src/pearshed/_internal/gateway/operator_pages.py
+++ b/src/pearshed/_internal/gateway/operator_pages.py
@@ -125,6 +125,7 @@
                     "address": str(endpoint.entry.address),
                     "state": endpoint.entry.state.value,
                     "evacuated": endpoint.evacuated,
+                    "pause_s": round(endpoint.pause_s, 3),
                     "in_flight": endpoint.in_flight,
                     "connections": endpoint.open_connections,
                     "failure_share": round(endpoint.failure_share, 3),
