--- a/src/pearshed/_internal/gateway/availability/key_confirmation.py
+++ b/src/pearshed/_internal/gateway/availability/key_confirmation.py
@@ -62,8 +62,8 @@
             self._round is None
             and now >= self._next_round_at
             and self._store_cache.is_receiving
-            and self._digest()
             and self.age_s > ASK_AGE_S
+            and self._digest()
         ):
             self._round = asyncio.get_running_loop().create_task(self._ask_some())
             self._round.add_done_callback(self._end_round)
