Eject no endpoint that asks for a pause, and tell the blocked the longer of two times

Cause: an entry counted a 503 with Retry-After as a failure, so three of them ejected the endpoint beyond its pause. A request that is blocked since it crashes engines got the time of a pause if that was shorter. Change: such a response is inconclusive; of both times the later one is sent. A cache's epoch that is text is compared as it is. Result: the new row of test_an_endpoint_that_asks_for_a_pause_is_not_ejected failed before and passes; unit.test_dispatch, test_engine_pauses, test_platform_adapter and test_crashing_* pass.

--- a/src/pearshed/_internal/entry/dispatcher.py
+++ b/src/pearshed/_internal/entry/dispatcher.py
@@ -18,6 +18,7 @@
     Execution,
     FailureCode,
     RelayedEnd,
+    RelayedHead,
     RequestFailure,
 )
 from pearshed._internal.models.requests import RoutedRequest
@@ -28,6 +29,7 @@
 _MAX_ATTEMPTS = 3
 _DEFAULT_RETRY_AFTER_S = 1.0
 _HEDGE_DELAY_S = 0.01
+_TURNED_AWAY_STATUS = 503
 
 _REFUSAL_CODES = {
     pb.REFUSAL_QUEUE_FULL: FailureCode.OVERLOADED,
@@ -263,7 +265,11 @@
             self._health.record_success(name)
             attempt.flush_buffered()
             return None
-        self._health.record_failure(name)
+        if _asks_for_pause(attempt.head):
+            # Its side grants nothing until the end; that it asks in time is no failure.
+            self._health.record_inconclusive(name)
+        else:
+            self._health.record_failure(name)
         failure = RequestFailure(
             FailureCode.ENDPOINT_FAILED,
             f"the endpoint answered with status {attempt.head.status}",
@@ -284,6 +290,13 @@
         return _FailedAttempt(failure, frozenset((name,)), retryable=not attempt.delivery_started)
 
 
+def _asks_for_pause(head: RelayedHead) -> bool:
+    """Return whether an endpoint has turned a request away and asked for a pause."""
+    return head.status == _TURNED_AWAY_STATUS and any(
+        name.lower() == "retry-after" for name, _ in head.headers
+    )
+
+
 def _finish_failed(failed: _FailedAttempt, sink: ResponseSink) -> None:
     """End a request that is not retried, with the endpoint's own error response if it sent one."""
     if failed.error_attempt is None:
--- a/src/pearshed/_internal/gateway/forwarding/return_times.py
+++ b/src/pearshed/_internal/gateway/forwarding/return_times.py
@@ -24,9 +24,11 @@
 
         :param pause_s: time for which all engines get no requests, seconds; 0 if some do.
         """
+        if progress.blocked:
+            return self.spread_s(max(pause_s, progress.wait_s))
         if pause_s:
             return self.spread_s(pause_s)
-        if not call.competes or progress.blocked:
+        if not call.competes:
             return self.spread_s(progress.wait_s)
         seconds = retry_after_s(
             progress.quote, progress.wait_s, call.rank, call.remaining_s, self._rng.random()
--- a/src/pearshed/_internal/platform/engine_client.py
+++ b/src/pearshed/_internal/platform/engine_client.py
@@ -119,7 +119,7 @@
             logging.info("engine.cache_event_refused", extra={"fields": {"reason": str(error)}})
     return Success(
         CacheUpdate(
-            describe(raw.get("epoch")),
+            raw["epoch"] if isinstance(raw.get("epoch"), str) else describe(raw.get("epoch")),
             _get_count(raw, "next"),
             bool(raw.get("lost")),
             tuple(changes),
--- a/tests/lib/entry_fakes.py
+++ b/tests/lib/entry_fakes.py
@@ -42,6 +42,9 @@
     return RoutedRequest(**{**values, **fields})
 
 
+_RETRY_AFTER = pb.Header(name="Retry-After", value="2")
+
+
 class FakeLink:
     """A link that responds to each frame of an attempt as scripted.
 
@@ -83,6 +86,7 @@
             "grant": {"grant": pb.Grant()},
             "head": {"head": pb.Head(status=200)},
             "sick": {"head": pb.Head(status=503)},
+            "pausing": {"head": pb.Head(status=503, headers=[_RETRY_AFTER])},
             "part": {"delta": pb.Delta(offset=0, content=b"answer")},
             "end": {"end": pb.End(**complete_end)},  # type: ignore[arg-type]
             "not_run": {"end": pb.End(execution=pb.EXECUTION_NOT_RUN)},
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -48,7 +48,11 @@
     """
 
     def dispatch(
-        self, links: list[FakeLink], fanout: int = 1, **fields: Any
+        self,
+        links: list[FakeLink],
+        fanout: int = 1,
+        health: EndpointHealth | None = None,
+        **fields: Any,
     ) -> tuple[list[RelayedEvent], ResponseSink]:
         key_router = SimpleNamespace(link_for=self._route_to_first(links))
         usable = cast(list[SideLink], links)
@@ -56,7 +60,7 @@
             Candidates(lambda: usable, EndpointHealth(), VMView()),
             cast(Any, SimpleNamespace(choose=lambda request, chosen, count: chosen[:count])),
             cast(KeyRouter, key_router),
-            EndpointHealth(),
+            health or EndpointHealth(),
             RetryBudget(),
             fanout,
             fanout,
@@ -190,6 +194,16 @@
         self.assertEqual(([503], RelayedEnd()), (heads, events[-1]))
         self.assertEqual([], links[1].sent)
 
+    @parameterized.expand([("asks_for_a_pause", "pausing", []), ("fails", "sick", ["engine-0"])])
+    def test_an_endpoint_that_asks_for_a_pause_is_not_ejected(
+        self, _: str, response: str, ejected: list[str]
+    ) -> None:
+        health = EndpointHealth()
+        for _number in range(3):
+            links = [FakeLink("engine-0", reserve="grant", body=f"{response} part end")]
+            self.dispatch([*links, FakeLink("engine-1", **SUCCESS)], health=health)
+        self.assertEqual(ejected, health.ejected_endpoints())
+
     def test_first_grant_wins_and_other_reservations_are_withdrawn(self) -> None:
         links = [
             FakeLink("engine-0"),
