--- /dev/null
+++ b/tests/gateway/test_restored_stores.py
@@ -0,0 +1,91 @@
+"""A store that comes back from a copy some seconds old: its revisions go back."""
+
+from parameterized import parameterized
+
+from pearshed._internal.gateway.process import GatewayProcess
+from tests.lib.gateway_fixture import GatewayTestCase, until
+from tests.lib.gateway_platform import API_KEY, configuration, respond_ok
+
+_OTHER_KEY = "another-key"
+
+
+class RestoredStoreTest(GatewayTestCase):
+    """Guards against state that is known by its revision alone."""
+
+    async def start(self) -> GatewayProcess:
+        for _ in range(2):
+            await self.add_engine("ledger", respond_ok)
+        gateway = await self.start_gateway()
+        await until(lambda: self.has_endpoints("ledger", 2))
+        return gateway
+
+    def write_much(self) -> None:
+        """Let the revision rise by what the copy doesn't hold."""
+        for number in range(20):
+            self.store.put(f"other/{number}", number)
+
+    async def pass_a_restore(self) -> None:
+        """Wait until the gateway has read the store that came back."""
+        calls = len(self.store.calls)
+        await until(lambda: any("kv-watch" in call for call in self.store.calls[calls + 3 :]))
+
+    @parameterized.expand([("draining", "draining"), ("gone", None)])
+    async def test_changes_after_a_restore_are_followed(self, _: str, state: str | None) -> None:
+        gateway = await self.start()
+        copy = self.store.copy()
+        self.write_much()
+        first = self.engines[0]
+        self.store.put(f"servers/{first.identity}", first.entry(seq=2))
+        await until(lambda: gateway.store_cache.revision > copy.revision + 20)
+        self.store.restore(copy)
+        if state is not None:
+            self.store.put(f"servers/{first.identity}", first.entry(seq=3, state=state))
+        else:
+            self.store.delete(f"servers/{first.identity}")
+        await until(lambda: self.has_endpoints("ledger", 1))
+        self.store.put("servers/i-new", first.entry(service="other"))
+        await until(lambda: self.has_endpoints("other", 1))
+
+    async def test_an_engine_that_has_left_is_not_back_because_a_copy_lists_it(self) -> None:
+        gateway = await self.start()
+        copy = self.store.copy()
+        self.store.put(
+            f"servers/{self.engines[0].identity}", self.engines[0].entry(state="draining")
+        )
+        self.store.delete(f"servers/{self.engines[0].identity}")
+        await until(lambda: self.has_endpoints("ledger", 1))
+        self.store.restore(copy)
+        await self.pass_a_restore()
+        self.assertTrue(self.has_endpoints("ledger", 1))
+        self.assertEqual([], gateway.not_ready_reasons())
+
+    async def test_a_revoked_key_is_not_back_through_a_copy(self) -> None:
+        gateway = await self.start()
+        copy = self.store.copy()
+        tenants = [{"name": "guild", "apiKeys": [_OTHER_KEY], "priority": 1}]
+        self.store.put("op/config", configuration(2, tenants=tenants))
+        await until(lambda: gateway.pages.dump()["configuration"] == 2)
+        self.store.restore(copy)
+        await self.pass_a_restore()
+        authorization = {"Authorization": f"Token {API_KEY}"}
+        self.assertEqual(401, await self.status("/lookup/a", headers=authorization))
+        self.store.put("op/config", configuration(3))
+        await until(lambda: gateway.pages.dump()["configuration"] == 3)
+        self.assertEqual(200, await self.status("/lookup/a", headers=authorization))
+
+    async def test_an_evacuation_after_a_restore_is_in_force(self) -> None:
+        for _ in range(2):
+            await self.add_engine("ledger", respond_ok)
+        gateway = await self.start_gateway(evacuation_bound_s=5.0)
+        await until(lambda: self.has_endpoints("ledger", 2))
+        copy = self.store.copy()
+        self.write_much()
+        self.store.put("op/evacuate/olympia", {})
+        await until(lambda: self.has_endpoints("ledger", 0))
+        self.store.delete("op/evacuate/olympia")
+        await until(lambda: self.has_endpoints("ledger", 2))
+        self.store.restore(copy)
+        await self.pass_a_restore()
+        self.store.put("op/evacuate/olympia", {})
+        await until(lambda: self.has_endpoints("ledger", 0))
+        self.assertIsNotNone(gateway)
--- a/tests/lib/gateway_store.py
+++ b/tests/lib/gateway_store.py
@@ -20,6 +20,14 @@
     revision: int
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the store held at a moment."""
+
+    items: dict[str, _Item]
+    revision: int
+
+
 @dataclass
 class StoreStandIn:
     """The store: items, a change history, and faults that tests switch on.
@@ -29,6 +37,7 @@
     :ivar hang: requests get no response while it is set.
     :ivar bytes_per_s: rate at which responses are sent; 0 for no limit.
     :ivar stall_after_bytes: bytes of a response after which no more follow; 0 for all of them.
+    :ivar era: rises by one each time that the store comes back from a copy.
     :ivar page_size: maximum number of items in a range response.
     :ivar calls: targets of all requests.
     """
@@ -39,6 +48,7 @@
     bytes_per_s: int = 0
     stall_after_bytes: int = 0
     page_size: int = 2
+    era: int = 1
     calls: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -85,6 +95,19 @@
         self._history.clear()
         self._compacted_revision = self._revision
 
+    def copy(self) -> "StoreCopy":
+        """Copy what the store holds now."""
+        return StoreCopy(dict(self._items), self._revision)
+
+    def restore(self, copy: "StoreCopy") -> None:
+        """Come back from a copy: revisions go back and are given out again, watches get 410."""
+        self.era += 1
+        self._items = dict(copy.items)
+        self._revision = copy.revision
+        self._history.clear()
+        self._compacted_revision = self._revision
+        self.reset_connections()
+
     def _record_change(self, key: str, value: bytes | None) -> None:
         self._history.append((self._revision, key, value))
         self._changed.set()
@@ -102,7 +125,8 @@
                 status, document = await self._respond(target)
                 body = json.dumps(document).encode()
                 writer.write(
-                    b"HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n" % (status, len(body))
+                    b"HTTP/1.1 %d Status\r\nContent-Length: %d\r\nStore-Era: %d\r\n\r\n"
+                    % (status, len(body), self.era)
                 )
                 await self._send_body(writer, body)
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -156,7 +180,7 @@
 
     async def _watch(self, query: Mapping[str, str]) -> tuple[int, dict[str, Any]]:
         since = int(query["sinceRev"])
-        if since < self._compacted_revision:
+        if since < self._compacted_revision or since > self._revision:
             return 410, {"error": "compacted"}
         changed = self._changed
         if self._revision <= since:
