Follow a store that comes back from a copy

What callers saw, in tests: after a restore an engine that drains stayed in use, and an evacuation wasn't in force, as lower revisions counted as older. With the order alone mended, an engine that has left would come back with the copy. Change: the adapter orders revisions by Store-Era first; answers of an earlier era are failed calls, a watch from one is lost history. Runs that have left and evacuations from before are remembered.

--- a/src/pearshed/_internal/gateway/availability/evacuations.py
+++ b/src/pearshed/_internal/gateway/availability/evacuations.py
@@ -135,6 +135,11 @@
             self._untrusted_since = clock.now()
         return False
 
+    @property
+    def revisions(self) -> Mapping[str, int]:
+        """Revision at which each evacuation that is known was set, by data centre."""
+        return {name: one.revision for name, one in self._evacuations.items()}
+
     def on_change(self, callback: Callable[[frozenset[str]], None]) -> None:
         """Call ``callback`` with the evacuated data centres after each change."""
         self._callbacks.append(callback)
--- a/src/pearshed/_internal/gateway/store.py
+++ b/src/pearshed/_internal/gateway/store.py
@@ -28,6 +28,8 @@
     :ivar requested_at: clock reading when the request was sent: the response is no older.
     :ivar next_page_key: key after which more items follow; empty when all that match were read.
     :ivar transfer_s: time from the response's head to its end, seconds.
+    :ivar copied_until: revision up to which items may come from a copy of an earlier state, from
+        which the store has come back; 0 if it has not.
     """
 
     items: tuple[StoreItem, ...]
@@ -35,6 +37,7 @@
     requested_at: float
     next_page_key: str = ""
     transfer_s: float = 0.0
+    copied_until: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +55,10 @@
 
 
 class Store(abc.ABC):
-    """Reads and watches the platform's store."""
+    """Reads and watches the platform's store.
+
+    Revisions only rise, also when the store comes back from a copy of an earlier state.
+    """
 
     @abc.abstractmethod
     async def read_configuration(self) -> StoreResult:
--- a/src/pearshed/_internal/gateway/store_cache.py
+++ b/src/pearshed/_internal/gateway/store_cache.py
@@ -12,6 +12,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
+from pearshed._internal.gateway.availability.departures import Departures
 from pearshed._internal.gateway.availability.evacuations import (
     EvacuationTable,
     EvacuationUpdate,
@@ -130,6 +131,7 @@
         self._configuration: RoutingConfiguration | None = None
         self._configuration_item: StoreItem | None = None
         self._endpoints: dict[str, EndpointEntry] = {}
+        self._departures = Departures()
         self._endpoint_items: dict[str, StoreItem] = {}
         self._digest = ""
         self._entry_revisions: dict[str, int] = {}
@@ -411,6 +413,10 @@
             self._store.evacuated_data_centre(item.key): item.revision for item in read.items
         }
         revisions.pop("", None)
+        for data_centre, set_at in self._evacuations.revisions.items():
+            if set_at <= read.copied_until:
+                # A copy from which the store has come back may lack it; its end comes as a change.
+                revisions.setdefault(data_centre, set_at)
         self._evacuations.apply_all(revisions, read.revision, Source.STORE)
         self._evacuations.confirm(read.revision, read.requested_at)
         self._evacuations_read = True
@@ -442,7 +448,11 @@
                 return result.failure()
             await asyncio.sleep(backoff.next_delay())
         items = tuple(item for page in pages for item in page.items)
-        return StoreResponse(items, pages[0].revision, pages[0].requested_at)
+        copied_until = pages[-1].copied_until
+        self._departures.copied_until = copied_until
+        return StoreResponse(
+            items, pages[0].revision, pages[0].requested_at, copied_until=copied_until
+        )
 
     async def _watch(self) -> StoreFailure | None:
         result = await self._store.watch(self._revision, self._watch_wait_s())
@@ -563,6 +573,11 @@
             return self._drop_or_defer_endpoint(identity)
         entry = decoded.unwrap()
         current = self._endpoints.get(identity)
+        if entry.state is EndpointState.READY and self._departures.has_left(entry, item.revision):
+            _log("endpoint.copied", identity=identity, service=entry.service)
+            return self._drop_or_defer_endpoint(identity)
+        if entry.state is not EndpointState.READY:
+            self._departures.record(entry)
         self._endpoints[identity] = entry
         self._endpoint_items[identity] = item
         self._digest = ""
@@ -592,7 +607,9 @@
         return True
 
     def _drop_endpoint(self, identity: str) -> None:
-        self._endpoints.pop(identity, None)
+        entry = self._endpoints.pop(identity, None)
+        if entry is not None:
+            self._departures.record(entry)
         self._endpoint_items.pop(identity, None)
         self._digest = ""
 
--- a/src/pearshed/_internal/platform/names.py
+++ b/src/pearshed/_internal/platform/names.py
@@ -59,5 +59,7 @@
 ENDPOINT_PREFIX = "servers/"
 # Followed by the name of a data centre to whose endpoints nothing may be sent; any value.
 EVACUATION_PREFIX = "op/evacuate/"
+# Rises by one each time that the store comes back from a copy, in all its responses.
+STORE_ERA = b"store-era"
 
 SETTINGS_VARIABLE = "PEARSHED_CONFIG"
--- a/src/pearshed/_internal/platform/store_client.py
+++ b/src/pearshed/_internal/platform/store_client.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from absl import logging
 from returns.pipeline import is_successful
 from returns.result import Failure, Success
 
@@ -16,17 +17,20 @@
     StoreResponse,
     StoreResult,
 )
+from pearshed._internal.http import messages
 from pearshed._internal.http.json_client import JsonClient
 from pearshed._internal.platform import names
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
-from pearshed._internal.utils.foreign_values import MAX_INTEGER
+from pearshed._internal.utils.foreign_values import parse_count
 
 #: Timeout of a response's start beyond the requested wait: it may take 100 times its usual 4 ms.
 RESPONSE_TIMEOUT_S = 0.9
 _GONE = 410
 _OK = 200
 _NOT_FOUND = 404
+#: Revisions of one era of the store; what it gives out in a later era is higher.
+_REVISIONS_PER_ERA = 2**40
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,12 +38,20 @@
     """A response of the store.
 
     :ivar transfer_s: time from its head to its end, seconds.
+    :ivar era: of the store when it responded.
+    :ivar copied_until: see ``StoreResponse``.
     """
 
     status: int
     raw: Mapping[str, Any]
     requested_at: float
     transfer_s: float
+    era: int = 0
+    copied_until: int = 0
+
+    def revision(self, raw: int) -> int:
+        """Return the revision that orders a raw one among those of all eras."""
+        return self.era * _REVISIONS_PER_ERA + raw
 
 
 class PlatformStore(Store):
@@ -50,6 +62,8 @@
 
     def __init__(self, address: Address) -> None:
         self._client = JsonClient(address)
+        self._era: int | None = None
+        self._copied_until = 0
 
     @property
     def calls(self) -> int:
@@ -76,7 +90,7 @@
         reply = await self._call(names.ITEM_PATH, {"key": names.CONFIGURATION_KEY})
         if isinstance(reply, StoreFailure):
             return Failure(reply)
-        items = (_parse_item(reply.raw),) if reply.status == _OK else ()
+        items = (_parse_item(reply.raw, reply),) if reply.status == _OK else ()
         return _build_response(items, reply)
 
     async def read_endpoints(self, after: str) -> StoreResult:
@@ -100,20 +114,26 @@
             return Failure(StoreFailure("the page of entries has no list of items"))
         last_key = page[-1].get("key") if page and isinstance(page[-1], dict) else None
         more = reply.raw.get("truncated") is True and isinstance(last_key, str)
-        items = tuple(_parse_item(entry) for entry in page)
+        items = tuple(_parse_item(entry, reply) for entry in page)
         return _build_response(items, reply, str(last_key) if more else "")
 
     async def watch(self, after: int, wait_s: float) -> StoreResult:
         """Wait for changes after a revision, of any key."""
+        era, revision = divmod(after, _REVISIONS_PER_ERA)
+        if era < (self._era or 0):
+            return Failure(StoreFailure("the store has come back from a copy", history_lost=True))
         wait_ms = int(wait_s * clock.MILLISECONDS_PER_SECOND)
-        query = {"pathPrefix": "", "sinceRev": str(after), "waitMs": str(wait_ms)}
+        query = {"pathPrefix": "", "sinceRev": str(revision), "waitMs": str(wait_ms)}
         reply = await self._call(names.WATCH_PATH, query, wait_s)
         if isinstance(reply, StoreFailure):
             return Failure(reply)
+        if reply.era != era:
+            # The revision that was asked for is of another era than the changes.
+            return Failure(StoreFailure("the store has come back from a copy", history_lost=True))
         events = reply.raw.get("events")
         if not isinstance(events, list):
             return Failure(StoreFailure("the response to the watch has no list of events"))
-        return _build_response(tuple(_parse_item(event) for event in events), reply)
+        return _build_response(tuple(_parse_item(event, reply) for event in events), reply)
 
     def is_configuration(self, key: str) -> bool:
         """Return whether a key is the configuration's."""
@@ -149,28 +169,64 @@
             )
         if status not in (_OK, _NOT_FOUND):
             return StoreFailure(f"{path} answered status {status}")
-        return _Reply(status, raw, requested_at, self._client.transfer_s)
+        era = messages.header_value(self._client.response_headers, names.STORE_ERA)
+        if not self._enter_era(parse_count(era or b""), raw):
+            return StoreFailure(f"{path}: the response is of an earlier era of the store")
+        return _Reply(
+            status,
+            raw,
+            requested_at,
+            self._client.transfer_s,
+            self._era or 0,
+            self._copied_until,
+        )
+
+    def _enter_era(self, era: int | None, raw: Mapping[str, Any]) -> bool:
+        """Follow the store into a later era; return whether a response is of the latest one.
+
+        :param era: of the response; ``None`` if it names none.
+        """
+        if era is None or era == self._era:
+            return True
+        if self._era is not None and era < self._era:
+            return False
+        if self._era is not None:
+            # What the first response of an era covers may come from the copy.
+            revision = raw.get("storeRevision")
+            covered = revision if isinstance(revision, int) else 0
+            self._copied_until = era * _REVISIONS_PER_ERA + covered
+            fields = {"era": era, "before": self._era, "revision": covered}
+            logging.info("store.restored", extra={"fields": fields})
+        self._era = era
+        return True
 
 
 def _build_response(
     items: tuple[StoreItem | None, ...], reply: _Reply, next_page_key: str = ""
 ) -> StoreResult:
     revision = reply.raw.get("storeRevision")
-    if not isinstance(revision, int) or revision > MAX_INTEGER:
+    if not isinstance(revision, int) or revision >= _REVISIONS_PER_ERA:
         return Failure(StoreFailure("the response has no store revision"))
-    valid_items = tuple(item for item in items if item is not None)
     return Success(
-        StoreResponse(valid_items, revision, reply.requested_at, next_page_key, reply.transfer_s)
+        StoreResponse(
+            tuple(item for item in items if item is not None),
+            reply.revision(revision),
+            reply.requested_at,
+            next_page_key,
+            reply.transfer_s,
+            reply.copied_until,
+        )
     )
 
 
-def _parse_item(raw: Any) -> StoreItem | None:
+def _parse_item(raw: Any, reply: _Reply) -> StoreItem | None:
     """Decode an item; ``None`` without a valid key and revision, an invalid value becomes empty."""
     if not isinstance(raw, dict):
         return None
     key, revision, value = raw.get("key"), raw.get("revision"), raw.get("value")
-    if not isinstance(key, str) or not isinstance(revision, int) or revision > MAX_INTEGER:
+    if not isinstance(key, str) or not isinstance(revision, int) or revision >= _REVISIONS_PER_ERA:
         return None
+    revision = reply.revision(revision)
     if raw.get("deleted") is True:
         return StoreItem(key, revision, None)
     try:
--- a/tests/gateway/test_restored_stores.py
+++ b/tests/gateway/test_restored_stores.py
@@ -1,5 +1,7 @@
 """A store that comes back from a copy some seconds old: its revisions go back."""
 
+import functools
+
 from parameterized import parameterized
 
 from pearshed._internal.gateway.process import GatewayProcess
@@ -89,3 +91,63 @@
         self.store.put("op/evacuate/olympia", {})
         await until(lambda: self.has_endpoints("ledger", 0))
         self.assertIsNotNone(gateway)
+
+    async def test_an_engine_that_writes_again_is_back(self) -> None:
+        await self.start()
+        copy = self.store.copy()
+        first = self.engines[0]
+        self.store.delete(f"servers/{first.identity}")
+        await until(lambda: self.has_endpoints("ledger", 1))
+        self.store.restore(copy)
+        await self.pass_a_restore()
+        self.store.put(f"servers/{first.identity}", first.entry(seq=9))
+        await until(lambda: self.has_endpoints("ledger", 2))
+
+    async def test_an_evacuation_that_the_copy_lacks_stays_until_the_operator_ends_it(self) -> None:
+        for _ in range(2):
+            await self.add_engine("ledger", respond_ok)
+        await self.start_gateway(evacuation_bound_s=5.0)
+        copy = self.store.copy()
+        self.store.put("op/evacuate/olympia", {})
+        await until(lambda: self.has_endpoints("ledger", 0))
+        self.store.restore(copy)
+        await self.pass_a_restore()
+        self.assertTrue(self.has_endpoints("ledger", 0))
+        self.store.put("op/evacuate/olympia", {})
+        self.store.delete("op/evacuate/olympia")
+        await until(lambda: self.has_endpoints("ledger", 2))
+
+    @parameterized.expand([("in_a_row", False), ("in_an_outage", True)])
+    async def test_several_restores_are_followed(self, _: str, outage: bool) -> None:
+        gateway = await self.start()
+        copy = self.store.copy()
+        self.write_much()
+        for number in range(3):
+            if outage:
+                self.store.refuse_with = 503
+                self.store.reset_connections()
+                await until(lambda: not gateway.store_cache.connected)
+            self.store.restore(copy)
+            self.store.refuse_with = 0
+            identity = f"i-after-{number}"
+            self.store.put(f"servers/{identity}", self.engines[0].entry(service=identity))
+            await until(functools.partial(self.has_endpoints, identity, 1))
+        self.assertEqual([], gateway.not_ready_reasons())
+        self.assertEqual(200, await self.status("/lookup/a"))
+
+    async def test_responses_of_an_earlier_era_are_dropped(self) -> None:
+        gateway = await self.start()
+        self.store.restore(self.store.copy())
+        await self.pass_a_restore()
+        self.store.era -= 1
+        self.store.reset_connections()
+        self.store.delete(f"servers/{self.engines[0].identity}")
+        await until(lambda: not gateway.store_cache.connected)
+        self.assertTrue(self.has_endpoints("ledger", 2))
+        self.store.era += 1
+        await until(lambda: self.has_endpoints("ledger", 1))
+
+    async def test_a_gateway_that_starts_after_a_restore_is_ready(self) -> None:
+        self.store.restore(self.store.copy())
+        await self.start()
+        self.assertEqual(200, await self.status("/lookup/a"))
--- a/tests/unit/test_foreign_documents.py
+++ b/tests/unit/test_foreign_documents.py
@@ -208,7 +208,8 @@
 
 
 def _check_item(document: bytes) -> None:
-    item = store_client._parse_item(_object(document))
+    reply = store_client._Reply(200, {}, 0.0, 0.0, era=3)
+    item = store_client._parse_item(_object(document), reply)
     if item is not None:
         orjson.dumps([item.key, item.revision])
 
