--- a/tests/functional/test_faults.py
+++ b/tests/functional/test_faults.py
@@ -225,6 +225,7 @@
             else:
                 received = fleet.call_until_broken(site.entry, body=body, X_Request_Class="chat")
                 self.assertTrue(b"".join(stream_chunks(body)).startswith(received), received)
+                fleet.wait_logged(site.entry, "code=deadline_exceeded")
             wait_for(lambda: fleet.journal(site.engines[0])["running"] == 0, "the run to end")
 
     @parameterized.expand([("alone", 1), ("beside_an_engine_that_fails", 2)])
@@ -238,6 +239,8 @@
                 fleet.set(engine, cut_after=5)
             received = fleet.call_until_broken(site.entry, body=body)
             self.assertEqual(b"".join(list(stream_chunks(body))[:5]), received)
+            fields = ("code=endpoint_failed", "execution=may_have_run")
+            fleet.wait_logged(site.entry, *fields)
             runs = sum(len(fleet.journal(engine)["journal"]) for engine in site.engines)
             self.assertEqual(1, runs)
 
--- a/tests/functional/test_response_ends.py
+++ b/tests/functional/test_response_ends.py
@@ -45,6 +45,10 @@
         received = self.fleet.call_until_broken(self.site.entry, body=body)
         self.assertTrue(b"".join(stream_chunks(body)).startswith(received), received)
         self.assertNotIn(b"error", received)
+        # Callers can't be told any more; operators are.
+        self.fleet.wait_logged(
+            self.site.entry, "inside an event", "code=endpoint_failed", "execution=ran"
+        )
 
     @parameterized.expand([("stream", True), ("plain", False)])
     def test_a_response_without_framing_is_not_framed_as_complete(
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -253,6 +253,16 @@
             preload_content=preload_content,
         )
 
+    def wait_logged(self, node: Node, *texts: str) -> None:
+        """Wait until one line of a process's log has all texts."""
+        path = pathlib.Path(self._directory.name) / f"{node.name}.log"
+
+        def is_logged() -> bool:
+            lines = path.read_text(errors="replace").splitlines()
+            return any(all(text in line for text in texts) for line in lines)
+
+        wait_for(is_logged, f"{texts} in the log of {node.name}")
+
     def call_until_broken(self, entry: Node, **fields: Any) -> bytes:
         """Call an entry and return what arrives before the response breaks off.
 
