--- a/tests/functional/test_faults.py
+++ b/tests/functional/test_faults.py
@@ -225,6 +225,7 @@
             else:
                 received = fleet.call_until_broken(site.entry, body=body, X_Request_Class="chat")
                 self.assertTrue(b"".join(stream_chunks(body)).startswith(received), received)
+                self.assertNotIn(b"[DONE]", received)
                 fleet.wait_logged(site.entry, "code=deadline_exceeded")
             wait_for(lambda: fleet.journal(site.engines[0])["running"] == 0, "the run to end")
 
