--- a/src/pearshed/_internal/models/routing.py
+++ b/src/pearshed/_internal/models/routing.py
@@ -204,7 +204,7 @@
     DRAINING = "draining"
 
 
-#: Identity, address and start of an endpoint, which tell its runs apart.
+#: Identity, address and start of an endpoint: identifies one of its runs.
 EndpointRun = tuple[str, Address, int]
 
 
@@ -231,7 +231,7 @@
 
     @property
     def run(self) -> EndpointRun:
-        """What tells this run from one after a restart, and from another endpoint's."""
+        """Identifies this run; it changes with a restart and with the address."""
         return self.identity, self.address, self.started_at_ms
 
 
