Move the retry budget and the history of versions to the decisions

What they need moves below them: the origin of a stream and the id of an engine's run become models, so that decisions go on importing models, timers and each other only. Behaviour stays as it is: lint and types pass, and the tests of both, of streams, crashes and foreign messages.

--- a/src/pearshed/_internal/gateway/version_history.py
+++ b/src/pearshed/_internal/decisions/version_history.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable
 
-from pearshed._internal.engine_side.stream_origins import StreamOrigin
 from pearshed._internal.models.routing import EndpointEntry
+from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.timers import clock
 
 #: Longer than a caller goes on to take up a stream, seconds.
--- a/src/pearshed/_internal/engine_side/crash_records.py
+++ b/src/pearshed/_internal/engine_side/crash_records.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from pearshed._internal.models.routing import EndpointEntry
 from pearshed._internal.timers import clock
 
 #: Time for which a crash is remembered, seconds; longer than any block, see ``crash_blame``.
@@ -25,11 +24,6 @@
 SuspectChain = tuple[str, ...]
 
 
-def run_id(entry: EndpointEntry) -> str:
-    """Identify one run of an engine, which ends with a crash or a stop."""
-    return f"{entry.identity}/{entry.started_at_ms}"
-
-
 @dataclass(frozen=True, slots=True)
 class CrashRecord:
     """The end of an engine's run while it processed requests.
--- a/src/pearshed/_internal/engine_side/messages.py
+++ b/src/pearshed/_internal/engine_side/messages.py
@@ -17,9 +17,9 @@
 from pearshed._internal.decisions.terms import RequestTerms
 from pearshed._internal.engine_side.crash_records import CrashRecord, SuspectChain
 from pearshed._internal.engine_side.rate_limits import RateLimit
-from pearshed._internal.engine_side.stream_origins import StreamOrigin
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.models.routing import PromptPart
+from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.foreign_values import describe, to_integer, to_number
 
--- a/src/pearshed/_internal/engine_side/stream_origins.py
+++ b/src/pearshed/_internal/engine_side/stream_origins.py
@@ -5,12 +5,9 @@
 """
 
 import collections
-import dataclasses
 import hashlib
-from dataclasses import dataclass
 
-from pearshed._internal.engine_side.crash_records import run_id
-from pearshed._internal.models.routing import EndpointEntry
+from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.timers import clock
 
 #: Time for which the origin of a stream is remembered after it began or went on, seconds; callers
@@ -21,32 +18,6 @@
 KEY_BYTES = 8
 #: Precedes the key of a request's content.
 _CONTENT_PREFIX = "content:"
-#: Precedes the id of a run, which is no version then.
-_RUN_PREFIX = "run:"
-
-
-@dataclass(frozen=True, slots=True)
-class StreamOrigin:
-    """What began a stream.
-
-    :ivar version: software version of the engine; an engine that names none is a version by itself
-        until it restarts.
-    """
-
-    service: str
-    version: str
-
-    @classmethod
-    def of(cls, entry: EndpointEntry, started_at_ms: int = 0) -> "StreamOrigin":
-        """Return the origin of the streams that an engine begins.
-
-        :param started_at_ms: start of the engine as its side knows it; 0 if not known. The version
-            of a run that the entry doesn't describe yet is not known.
-        """
-        if started_at_ms and started_at_ms != entry.started_at_ms:
-            run = dataclasses.replace(entry, started_at_ms=started_at_ms)
-            return cls(entry.service, _RUN_PREFIX + run_id(run))
-        return cls(entry.service, entry.software_version or _RUN_PREFIX + run_id(entry))
 
 
 #: Origin of the streams of a content that engines of several versions have answered.
--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -32,13 +32,14 @@
     ReturnReport,
     TrafficReport,
 )
-from pearshed._internal.engine_side.stream_origins import OriginTable, StreamOrigin
+from pearshed._internal.engine_side.stream_origins import OriginTable
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.gateway.endpoints import Endpoint
 from pearshed._internal.gateway.header_codec import EndpointLoadReport
 from pearshed._internal.gateway.lane_allocator import stable_order
 from pearshed._internal.gateway.routed_call import RoutedCall
 from pearshed._internal.gateway.stream_versions import OriginClient
+from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.timers import clock
 
 #: A side responds within a few milliseconds; a lost datagram is sent again after this.
--- a/src/pearshed/_internal/gateway/crash_detector.py
+++ b/src/pearshed/_internal/gateway/crash_detector.py
@@ -4,12 +4,12 @@
 
 from absl import logging
 
-from pearshed._internal.engine_side.crash_records import CrashTable, run_id
+from pearshed._internal.engine_side.crash_records import CrashTable
 from pearshed._internal.engine_side.messages import CrashReport
 from pearshed._internal.gateway.crash_blame import Assessment, BlockedPart, assess
 from pearshed._internal.gateway.routed_call import RoutedCall
 from pearshed._internal.gateway.side_exchange import ExchangedRecords
-from pearshed._internal.models.routing import EndpointEntry
+from pearshed._internal.models.routing import EndpointEntry, run_id
 from pearshed._internal.telemetry.metrics import Metric, counter, gauge
 from pearshed._internal.timers import clock
 
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -8,8 +8,8 @@
 from returns.pipeline import is_successful
 
 from pearshed._internal.decisions.retry_time import MAX_LEFT_SHARE
+from pearshed._internal.decisions.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.decisions.useful_time import CallerNeeds
-from pearshed._internal.engine_side.stream_origins import StreamOrigin
 from pearshed._internal.gateway.admission import (
     Admission,
     AdmissionClient,
@@ -52,7 +52,6 @@
     Refusal,
     RoutedCall,
 )
-from pearshed._internal.gateway.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.gateway.stream_versions import StreamVersions
 from pearshed._internal.gateway.waiting.plain_waiting import NoTurn, PlainWaiting
 from pearshed._internal.gateway.waiting.return_exchange import ReturnExchange
@@ -63,6 +62,7 @@
 )
 from pearshed._internal.http.caller_connection import CallerConnection
 from pearshed._internal.http.messages import HttpRequest
+from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.timers import clock
 
 #: Engines that may refuse admission to a request before the gateway refuses it.
--- a/src/pearshed/_internal/gateway/forwarding/progress.py
+++ b/src/pearshed/_internal/gateway/forwarding/progress.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass, field
 
 from pearshed._internal.decisions.engine_load import Quote
-from pearshed._internal.engine_side.stream_origins import StreamOrigin
 from pearshed._internal.gateway.admission import NotAdmitted
 from pearshed._internal.gateway.endpoints import Endpoint
 from pearshed._internal.gateway.rate_limited_engines import Place
 from pearshed._internal.gateway.routed_call import AttemptOutcome
+from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.timers import clock
 
 
--- a/src/pearshed/_internal/gateway/forwarding/retry_rules.py
+++ b/src/pearshed/_internal/gateway/forwarding/retry_rules.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from pearshed._internal.decisions.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import Endpoint
 from pearshed._internal.gateway.forwarding.endpoint_waits import EndpointWaits
@@ -14,7 +15,6 @@
     OutOfTime,
     RoutedCall,
 )
-from pearshed._internal.gateway.service_retry_budget import ServiceRetryBudget
 
 #: Rejections by endpoints after which a request may still be sent to another.
 _MAX_REJECTIONS = 2
--- a/src/pearshed/_internal/gateway/operator_pages.py
+++ b/src/pearshed/_internal/gateway/operator_pages.py
@@ -6,12 +6,12 @@
 import orjson
 
 import pearshed
+from pearshed._internal.decisions.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.gateway.admission import SideAdmissionClient
 from pearshed._internal.gateway.availability.evacuations import EvacuationTable
 from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.engine_limits.cold_engine_monitor import ColdEngineMonitor
-from pearshed._internal.gateway.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.gateway.store_cache import StoreCache
 from pearshed._internal.http.page_server import page_name
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
--- a/src/pearshed/_internal/gateway/placing/readiness_placement.py
+++ b/src/pearshed/_internal/gateway/placing/readiness_placement.py
@@ -10,7 +10,6 @@
 from pearshed._internal.decisions.engine_load import Quote
 from pearshed._internal.decisions.engine_pace import PaceState
 from pearshed._internal.decisions.readiness import ReadinessEstimate
-from pearshed._internal.engine_side.stream_origins import StreamOrigin
 from pearshed._internal.gateway.endpoints import Endpoint
 from pearshed._internal.gateway.lane_allocator import LaneAllocator
 from pearshed._internal.gateway.placement import (
@@ -33,6 +32,7 @@
 from pearshed._internal.gateway.routed_call import RoutedCall
 from pearshed._internal.membership import rendezvous
 from pearshed._internal.models.routing import RoutedService
+from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.telemetry.metrics import Metric, Sample
 from pearshed._internal.timers import clock
 
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -13,6 +13,7 @@
 
 import pearshed
 from pearshed._internal.decisions.key_trust import are_keys_trusted
+from pearshed._internal.decisions.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.engine_side.messages import (
     CrashReport,
     FleetTraffic,
@@ -44,7 +45,6 @@
 from pearshed._internal.gateway.request_logger import RequestLogger
 from pearshed._internal.gateway.request_metrics import RequestMetrics
 from pearshed._internal.gateway.request_router import RequestRouter
-from pearshed._internal.gateway.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.gateway.settings import GatewaySettings
 from pearshed._internal.gateway.side_exchange import REPORT_INTERVAL_S, SideExchange
 from pearshed._internal.gateway.store import Store
--- a/src/pearshed/_internal/gateway/rate_limited_engines.py
+++ b/src/pearshed/_internal/gateway/rate_limited_engines.py
@@ -16,7 +16,6 @@
 from pearshed._internal.decisions import cold_engines
 from pearshed._internal.decisions.cold_engines import ColdLimit, binding_rate
 from pearshed._internal.engine_side import messages
-from pearshed._internal.engine_side.crash_records import run_id
 from pearshed._internal.engine_side.messages import LimitReport, PlaceReleased, PlaceRequest
 from pearshed._internal.engine_side.place_queue import effective_rate
 from pearshed._internal.engine_side.rate_limits import RateLimit, RateLimitTable
@@ -25,7 +24,7 @@
 from pearshed._internal.gateway.local_share import USED_SHARE, LocalShare
 from pearshed._internal.gateway.routed_call import RoutedCall
 from pearshed._internal.gateway.side_exchange import ExchangedRecords, SideExchange
-from pearshed._internal.models.routing import EndpointEntry
+from pearshed._internal.models.routing import EndpointEntry, run_id
 from pearshed._internal.telemetry.metrics import Metric, Sample, counter, gauge
 from pearshed._internal.timers import clock
 
--- a/src/pearshed/_internal/gateway/stream_versions.py
+++ b/src/pearshed/_internal/gateway/stream_versions.py
@@ -8,18 +8,18 @@
 
 from absl import logging
 
+from pearshed._internal.decisions.version_history import VersionHistory
 from pearshed._internal.engine_side.messages import Message, OriginReport, OriginRequest
 from pearshed._internal.engine_side.stream_origins import (
     AMBIGUOUS,
     OriginTable,
-    StreamOrigin,
     content_key,
     stream_key,
 )
 from pearshed._internal.gateway.routed_call import RoutedCall
-from pearshed._internal.gateway.version_history import VersionHistory
 from pearshed._internal.membership.ring import HashRing
 from pearshed._internal.models.routing import EndpointEntry
+from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.telemetry.metrics import Metric, Sample, gauge
 from pearshed._internal.timers import clock
 
--- a/src/pearshed/_internal/models/routing.py
+++ b/src/pearshed/_internal/models/routing.py
@@ -235,6 +235,11 @@
         return self.identity, self.address, self.started_at_ms
 
 
+def run_id(entry: EndpointEntry) -> str:
+    """Identify one run of an engine, which ends with a crash or a stop."""
+    return f"{entry.identity}/{entry.started_at_ms}"
+
+
 @dataclass(frozen=True, slots=True)
 class PromptPart:
     """A part of a prompt, which other requests may share.
--- a/tests/decisions/test_retry_budget.py
+++ b/tests/decisions/test_retry_budget.py
@@ -9,7 +9,7 @@
 
 from parameterized import parameterized
 
-from pearshed._internal.gateway.service_retry_budget import ServiceRetryBudget
+from pearshed._internal.decisions.service_retry_budget import ServiceRetryBudget
 from tests.lib.fakes import FakeClock
 
 RATIO = 0.2
--- a/tests/gateway/test_version_history.py
+++ b/tests/decisions/test_version_history.py
@@ -5,18 +5,18 @@
 
 from parameterized import parameterized
 
+from pearshed._internal.decisions.version_history import HISTORY_S, VersionHistory
 from pearshed._internal.engine_side import stream_origins
 from pearshed._internal.engine_side.stream_origins import (
     AMBIGUOUS,
     MAX_ORIGINS,
     ORIGIN_TTL_S,
     OriginTable,
-    StreamOrigin,
     content_key,
     stream_key,
 )
-from pearshed._internal.gateway.version_history import HISTORY_S, VersionHistory
 from pearshed._internal.models.routing import EndpointEntry
+from pearshed._internal.models.stream_origin import StreamOrigin
 from tests.lib.fakes import FakeClock
 from tests.lib.routed_calls import entry
 
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -37,13 +37,13 @@
 )
 from pearshed._internal.engine_side.prefill_speed import ASSUMED_TOKENS_PER_S
 from pearshed._internal.engine_side.prompt_cache import PromptCache
-from pearshed._internal.engine_side.stream_origins import StreamOrigin
 from pearshed._internal.engine_side.traffic_table import (
     REPORT_TTL_S,
     RouteTraffic,
     TrafficTable,
 )
 from pearshed._internal.models.routing import PromptPart
+from pearshed._internal.models.stream_origin import StreamOrigin
 from tests.lib.admission import QueueTestCase, admission_request
 from tests.lib.fakes import FakeClock
 
--- a/tests/gateway/test_out_of_step_gateways.py
+++ b/tests/gateway/test_out_of_step_gateways.py
@@ -45,7 +45,7 @@
         for patch in (
             mock.patch.object(SideAdmissionClient, "send", send_unless_cut),
             mock.patch.object(SideAdmissionClient, "datagram_received", receive_unless_cut),
-            mock.patch("pearshed._internal.gateway.version_history.HISTORY_S", SHORT_HISTORY_S),
+            mock.patch("pearshed._internal.decisions.version_history.HISTORY_S", SHORT_HISTORY_S),
         ):
             patch.start()
             self.addCleanup(patch.stop)
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -8,6 +8,7 @@
 
 from parameterized import parameterized
 
+from pearshed._internal.decisions.service_retry_budget import USED_SHARE, ServiceRetryBudget
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
 from pearshed._internal.gateway.header_codec import EndpointLoadReport
@@ -25,7 +26,6 @@
 )
 from pearshed._internal.gateway.request_logger import MAX_LINES_PER_S, RequestLogger
 from pearshed._internal.gateway.routed_call import RoutedCall
-from pearshed._internal.gateway.service_retry_budget import USED_SHARE, ServiceRetryBudget
 from pearshed._internal.models.routing import (
     EndpointState,
 )
--- a/tests/gateway/test_request_steps.py
+++ b/tests/gateway/test_request_steps.py
@@ -8,6 +8,7 @@
 from parameterized import parameterized
 
 from pearshed._internal.decisions.engine_pauses import parse_pause
+from pearshed._internal.decisions.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.gateway.availability.evacuations import EvacuationTable
 from pearshed._internal.gateway.availability.pauses import PauseTable
 from pearshed._internal.gateway.crash_detector import CrashDetector
@@ -24,7 +25,6 @@
     NotExecuted,
     OutOfTime,
 )
-from pearshed._internal.gateway.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.models.routing import RouteKind
 from tests.lib.fakes import FakeClock
 from tests.lib.routed_calls import call, entry
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -292,7 +292,7 @@
         await self.add_gateways(2)
         self.assert_refused(await self.resume(0, "r1", "unknown"))
         history = mock.patch(
-            "pearshed._internal.gateway.version_history.HISTORY_S", SHORT_HISTORY_S
+            "pearshed._internal.decisions.version_history.HISTORY_S", SHORT_HISTORY_S
         )
         history.start()
         self.addCleanup(history.stop)
--- a/tests/unit/test_foreign_documents.py
+++ b/tests/unit/test_foreign_documents.py
@@ -36,7 +36,6 @@
     TrafficReport,
 )
 from pearshed._internal.engine_side.rate_limits import RateLimit
-from pearshed._internal.engine_side.stream_origins import StreamOrigin
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.gateway import peer_messages
 from pearshed._internal.gateway.forwarding import destination
@@ -44,6 +43,7 @@
 from pearshed._internal.http.messages import ResponseHead
 from pearshed._internal.membership.vm_view import parse_vm
 from pearshed._internal.models.routing import PromptPart
+from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.peers import peer_pb2 as pb
 from pearshed._internal.platform import engine_client, names, store_client
 from pearshed._internal.platform.documents import decode_configuration, decode_endpoint
