Conclude nothing on a stream's version from what was known before its caller came

Cause: the history of versions trusted state of the store of up to 4 s of age. Such state can't exclude what joined meanwhile. It also forgot versions that came and went within one response, and took a list that was read as a whole for a list without gaps.

Change: the conclusion needs that the changes of entries are known without a gap for 30 s before the request came, and that the store confirms the list by a call that began after its arrival: a watch that waits is ended for it, one call serves all that wait, 1 s at most. Else 503 with Retry-After, as for any unknown origin.

The rows of the history's table that were told by ages are now told by gaps: cut off and read anew refuse as before, and rows are added for engines that are listed within one response and for requests that came too early.

--- a/src/pearshed/_internal/decisions/version_history.py
+++ b/src/pearshed/_internal/decisions/version_history.py
@@ -1,4 +1,8 @@
-"""Remembers which software versions the engines of a service had lately."""
+"""Concludes which software version began a stream that nobody remembers.
+
+Addresses releases in which gateways end or lose touch: a stream whose origin is lost may go on only
+if one version alone can have begun it.
+"""
 
 from collections.abc import Iterable
 
@@ -8,40 +12,47 @@
 
 #: Longer than a caller goes on to take up a stream, seconds.
 HISTORY_S = 30.0
-#: State of the store that is older may lack an engine that has begun streams, seconds.
-MAX_STATE_AGE_S = 4.0
 
 
 class VersionHistory:
-    """Versions that engines have had within ``HISTORY_S``.
-
-    If there was only one, it began all streams that callers can take up. That holds only for a
-    gateway that has known all engines throughout that time.
-    """
+    """Versions of the engines that were listed within ``HISTORY_S``, however briefly."""
 
     def __init__(self) -> None:
-        self._seen: dict[StreamOrigin, float] = {}
+        self._listed: frozenset[StreamOrigin] = frozenset()
+        self._left_at: dict[StreamOrigin, float] = {}
         self._complete_since: float | None = None
 
-    def observe(self, entries: Iterable[EndpointEntry], state_age_s: float) -> None:
-        """Record the engines that are listed now.
-
-        :param state_age_s: time since the store confirmed this state, seconds.
-        """
+    def update(self, entries: Iterable[EndpointEntry]) -> None:
+        """Record the engines that are listed from now on."""
         now = clock.now()
-        if state_age_s > MAX_STATE_AGE_S:
-            self._complete_since = None
-        elif self._complete_since is None:
-            self._complete_since = now
-        for entry in entries:
-            self._seen[StreamOrigin.of(entry)] = now
-        expired = [origin for origin, seen_at in self._seen.items() if now - seen_at > HISTORY_S]
-        for origin in expired:
-            del self._seen[origin]
-
-    def sole_origin(self, service: str) -> StreamOrigin | None:
-        """Return the only origin of a service's recent streams; ``None`` if it isn't certain."""
-        if self._complete_since is None or clock.now() - self._complete_since < HISTORY_S:
+        listed = frozenset(StreamOrigin.of(entry) for entry in entries)
+        self._left_at.update(dict.fromkeys(self._listed - listed, now))
+        self._listed = listed
+        self._left_at = {
+            origin: left_at
+            for origin, left_at in self._left_at.items()
+            if now - left_at <= HISTORY_S
+        }
+
+    def record(self, entry: EndpointEntry) -> None:
+        """Record an engine that was listed, though it may be gone by the next update."""
+        self._left_at[StreamOrigin.of(entry)] = clock.now()
+
+    def record_gap(self) -> None:
+        """Record that engines may have come and gone unnoticed until now."""
+        self._complete_since = clock.now()
+
+    def sole_origin(self, service: str, arrived_at: float) -> StreamOrigin | None:
+        """Return the only origin that a stream of a service can have; ``None`` if it isn't certain.
+
+        The result holds only if the list of engines is known as of ``arrived_at`` or later: what
+        began the stream was listed before its caller took it up, but may not be known here yet.
+
+        :param arrived_at: clock reading when the caller's request arrived, seconds.
+        """
+        if self._complete_since is None or arrived_at - self._complete_since < HISTORY_S:
             return None
-        origins = [origin for origin in self._seen if origin.service == service]
-        return origins[0] if len(origins) == 1 else None
+        now = clock.now()
+        recent = (origin for origin, at in self._left_at.items() if now - at <= HISTORY_S)
+        origins = {origin for origin in (*self._listed, *recent) if origin.service == service}
+        return origins.pop() if len(origins) == 1 else None
--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -38,7 +38,7 @@
 from pearshed._internal.gateway.header_codec import EndpointLoadReport
 from pearshed._internal.gateway.lane_allocator import stable_order
 from pearshed._internal.gateway.routed_call import RoutedCall
-from pearshed._internal.gateway.stream_versions import OriginClient
+from pearshed._internal.gateway.stream_versions import OriginAnswers, OriginClient
 from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.timers import clock
 
@@ -266,7 +266,7 @@
 
     async def ask_origins(
         self, request: OriginRequest, hosts: Sequence[str], *, first_only: bool
-    ) -> set[StreamOrigin]:
+    ) -> OriginAnswers:
         """Ask several hosts at once, and again those that don't respond."""
         origins: set[StreamOrigin] = set()
         responses: asyncio.Queue[Message] = asyncio.Queue()
@@ -284,12 +284,13 @@
                                 continue
                             if response.origin is not None:
                                 origins.add(response.origin)
-                            if origins and first_only:
-                                return origins
                             silent.discard(response.host)
+                            if origins and first_only:
+                                break
                 except TimeoutError:
                     continue
-            return origins
+                break
+            return OriginAnswers(frozenset(origins), frozenset(hosts) - silent)
         finally:
             del self._responses[request.reservation]
 
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -14,6 +14,7 @@
 import pearshed
 from pearshed._internal.decisions.key_trust import are_keys_trusted
 from pearshed._internal.decisions.service_retry_budget import ServiceRetryBudget
+from pearshed._internal.decisions.version_history import VersionHistory
 from pearshed._internal.engine_side.messages import (
     CrashReport,
     FleetTraffic,
@@ -153,10 +154,15 @@
         self._plain_waiting = PlainWaiting(
             lambda: self._admission.gateway_count or ASSUMED_GATEWAYS
         )
+        self._version_history = VersionHistory()
+        self._store_cache.on_entry(self._version_history.record)
+        self._store_cache.on_gap(self._version_history.record_gap)
         self._stream_versions = StreamVersions(
             self._admission,
             lambda: self._side_exchange.hosts,
             lambda: self._directory.hosts,
+            self._version_history,
+            self._store_cache.wait_confirmed,
         )
         self._admission.respond_from(self._stream_versions.table)
         self._prompt_placement = ReadinessPlacement(
@@ -241,7 +247,6 @@
             loop.add_signal_handler(signum, self.request_stop)
         self._timers.start()
         self._timers.every(_EXPIRY_CHECK_INTERVAL_S, self._drop_expired)
-        self._timers.every(_EXPIRY_CHECK_INTERVAL_S, self._observe_versions)
         self._timers.every(TRAFFIC_REPORT_INTERVAL_S, self._report_traffic)
         self._timers.every(SLOT_CHECK_INTERVAL_S, self._plain_waiting.process)
         self._timers.every(REPORT_INTERVAL_S, self._exchange_records)
@@ -460,10 +465,6 @@
                 self._endpoints.of_service(service), allocator.own_traffic()
             )
 
-    def _observe_versions(self) -> None:
-        entries = self._store_cache.endpoints.values()
-        self._stream_versions.observe(entries, self._store_cache.age_s)
-
     def _apply_records(self, host: str, report: CrashReport | LimitReport | ReturnReport) -> None:
         self._side_exchange.record_response(host)
         if isinstance(report, CrashReport):
@@ -487,7 +488,7 @@
         self._endpoints.update(entries)
         self._cold_engines.observe(entries.values())
         self._side_exchange.add_hosts(self._side_hosts())
-        self._observe_versions()
+        self._version_history.update(entries.values())
 
     def _side_hosts(self) -> Iterable[str]:
         configuration = self._store_cache.configuration
--- a/src/pearshed/_internal/gateway/store_cache.py
+++ b/src/pearshed/_internal/gateway/store_cache.py
@@ -151,6 +151,12 @@
         self._paused_transfer_began_at = 0.0
         self._configuration_callbacks: list[Callable[[RoutingConfiguration], None]] = []
         self._endpoint_callbacks: list[Callable[[Mapping[str, EndpointEntry]], None]] = []
+        self._entry_callbacks: list[Callable[[EndpointEntry], None]] = []
+        self._gap_callbacks: list[Callable[[], None]] = []
+        self._confirmed = asyncio.Event()
+        self._confirmation_wanted_at = float("-inf")
+        self._watch_began_at: float | None = None
+        self._watch_ended = False
 
     @property
     def configuration(self) -> RoutingConfiguration | None:
@@ -232,6 +238,36 @@
         """Call ``callback`` with the entries after each change."""
         self._endpoint_callbacks.append(callback)
 
+    def on_entry(self, callback: Callable[[EndpointEntry], None]) -> None:
+        """Call ``callback`` with each entry that is listed, before ``on_endpoints``.
+
+        An entry that is gone by the end of the same response is in no call of ``on_endpoints``.
+        """
+        self._entry_callbacks.append(callback)
+
+    def on_gap(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` when entries may have come and gone without a call of ``on_entry``."""
+        self._gap_callbacks.append(callback)
+
+    async def wait_confirmed(self, after: float, timeout_s: float) -> bool:
+        """Wait until the store has confirmed the state by a call that began after a clock reading.
+
+        A watch that began before is ended for it.
+
+        :param after: clock reading, seconds.
+        :returns: whether it has, within the timeout.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._confirmed_at < after:
+                    self._confirmation_wanted_at = max(self._confirmation_wanted_at, after)
+                    if self._watch_began_at is not None and self._watch_began_at < after:
+                        self._end_watch()
+                    await self._confirmed.wait()
+        except TimeoutError:
+            _log("store.not_confirmed", waited_s=timeout_s, confirmed_ago_ms=self._age_ms())
+        return self._confirmed_at >= after
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         backoff = Backoff(INITIAL_RETRY_DELAY_S, MAX_RETRY_DELAY_S, self._rng)
@@ -241,12 +277,15 @@
                 failure = await self._reading
             except asyncio.CancelledError:
                 task = asyncio.current_task()
-                if self._transfer_paused is None or (task is not None and task.cancelling()):
+                interrupted = self._watch_ended or self._transfer_paused is not None
+                if not interrupted or (task is not None and task.cancelling()):
                     raise
-                await self._wait_for_resumption(self._transfer_paused)
+                if self._transfer_paused is not None:
+                    await self._wait_for_resumption(self._transfer_paused)
                 failure = None
             finally:
                 self._transfer_paused = None
+                self._watch_ended = False
                 self._reading = None
             if failure is None:
                 backoff.reset()
@@ -349,6 +388,7 @@
             self._configuration_transfer_s = clock.now() - self._paused_transfer_began_at
         if update.endpoints is not None and update.revision >= self._revision:
             self._replace_endpoints(update.endpoints)
+        self._notify_gap()
         self._revision = max(self._revision, update.revision)
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
         self._has_peer_configuration = True
@@ -454,8 +494,18 @@
             items, pages[0].revision, pages[0].requested_at, copied_until=copied_until
         )
 
+    def _end_watch(self) -> None:
+        """End a watch that waits for changes, unless its response has begun to arrive."""
+        if self._reading is not None and not self._store.receiving_s:
+            self._watch_ended = True
+            self._reading.cancel()
+
     async def _watch(self) -> StoreFailure | None:
-        result = await self._store.watch(self._revision, self._watch_wait_s())
+        self._watch_began_at = clock.now()
+        try:
+            result = await self._store.watch(self._revision, self._watch_wait_s())
+        finally:
+            self._watch_began_at = None
         if not is_successful(result):
             return result.failure()
         response = result.unwrap()
@@ -489,7 +539,9 @@
         """Return the wait for changes that leaves time to receive a changed configuration."""
         wait_s = (MAX_AGE_IN_TRANSFER_S - self._configuration_transfer_s) / 2.0
         wait_s = min(WATCH_WAIT_S, max(MIN_WATCH_WAIT_S, wait_s))
-        return CONFIRMING_WAIT_S if self.age_s > wait_s + MAX_CONFIRMATION_LAG_S else wait_s
+        is_wanted = self._confirmation_wanted_at > self._confirmed_at
+        is_late = self.age_s > wait_s + MAX_CONFIRMATION_LAG_S
+        return CONFIRMING_WAIT_S if is_wanted or is_late else wait_s
 
     def _record_transfer(self, response: StoreResponse) -> None:
         self._configuration_transfer_s = response.transfer_s
@@ -497,6 +549,8 @@
     def _confirm(self, response: StoreResponse) -> None:
         if self._configuration is not None:
             self._confirmed_at = max(self._confirmed_at, response.requested_at)
+            self._confirmed.set()
+            self._confirmed = asyncio.Event()
 
     def _record_response(self) -> None:
         now = clock.now()
@@ -553,6 +607,7 @@
                 self._apply_endpoint(item)
         for identity in self._endpoints.keys() - listed:
             self._drop_or_defer_endpoint(identity)
+        self._notify_gap()
         self._notify_endpoints()
 
     def _apply_endpoint(self, item: StoreItem) -> bool:
@@ -580,6 +635,8 @@
             self._departures.record(entry)
         self._endpoints[identity] = entry
         self._endpoint_items[identity] = item
+        for callback in self._entry_callbacks:
+            callback(entry)
         self._digest = ""
         self._grace_deadlines.pop(identity, None)
         if current is None or current.state is not entry.state:
@@ -613,6 +670,10 @@
         self._endpoint_items.pop(identity, None)
         self._digest = ""
 
+    def _notify_gap(self) -> None:
+        for callback in self._gap_callbacks:
+            callback()
+
     def _notify_endpoints(self) -> None:
         for callback in self._endpoint_callbacks:
             callback(self._endpoints)
--- a/src/pearshed/_internal/gateway/stream_versions.py
+++ b/src/pearshed/_internal/gateway/stream_versions.py
@@ -3,7 +3,8 @@
 import abc
 import enum
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Iterable, Sequence
+from dataclasses import dataclass
 from itertools import islice
 
 from absl import logging
@@ -18,7 +19,6 @@
 )
 from pearshed._internal.gateway.routed_call import RoutedCall
 from pearshed._internal.membership.ring import HashRing
-from pearshed._internal.models.routing import EndpointEntry
 from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.telemetry.metrics import Metric, Sample, gauge
 from pearshed._internal.timers import clock
@@ -29,6 +29,9 @@
 #: Sides, and other gateways, that are asked: not all know of the same ones.
 ASKED_SIDES = 4
 ASKED_GATEWAYS = 8
+#: Longest wait for the store to confirm the list of engines, seconds; callers leave a stream that
+#: has no first event after two seconds or more.
+CONFIRMATION_TIMEOUT_S = 1.0
 #: Interval at which the known hosts are read again, seconds: comparing thousands takes a while.
 _REFRESH_INTERVAL_S = 1.0
 #: One point for each host keeps the ring of thousands of sides small.
@@ -44,6 +47,17 @@
     UNKNOWN = "unknown"
 
 
+@dataclass(frozen=True, slots=True)
+class OriginAnswers:
+    """What those that were asked know of the origin of a stream.
+
+    :ivar hosts: those that have answered, also that they don't know it.
+    """
+
+    origins: frozenset[StreamOrigin]
+    hosts: frozenset[str]
+
+
 class OriginClient(abc.ABC):
     """Sends messages to those that remember origins."""
 
@@ -54,11 +68,10 @@
     @abc.abstractmethod
     async def ask_origins(
         self, request: OriginRequest, hosts: Sequence[str], *, first_only: bool
-    ) -> set[StreamOrigin]:
+    ) -> OriginAnswers:
         """Ask several hosts which origin of a stream they know.
 
         :param first_only: return the first origin, without waiting for the other hosts.
-        :returns: the origins that they know.
         """
 
 
@@ -89,6 +102,9 @@
 
     :param side_hosts: returns the hosts of all known sides.
     :param gateway_hosts: returns the hosts of all other known gateways.
+    :param history: the versions of the engines that were listed lately.
+    :param confirm_state: waits until the store has confirmed the list of engines as of a clock
+        reading, for some seconds at most; returns whether it has.
     """
 
     def __init__(
@@ -96,12 +112,15 @@
         client: OriginClient,
         side_hosts: Callable[[], Collection[str]],
         gateway_hosts: Callable[[], Collection[str]],
+        history: VersionHistory,
+        confirm_state: Callable[[float, float], Awaitable[bool]],
     ) -> None:
+        self._history = history
+        self._confirm_state = confirm_state
         self._client = client
         self._sides = _Holders(side_hosts)
         self._gateways = _Holders(gateway_hosts)
         self._table = OriginTable()
-        self._history = VersionHistory()
         self._sources: Counter[Source] = Counter()
         self._asked = 0
 
@@ -110,10 +129,6 @@
         """The origins that this gateway remembers, its own streams' and others'."""
         return self._table
 
-    def observe(self, entries: Iterable[EndpointEntry], state_age_s: float) -> None:
-        """Record the engines that are listed now; see ``VersionHistory``."""
-        self._history.observe(entries, state_age_s)
-
     def record(self, call: RoutedCall, origin: StreamOrigin) -> None:
         """Record that a stream begins, or goes on, before its caller gets an event of it."""
         began = call.metadata.resumes or call.request_id
@@ -169,6 +184,14 @@
         own = self._table.find(stream)
         if own is not None and resumes:
             return own, Source.OWN
+        answers = await self._ask(call, stream)
+        origins = answers.origins if own is None else answers.origins | {own}
+        if len(origins) == 1 and AMBIGUOUS not in origins:
+            return next(iter(origins)), Source.ASKED
+        origin = await self._find_sole_origin(call)
+        return origin, Source.SOLE_VERSION if origin is not None else Source.UNKNOWN
+
+    async def _ask(self, call: RoutedCall, stream: str) -> OriginAnswers:
         self._asked += 1
         hosts = dict.fromkeys(
             (
@@ -177,10 +200,19 @@
             )
         )
         request = OriginRequest(f"{call.request_id}/origin-{self._asked}", stream)
-        origins = await self._client.ask_origins(request, list(hosts), first_only=bool(resumes))
-        if own is not None:
-            origins.add(own)
-        if len(origins) == 1 and AMBIGUOUS not in origins:
-            return origins.pop(), Source.ASKED
-        origin = self._history.sole_origin(call.service)
-        return origin, Source.SOLE_VERSION if origin is not None else Source.UNKNOWN
+        first_only = bool(call.metadata.resumes)
+        return await self._client.ask_origins(request, list(hosts), first_only=first_only)
+
+    async def _find_sole_origin(self, call: RoutedCall) -> StreamOrigin | None:
+        """Return the only origin that the stream can have; ``None`` if it isn't certain.
+
+        Engines may have joined that this gateway doesn't know yet, if it is slow or cut off, so the
+        store confirms their list first.
+        """
+        arrived_at = call.request.received_at
+        if self._history.sole_origin(call.service, arrived_at) is None:
+            return None
+        timeout_s = min(CONFIRMATION_TIMEOUT_S, call.remaining_s)
+        if not await self._confirm_state(arrived_at, timeout_s):
+            return None
+        return self._history.sole_origin(call.service, arrived_at)
--- a/tests/decisions/test_version_history.py
+++ b/tests/decisions/test_version_history.py
@@ -31,32 +31,56 @@
 class VersionHistoryTest(unittest.TestCase):
     @parameterized.expand(
         [
-            # what is listed, in order: (engines, age of the state, seconds until the next)
-            ("one_version", [(["v1", "v1"], 1.0, HISTORY_S)], V1),
-            ("known_for_too_short_a_time", [(["v1"], 1.0, HISTORY_S - 1.0)], None),
-            ("two_versions", [(["v1", "v2"], 1.0, HISTORY_S)], None),
-            ("replaced_lately", [(["v1"], 1.0, HISTORY_S), (["v2"], 1.0, 5.0)], None),
-            ("replaced_long_ago", [(["v1"], 1.0, 9.0), (["v2"], 1.0, HISTORY_S + 1.0)], V2),
-            ("gone_lately", [(["v1"], 1.0, HISTORY_S), ([], 1.0, 5.0)], V1),
-            ("gone_long_ago", [(["v1"], 1.0, HISTORY_S), ([], 1.0, HISTORY_S + 1.0)], None),
-            ("cut_off_lately", [(["v1"], 1.0, 60.0), (["v1"], 6.0, 1.0), (["v1"], 1.0, 9.0)], None),
-            ("cut_off_now", [(["v1"], 1.0, 60.0), (["v1"], 6.0, 1.0)], None),
-            ("no_version_named", [(["", ""], 1.0, HISTORY_S)], None),
+            # what happens, in order: versions listed, seconds that pass, or what else is noticed
+            ("one_version", [["v1", "v1"], HISTORY_S], V1),
+            ("known_for_too_short_a_time", [["v1"], HISTORY_S - 1.0], None),
+            ("two_versions", [["v1", "v2"], HISTORY_S], None),
+            ("replaced_lately", [["v1"], HISTORY_S, ["v2"], 5.0], None),
+            ("replaced_long_ago", [["v1"], 9.0, ["v2"], HISTORY_S + 1.0], V2),
+            ("gone_lately", [["v1"], HISTORY_S, [], 5.0], V1),
+            ("gone_long_ago", [["v1"], HISTORY_S, [], HISTORY_S + 1.0], None),
+            ("read_anew_lately", [["v1"], 60.0, "gap", ["v1"], 9.0], None),
+            ("read_anew_now", [["v1"], 60.0, "gap", ["v1"]], None),
+            ("read_anew_long_ago", [["v1"], 60.0, "gap", ["v1"], HISTORY_S], V1),
+            ("listed_within_one_response", [["v1"], HISTORY_S, "brief v2", ["v1"], 5.0], None),
+            ("listed_briefly_long_ago", [["v1"], 5.0, "brief v2", ["v1"], HISTORY_S + 1.0], V1),
+            ("no_version_named", [["", ""], HISTORY_S], None),
         ]
     )
     def test_only_a_version_without_others_is_known_to_have_begun_all_streams(
-        self, _: str, steps: list[tuple[list[str], float, float]], expected: StreamOrigin | None
+        self, _: str, steps: list[list[str] | float | str], expected: StreamOrigin | None
     ) -> None:
         fake_clock = FakeClock(self)
         history = VersionHistory()
-        for versions, age_s, duration_s in steps:
-            engines = [engine(number, version) for number, version in enumerate(versions)]
-            ends_at = fake_clock.now + duration_s
-            while fake_clock.now < ends_at:
-                history.observe(engines, age_s)
-                fake_clock.advance(0.25)
-        self.assertEqual(expected, history.sole_origin("fleet"))
-        self.assertIsNone(history.sole_origin("other"))
+        history.record_gap()
+        for step in steps:
+            if isinstance(step, float):
+                fake_clock.advance(step)
+            elif isinstance(step, list):
+                history.update(engine(number, version) for number, version in enumerate(step))
+            elif step == "gap":
+                history.record_gap()
+            else:
+                history.record(engine(9, step.removeprefix("brief ")))
+        self.assertEqual(expected, history.sole_origin("fleet", fake_clock.now))
+        self.assertIsNone(history.sole_origin("other", fake_clock.now))
+
+    def test_nothing_is_concluded_before_the_list_is_known(self) -> None:
+        fake_clock = FakeClock(self)
+        history = VersionHistory()
+        history.update([engine(1, "v1")])
+        fake_clock.advance(2 * HISTORY_S)
+        self.assertIsNone(history.sole_origin("fleet", fake_clock.now))
+
+    def test_a_request_that_came_before_enough_was_known_is_not_answered_from_it(self) -> None:
+        fake_clock = FakeClock(self)
+        history = VersionHistory()
+        history.record_gap()
+        history.update([engine(1, "v1")])
+        arrived_at = fake_clock.now + HISTORY_S - 1.0
+        fake_clock.advance(HISTORY_S + 1.0)
+        self.assertIsNone(history.sole_origin("fleet", arrived_at))
+        self.assertEqual(V1, history.sole_origin("fleet", fake_clock.now))
 
 
 class StreamOriginTest(unittest.TestCase):
--- a/tests/gateway/test_store_cache.py
+++ b/tests/gateway/test_store_cache.py
@@ -139,6 +139,76 @@
         await until(lambda: len(self.identities()) == 41)
         self.assertLess(self.count_watches() - watches, 10)
 
+    @parameterized.expand([("at_once", 0.0), ("after_changes", 0.05)])
+    async def test_the_store_confirms_the_state_when_it_is_asked_to(
+        self, _: str, delay_s: float
+    ) -> None:
+        self.store.put("servers/i-2", ENTRY)
+        await asyncio.sleep(delay_s)
+        asked_at = clock.now()
+        self.assertTrue(await self.store_cache.wait_confirmed(asked_at, WATCH_WAIT_S / 2))
+        self.assertLess(self.store_cache.age_s, clock.now() - asked_at + 0.001)
+        self.assertEqual({"i-1", "i-2"}, self.identities())
+        self.store.put("servers/i-3", ENTRY)
+        await until(lambda: "i-3" in self.identities())
+
+    async def test_one_confirmation_serves_all_that_wait_for_it(self) -> None:
+        watches = self.count_watches()
+        asked_at = clock.now()
+        waits = [self.store_cache.wait_confirmed(asked_at, 1.0) for _ in range(20)]
+        self.assertEqual([True] * 20, await asyncio.gather(*waits))
+        self.assertLess(self.count_watches() - watches, 4)
+
+    @parameterized.expand([("rejects", "refuse"), ("silent", "hang")])
+    async def test_a_store_that_does_not_answer_confirms_nothing(self, _: str, fault: str) -> None:
+        self.store.refuse_with = 503 if fault == "refuse" else 0
+        self.store.hang = fault == "hang"
+        self.assertFalse(await self.store_cache.wait_confirmed(clock.now(), 0.3))
+        self.store.refuse_with = 0
+        self.store.hang = False
+        self.assertTrue(await self.store_cache.wait_confirmed(clock.now(), 5.0))
+
+    async def test_what_was_listed_within_one_response_is_noticed(self) -> None:
+        noticed: list[str] = []
+        self.store_cache.on_entry(lambda entry: noticed.append(entry.identity))
+        self.store.refuse_with = 503
+        self.store.reset_connections()
+        await until(lambda: not self.store_cache.connected)
+        self.store.put("servers/i-2", ENTRY)
+        self.store.delete("servers/i-2")
+        self.store.refuse_with = 0
+        await until(lambda: self.store_cache.connected)
+        self.assertEqual(["i-2"], noticed)
+        self.assertEqual({"i-1"}, self.identities())
+
+    @parameterized.expand(
+        [
+            ("changes_follow", "put", False),
+            ("store_away", "outage", False),
+            ("history_lost", "compact", True),
+            ("state_of_another_gateway", "update", True),
+        ]
+    )
+    async def test_a_gap_in_what_is_known_of_entries_is_noticed(
+        self, _: str, event: str, expected: bool
+    ) -> None:
+        gaps: list[float] = []
+        self.store_cache.on_gap(lambda: gaps.append(clock.now()))
+        if event == "outage":
+            self.store.refuse_with = 503
+            self.store.reset_connections()
+            await until(lambda: not self.store_cache.connected)
+        if event == "update":
+            update = StoreUpdate(self.store_cache.revision + 3, 4, -1.0, None, None)
+            self.assertTrue(self.store_cache.apply_update(update, clock.now()))
+        self.store.put("servers/i-2", ENTRY)
+        if event == "compact":
+            self.store.compact()
+            self.store.reset_connections()
+        self.store.refuse_with = 0
+        await until(lambda: "i-2" in self.identities())
+        self.assertEqual(expected, bool(gaps))
+
     async def test_age_counts_from_the_request_of_the_last_response(self) -> None:
         self.store.hang = True
         self.store.reset_connections()
