Rely on no content that only this gateway remembers while the others are silent

What callers saw: a stream that is taken up without the id that began it is found by its content. A gateway that was cut off went on with the version that it had answered the same content with itself, though another gateway had begun the stream at another.

Change: at least two of those that remember the content must have answered, all if there are fewer. Otherwise only a sole version holds, which the store confirms.

Evidence: the new test failed before (200 from v1 for a stream of v2), and passes now with the tests of taken-up and rejoined streams.

--- a/src/pearshed/_internal/gateway/stream_versions.py
+++ b/src/pearshed/_internal/gateway/stream_versions.py
@@ -186,7 +186,8 @@
             return own, Source.OWN
         answers = await self._ask(call, stream)
         origins = answers.origins if own is None else answers.origins | {own}
-        if len(origins) == 1 and AMBIGUOUS not in origins:
+        is_known = bool(resumes) or self._have_holders_answered(stream, answers.hosts)
+        if is_known and len(origins) == 1 and AMBIGUOUS not in origins:
             return next(iter(origins)), Source.ASKED
         origin = await self._find_sole_origin(call)
         return origin, Source.SOLE_VERSION if origin is not None else Source.UNKNOWN
@@ -203,6 +204,14 @@
         first_only = bool(call.metadata.resumes)
         return await self._client.ask_origins(request, list(hosts), first_only=first_only)
 
+    def _have_holders_answered(self, stream: str, answered: Collection[str]) -> bool:
+        """Return whether enough of those that remember the streams of a content have answered.
+
+        Another version may have answered the same content meanwhile, which not all need to know.
+        """
+        holders = {*self._sides.choose(stream, COPIES), *self._gateways.choose(stream, COPIES)}
+        return len(holders.intersection(answered)) >= min(COPIES, len(holders))
+
     async def _find_sole_origin(self, call: RoutedCall) -> StreamOrigin | None:
         """Return the only origin that the stream can have; ``None`` if it isn't certain.
 
--- a/tests/gateway/test_out_of_step_gateways.py
+++ b/tests/gateway/test_out_of_step_gateways.py
@@ -121,6 +121,20 @@
         else:
             self.assert_refused(response)
 
+    async def test_a_gateway_cut_off_relies_on_no_content_that_others_may_have_begun_too(
+        self,
+    ) -> None:
+        await self.add_versions("v1", "v2")
+        await self.add_gateways(_GATEWAYS)
+        bodies = [b"question %d" % number for number in range(_MAX_STREAMS)]
+        own = [await self.begin_stream(_OUT_OF_STEP, "a", body=body) for body in bodies]
+        self.set_cut(True)
+        others = [await self.begin_stream(_IN_STEP, "b", body=body) for body in bodies]
+        body = bodies[list(zip(own, others, strict=True)).index(("v1", "v2"))]
+        response = await self.take_up("b", body, "r", names_stream=False)
+        self.assert_refused(response)
+        self.assertEqual([], self.arrived("r"))
+
     async def test_a_gateway_in_step_again_lets_the_stream_go_on(self) -> None:
         await self.start_fleet()
         self.set_cut(True)
