Keep the retries of all gateways within the bound through restarts and low counts

Cause: each gateway limited itself in a sliding window of its own. A restart (or a change of the budget's settings) forgot what had been spent, so the part was spent again; and the fixed part was divided by the number of gateways that a side had told last, which is too low when that side has just started or some gateways don't reach it.

Change: token buckets that are empty at the start of a process and hold at most a share of the fixed part; the largest number of gateways of the last 300 s; gateways that count each other by gossip, without sides; loans of tokens between gateways, so that one with most of the failures uses what the others don't need.

At a gateway of tests, budgets are filled as if it had run for a while.

--- a/src/pearshed/_internal/decisions/service_retry_budget.py
+++ b/src/pearshed/_internal/decisions/service_retry_budget.py
@@ -1,68 +1,128 @@
-"""Limits retries to a share of a service's requests, without a shared counter."""
+"""Limits the retries for a service to a share of its requests, over all gateways together.
 
-import collections
+Addresses failures of many endpoints at once, in which each retry is likely to fail as well, also
+while gateways are killed and restarted. No gateway counts for the others: each has a token bucket,
+and what all buckets can hold and receive in a window stays below the limit.
+"""
 
 from pearshed._internal.timers import clock
 
-#: Share of the fleet's allowance that the gateways use; the remainder covers uneven traffic.
-USED_SHARE = 0.8
-_BUCKETS_PER_WINDOW = 10
+#: Shares of the fixed part that buckets hold when they are full, and receive in a window. The
+#: remainder covers gateways that don't know the number of gateways exactly.
+BURST_SHARE = 0.7
+REFILL_SHARE = 0.2
+#: Capacity of a bucket while the number of gateways isn't known.
+_UNKNOWN_CAPACITY = 1.0
 
 
 class ServiceRetryBudget:
-    """Limits the retries for one service in a sliding window.
+    """A bucket of tokens, each of which allows one retry for a service.
 
-    The ratio applies to this gateway's own requests, so gateways with more traffic may retry more;
-    the fixed part is split evenly among the gateways.
+    A request adds ``ratio`` tokens. The fixed part is split evenly among the gateways: the bucket
+    holds a share of it, and receives another share of it in each window. In a window all gateways
+    together spend at most what their buckets held at its start and received in it.
+
+    The bucket of a process that has just started is empty, since the process before it may have
+    spent all that it had. It is filled once a whole window has passed.
 
     :param ratio: retries allowed for each request.
-    :param slack: retries allowed in addition, over all gateways.
+    :param slack: retries allowed in addition in each window, over all gateways.
     :param window_s: length of the window, seconds.
+    :param started_at: clock reading of the start of the process, seconds.
     """
 
-    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+    def __init__(self, ratio: float, slack: float, window_s: float, started_at: float) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
-        self._gateways = 1
-        self._requests: collections.deque[tuple[float, int]] = collections.deque()
-        self._retries: collections.deque[tuple[float, int]] = collections.deque()
+        self._started_at = started_at
+        self._gateways = 0
+        self._tokens = 0.0
+        self._credited_at = clock.now()
+        self._is_filled = False
+        self._spent = 0
         self._denied = 0
 
+    @property
+    def tokens(self) -> float:
+        """Retries that it allows now."""
+        self._credit()
+        return self._tokens
+
+    @property
+    def capacity(self) -> float:
+        """Tokens that it can hold."""
+        if not self._gateways:
+            return _UNKNOWN_CAPACITY
+        return self._slack * BURST_SHARE / self._gateways
+
+    @property
+    def window_s(self) -> float:
+        """Length of the window, seconds."""
+        return self._window_s
+
+    @property
+    def spent(self) -> int:
+        """Number of retries allowed so far."""
+        return self._spent
+
     @property
     def denied(self) -> int:
         """Number of retries denied because the budget was spent."""
         return self._denied
 
+    def configure(self, ratio: float, slack: float, window_s: float) -> None:
+        """Change the limit; what has been spent stays spent."""
+        self._credit()
+        self._ratio, self._slack, self._window_s = ratio, slack, window_s
+
     def set_gateways(self, gateways: int) -> None:
-        """Set the number of gateways that share the fixed part."""
-        self._gateways = max(1, gateways)
+        """Set the number of gateways that share the fixed part; 0 if it isn't known."""
+        if gateways != self._gateways:
+            self._credit()
+            self._gateways = gateways
 
     def record_request(self) -> None:
-        """Count a request of a caller."""
-        self._add(self._requests)
-
-    def try_spend(self) -> bool:
-        """Spend one retry of the budget; return whether it had one."""
-        allowed = self._ratio * self._count(self._requests) + self._slack / self._gateways
-        if self._count(self._retries) + 1 > allowed * USED_SHARE:
-            self._denied += 1
+        """Add what a request of a caller allows."""
+        self._credit()
+        self._tokens = min(self.capacity, self._tokens + self._ratio)
+
+    def try_spend(self, borrowed: float = 0.0) -> bool:
+        """Spend one token; return whether there was one.
+
+        :param borrowed: tokens that other gateways have given for it; what isn't needed is kept.
+        """
+        self._credit()
+        if self._tokens + borrowed < 1.0:
             return False
-        self._add(self._retries)
+        self._tokens += borrowed - 1.0
+        self._spent += 1
         return True
 
-    def _add(self, window: "collections.deque[tuple[float, int]]") -> None:
-        step_s = self._window_s / _BUCKETS_PER_WINDOW
+    def record_denial(self) -> None:
+        """Count a retry that was denied."""
+        self._denied += 1
+
+    def lend(self, tokens: float) -> float:
+        """Give tokens to another gateway; return how many."""
+        self._credit()
+        lent = max(0.0, min(tokens, self._tokens))
+        self._tokens -= lent
+        return lent
+
+    def keep(self, borrowed: float) -> None:
+        """Keep tokens that other gateways have given and that weren't enough for a retry."""
+        self._credit()
+        self._tokens = min(self.capacity, self._tokens + borrowed)
+
+    def _credit(self) -> None:
+        """Add what time has brought, and drop what the bucket can't hold."""
         now = clock.now()
-        if window and now - window[-1][0] < step_s:
-            started, count = window[-1]
-            window[-1] = (started, count + 1)
-        else:
-            window.append((now, 1))
-
-    def _count(self, window: "collections.deque[tuple[float, int]]") -> int:
-        # A bucket counts until all of it has left the window.
-        oldest = clock.now() - self._window_s - self._window_s / _BUCKETS_PER_WINDOW
-        while window and window[0][0] < oldest:
-            window.popleft()
-        return sum(count for _, count in window)
+        elapsed_s, self._credited_at = now - self._credited_at, now
+        if self._gateways:
+            refill_per_s = self._slack * REFILL_SHARE / (self._gateways * self._window_s)
+            self._tokens += refill_per_s * elapsed_s
+            if not self._is_filled and now - self._started_at >= self._window_s:
+                self._is_filled = True
+                self._tokens = self.capacity
+        self._tokens = min(self.capacity, self._tokens)
--- a/src/pearshed/_internal/gateway/admission.py
+++ b/src/pearshed/_internal/gateway/admission.py
@@ -35,6 +35,7 @@
 from pearshed._internal.engine_side.stream_origins import OriginTable
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.gateway.endpoints import Endpoint
+from pearshed._internal.gateway.exchange.messages import is_exchange_datagram
 from pearshed._internal.gateway.header_codec import EndpointLoadReport
 from pearshed._internal.gateway.lane_allocator import stable_order
 from pearshed._internal.gateway.routed_call import RoutedCall
@@ -50,8 +51,6 @@
 SIDE_SKIP_S = 1.5
 #: Interval at which a queued reservation is renewed, so that its side knows it is still needed.
 RENEWAL_INTERVAL_S = 0.2
-#: Time for which a side's report of the number of gateways is used, seconds.
-GATEWAY_COUNT_TTL_S = 20.0
 #: Sides that merge the traffic of all gateways: one more than may be lost at once.
 TRAFFIC_SIDES = 2
 #: Times that those who may remember the origin of a stream are asked.
@@ -151,6 +150,7 @@
         on_fleet_traffic: Callable[[str, FleetTraffic], None],
         on_records: Callable[[str, CrashReport | LimitReport | ReturnReport], None],
     ) -> None:
+        self._on_exchange: Callable[[bytes, str], None] | None = None
         self._port = port
         self._on_fleet_traffic = on_fleet_traffic
         self._on_records = on_records
@@ -158,24 +158,24 @@
         self._responses: dict[str, asyncio.Queue[Message]] = {}
         self._skipped_until: dict[str, float] = {}
         self._origins: OriginTable | None = None
-        self._counted_at = float("-inf")
-        self._gateway_count = 0
-
-    @property
-    def gateway_count(self) -> int:
-        """Number of gateways that report traffic; 0 without a recent report from a side."""
-        return self._gateway_count if clock.now() - self._counted_at < GATEWAY_COUNT_TTL_S else 0
 
     def respond_from(self, origins: OriginTable) -> None:
         """Let other gateways record and find the origins of streams in a table."""
         self._origins = origins
 
+    def on_exchange(self, callback: Callable[[bytes, str], None]) -> None:
+        """Call ``callback`` with each datagram of the gateways' exchange, and its sender's host."""
+        self._on_exchange = callback
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for requests."""
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Dispatch a side's message."""
+        """Dispatch the message of a side or another gateway."""
+        if self._on_exchange is not None and is_exchange_datagram(data):
+            self._on_exchange(data, addr[0])
+            return
         decoded = messages.decode(data)
         if not is_successful(decoded):
             logging.info("datagram.malformed", extra={"fields": {"reason": decoded.failure()}})
@@ -183,8 +183,6 @@
         message = decoded.unwrap()
         self._skipped_until.pop(addr[0], None)
         if isinstance(message, FleetTraffic):
-            self._counted_at = clock.now()
-            self._gateway_count = message.gateways
             self._on_fleet_traffic(addr[0], message)
             return
         if isinstance(message, CrashReport | LimitReport | ReturnReport):
@@ -317,9 +315,13 @@
 
     def send(self, message: Message, host: str) -> None:
         """Send a message to the side at a host."""
+        for datagram in messages.encode_all(message):
+            self.send_datagram(datagram, host)
+
+    def send_datagram(self, datagram: bytes, host: str) -> None:
+        """Send a datagram to the side or gateway at a host."""
         if self._transport is not None and not self._transport.is_closing():
-            for datagram in messages.encode_all(message):
-                self._transport.sendto(datagram, (host, self._port))
+            self._transport.sendto(datagram, (host, self._port))
 
     def close(self) -> None:
         """Close the socket."""
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -3,12 +3,11 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from returns.pipeline import is_successful
 
 from pearshed._internal.decisions.retry_time import MAX_LEFT_SHARE
-from pearshed._internal.decisions.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.decisions.useful_time import CallerNeeds
 from pearshed._internal.gateway.admission import (
     Admission,
@@ -23,6 +22,7 @@
 from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
 from pearshed._internal.gateway.engine_limits.cold_engine_monitor import ColdEngineMonitor
+from pearshed._internal.gateway.exchange.retry_budgets import RetryBudgets
 from pearshed._internal.gateway.forwarding.candidates import CandidateFinder
 from pearshed._internal.gateway.forwarding.endpoint_waits import EndpointWaits
 from pearshed._internal.gateway.forwarding.progress import Progress, shorter_wait
@@ -80,10 +80,7 @@
 
 
 class Forwarder:
-    """Forwards requests to endpoints, with retries.
-
-    :param retry_budget: returns the retry budget of a service.
-    """
+    """Forwards requests to endpoints, with retries."""
 
     def __init__(
         self,
@@ -93,7 +90,7 @@
         plain_placement: Placement,
         prompt_placement: Placement,
         admission: AdmissionClient,
-        retry_budget: Callable[[str], ServiceRetryBudget],
+        retry_budgets: RetryBudgets,
         crashes: CrashDetector,
         rate_limited: RateLimitedEngines,
         cold_engines: ColdEngineMonitor,
@@ -113,9 +110,9 @@
         self._plain_placement = plain_placement
         self._prompt_placement = prompt_placement
         self._admission = admission
-        self._retry_budget = retry_budget
+        self._retry_budgets = retry_budgets
         self._waits = EndpointWaits(evacuations, pauses)
-        self._retry_rules = RetryRules(retry_budget, crashes, self._waits)
+        self._retry_rules = RetryRules(retry_budgets.try_spend, crashes, self._waits)
         self._crashes = crashes
         self._rate_limited = rate_limited
         self._cold_engines = cold_engines
@@ -141,7 +138,7 @@
             self._refuse(writer, metadata, routed.failure())
             return writer
         call = routed.unwrap()
-        self._retry_budget(call.service).record_request()
+        self._retry_budgets.record_request(call.service)
         self.placement(call).record_request(call)
         self._admission_wait.record_request(call)
         try:
@@ -428,7 +425,7 @@
         outcome = await self._attempt(call, decision, writer, progress, admitted)
         if isinstance(outcome, Answered):
             return True
-        if not self._retry_rules.may_retry(call, decision.endpoint, outcome, progress):
+        if not await self._retry_rules.may_retry(call, decision.endpoint, outcome, progress):
             self._finish_failed(call, writer, progress, "no other attempt is allowed")
             return True
         return False
--- a/src/pearshed/_internal/gateway/forwarding/retry_rules.py
+++ b/src/pearshed/_internal/gateway/forwarding/retry_rules.py
@@ -1,8 +1,7 @@
 """Decides whether a request is sent to another endpoint after an attempt without a response."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-from pearshed._internal.decisions.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import Endpoint
 from pearshed._internal.gateway.forwarding.endpoint_waits import EndpointWaits
@@ -27,24 +26,23 @@
 class RetryRules:
     """Counts attempts and limits their number.
 
-    :param retry_budget: returns the retry budget of a service.
+    :param try_spend: spends one retry for a service; returns whether its budget had one.
     """
 
     def __init__(
         self,
-        retry_budget: Callable[[str], ServiceRetryBudget],
+        try_spend: Callable[[str], Awaitable[bool]],
         crashes: CrashDetector,
         waits: EndpointWaits,
     ) -> None:
-        self._retry_budget = retry_budget
+        self._try_spend = try_spend
         self._crashes = crashes
         self._waits = waits
 
-    def may_retry(
+    async def may_retry(
         self, call: RoutedCall, endpoint: Endpoint, outcome: AttemptOutcome, progress: Progress
     ) -> bool:
         """Count an attempt without a complete response; return whether to make another."""
-        retry_budget = self._retry_budget(call.service)
         if isinstance(outcome, NotExecuted):
             if outcome.withheld:
                 # Nothing was sent. The endpoint isn't chosen again for this request.
@@ -58,7 +56,7 @@
                 progress.connect_failures += 1
                 return progress.connect_failures <= _MAX_CONNECT_FAILURES
             progress.rejections += 1
-            return progress.rejections <= _MAX_REJECTIONS and retry_budget.try_spend()
+            return progress.rejections <= _MAX_REJECTIONS and await self._try_spend(call.service)
         progress.last_outcome = outcome
         progress.endpoints_run += not isinstance(outcome, OutOfTime) or outcome.sent
         return (
@@ -67,5 +65,5 @@
             and progress.endpoints_run < call.route.max_endpoints
             and call.remaining_s > _MIN_REMAINING_S
             and self._crashes.may_retry(call)
-            and retry_budget.try_spend()
+            and await self._try_spend(call.service)
         )
--- a/src/pearshed/_internal/gateway/operator_pages.py
+++ b/src/pearshed/_internal/gateway/operator_pages.py
@@ -6,12 +6,11 @@
 import orjson
 
 import pearshed
-from pearshed._internal.decisions.service_retry_budget import ServiceRetryBudget
-from pearshed._internal.gateway.admission import SideAdmissionClient
 from pearshed._internal.gateway.availability.evacuations import EvacuationTable
 from pearshed._internal.gateway.crash_detector import CrashDetector
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.engine_limits.cold_engine_monitor import ColdEngineMonitor
+from pearshed._internal.gateway.exchange.exchange import GatewayExchange
 from pearshed._internal.gateway.store_cache import StoreCache
 from pearshed._internal.http.page_server import page_name
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
@@ -26,7 +25,7 @@
     """Readiness, health, metrics and the state of a gateway.
 
     :param connections: open connections of callers.
-    :param retry_budgets: retry budgets by service.
+    :param exchange: what gateways know together, and the retry budgets.
     :param engine_speeds: returns the speeds of engines with the ages of their figures.
     """
 
@@ -35,9 +34,8 @@
         name: str,
         store_cache: StoreCache,
         endpoints: EndpointTable,
-        admission: SideAdmissionClient,
         connections: Collection[object],
-        retry_budgets: Mapping[str, ServiceRetryBudget],
+        exchange: GatewayExchange,
         crashes: CrashDetector,
         cold_engines: ColdEngineMonitor,
         log_stream: BoundedLogStream,
@@ -49,9 +47,8 @@
         self._name = name
         self._store_cache = store_cache
         self._endpoints = endpoints
-        self._admission = admission
         self._connections = connections
-        self._retry_budgets = retry_budgets
+        self._exchange = exchange
         self._crashes = crashes
         self._cold_engines = cold_engines
         self._log_stream = log_stream
@@ -100,6 +97,8 @@
             "known_from_peers": self._store_cache.has_peer_state,
             "evacuations": self._evacuations.dump(),
             "connections": len(self._connections),
+            "gateways": self._exchange.gateway_count,
+            "retry_budgets": self._exchange.retry_budgets.dump(),
             "log_lines_dropped": self._log_stream.dropped,
             "blocked_parts": [
                 {
@@ -162,11 +161,11 @@
             counter=True,
         )
         yield gauge("pearshed_gateway_connections", "Callers connected", len(self._connections))
-        yield gauge("pearshed_gateway_gateways", "Gateways in all", self._admission.gateway_count)
+        yield gauge("pearshed_gateway_gateways", "Gateways in all", self._exchange.gateway_count)
         yield counter(
             "pearshed_gateway_repeats_denied_total",
             "Second sends refused for want of budget",
-            sum(budget.denied for budget in self._retry_budgets.values()),
+            sum(budget.denied for budget in self._exchange.retry_budgets.budgets.values()),
         )
         yield counter(
             "pearshed_gateway_log_lines_dropped_total",
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -13,7 +13,6 @@
 
 import pearshed
 from pearshed._internal.decisions.key_trust import are_keys_trusted
-from pearshed._internal.decisions.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.decisions.version_history import VersionHistory
 from pearshed._internal.engine_side.messages import (
     CrashReport,
@@ -33,6 +32,9 @@
 from pearshed._internal.gateway.endpoints import EndpointTable
 from pearshed._internal.gateway.engine_limits import cold_engine_monitor
 from pearshed._internal.gateway.engine_limits.cold_engine_monitor import ColdEngineMonitor
+from pearshed._internal.gateway.exchange.exchange import GatewayExchange
+from pearshed._internal.gateway.exchange.gossip import STARTING_INTERVAL_S as GOSSIP_INTERVAL_S
+from pearshed._internal.gateway.exchange.retry_budgets import BudgetLimits, RetryBudgets
 from pearshed._internal.gateway.forwarder import Forwarder
 from pearshed._internal.gateway.forwarding.destination import DestinationExplainer
 from pearshed._internal.gateway.header_codec import HeaderCodec
@@ -81,12 +83,10 @@
 TRAFFIC_REPORT_INTERVAL_S = 0.5
 #: Interval at which the settings file is checked, since it may change without a signal.
 SETTINGS_CHECK_INTERVAL_S = 5.0
-#: Settings from which the retry budgets are built.
-_RETRY_BUDGET_FIELDS = frozenset(("repeat_ratio", "repeat_slack", "repeat_window_s"))
 _EXPIRY_CHECK_INTERVAL_S = 0.25
 _LOG_DRAIN_INTERVAL_S = 0.1
 _STOP_CHECK_INTERVAL_S = 0.02
-#: Number of gateways assumed to share a service's retry budget while it is unknown.
+#: Number of gateways assumed to share the limits of engines while it is unknown.
 ASSUMED_GATEWAYS = 32
 
 
@@ -121,7 +121,6 @@
         self._endpoints = EndpointTable(self._evacuations, self._pauses)
         self._key_confirmation = KeyConfirmation(self._store_cache, self._directory)
         self._store_cache.on_endpoints(self._apply_endpoints)
-        self._retry_budgets: dict[str, ServiceRetryBudget] = {}
         self._connections: set[CallerConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listeners: list[Listener] = []
@@ -135,6 +134,16 @@
             self._apply_fleet_traffic,
             self._apply_records,
         )
+        self._exchange = GatewayExchange(
+            settings.peers.host,
+            [seed.host for seed in settings.seeds],
+            lambda: self._directory.hosts,
+            self._retry_limits,
+            lambda service: self._find_service(service) is not None,
+            self._admission.send_datagram,
+            self._rng,
+        )
+        self._admission.on_exchange(self._exchange.receive)
         self._crashes = CrashDetector()
         self._side_exchange = SideExchange(self._admission.send)
         self._side_exchange.add(self._crashes)
@@ -144,16 +153,14 @@
         self._rate_limited = RateLimitedEngines(
             self._admission,
             self._side_exchange,
-            lambda: self._admission.gateway_count or ASSUMED_GATEWAYS,
+            lambda: self._exchange.gateway_count or ASSUMED_GATEWAYS,
             self._rng,
             self._cold_engines.limit,
         )
         self._side_exchange.add(self._rate_limited)
         self._returns = ReturnExchange(self._is_any_service_contended)
         self._side_exchange.add(self._returns)
-        self._plain_waiting = PlainWaiting(
-            lambda: self._admission.gateway_count or ASSUMED_GATEWAYS
-        )
+        self._plain_waiting = PlainWaiting(lambda: self._exchange.gateway_count or ASSUMED_GATEWAYS)
         self._version_history = VersionHistory()
         self._store_cache.on_entry(self._version_history.record)
         self._store_cache.on_gap(self._version_history.record_gap)
@@ -189,7 +196,7 @@
             ),
             self._prompt_placement,
             self._admission,
-            self._retry_budget,
+            self._exchange.retry_budgets,
             self._crashes,
             self._rate_limited,
             self._cold_engines,
@@ -207,9 +214,8 @@
             settings.name,
             self._store_cache,
             self._endpoints,
-            self._admission,
             self._connections,
-            self._retry_budgets,
+            self._exchange,
             self._crashes,
             self._cold_engines,
             log_stream,
@@ -231,6 +237,7 @@
         metrics.add(self._request_metrics.collect)
         metrics.add(lambda: self._prompt_placement.collect(self._endpoints.endpoints))
         metrics.add(self._peer_sync.collect)
+        metrics.add(self._exchange.collect)
         metrics.add(self._crashes.collect)
         metrics.add(self._rate_limited.collect)
         metrics.add(self._cold_engines.collect)
@@ -250,6 +257,7 @@
         self._timers.every(TRAFFIC_REPORT_INTERVAL_S, self._report_traffic)
         self._timers.every(SLOT_CHECK_INTERVAL_S, self._plain_waiting.process)
         self._timers.every(REPORT_INTERVAL_S, self._exchange_records)
+        self._timers.every(GOSSIP_INTERVAL_S, self._exchange.run_if_due)
         self._timers.every(cold_engine_monitor.CHECK_INTERVAL_S, self._cold_engines.check)
         self._timers.every(SETTINGS_CHECK_INTERVAL_S, self._reload_settings)
         self._timers.every(_LOG_DRAIN_INTERVAL_S, self._log_stream.drain)
@@ -313,6 +321,11 @@
         """The engines that count as cold."""
         return self._cold_engines
 
+    @property
+    def retry_budgets(self) -> RetryBudgets:
+        """The retry budgets of all services."""
+        return self._exchange.retry_budgets
+
     @property
     def pages(self) -> OperatorPages:
         """The pages for operators and the load balancer."""
@@ -455,8 +468,6 @@
         self._settings = loaded
         self._evacuation_settings = _evacuation_settings(loaded)
         self._evacuations.refresh()
-        if not _RETRY_BUDGET_FIELDS.isdisjoint(changed):
-            self._retry_budgets.clear()
         logging.info("settings.reloaded", extra={"fields": {"changed": ",".join(changed)}})
 
     def _report_traffic(self) -> None:
@@ -503,6 +514,7 @@
         self._side_exchange.exchange(self._side_hosts())
 
     def _apply_fleet_traffic(self, host: str, traffic: FleetTraffic) -> None:
+        self._exchange.record_count(traffic.gateways)
         self._directory.add_hosts(traffic.hosts)
         for service, allocator in self._prompt_placement.lane_allocators.items():
             endpoints = self._endpoints.of_service(service)
@@ -542,16 +554,9 @@
         configuration = self._store_cache.configuration
         return configuration.limits if configuration is not None else DEFAULT_CALLER_LIMITS
 
-    def _retry_budget(self, service: str) -> ServiceRetryBudget:
-        retry_budget = self._retry_budgets.get(service)
-        if retry_budget is None:
-            settings = self._settings
-            retry_budget = ServiceRetryBudget(
-                settings.repeat_ratio, settings.repeat_slack, settings.repeat_window_s
-            )
-            self._retry_budgets[service] = retry_budget
-        retry_budget.set_gateways(self._admission.gateway_count or ASSUMED_GATEWAYS)
-        return retry_budget
+    def _retry_limits(self) -> BudgetLimits:
+        settings = self._settings
+        return BudgetLimits(settings.repeat_ratio, settings.repeat_slack, settings.repeat_window_s)
 
     def _serve_in_task(self, connection: CallerConnection) -> None:
         self._connections.add(connection)
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -8,7 +8,6 @@
 
 from parameterized import parameterized
 
-from pearshed._internal.decisions.service_retry_budget import USED_SHARE, ServiceRetryBudget
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
 from pearshed._internal.gateway.header_codec import EndpointLoadReport
@@ -349,27 +348,6 @@
         )
 
 
-class ServiceRetryBudgetTest(unittest.TestCase):
-    @parameterized.expand([("alone", 1), ("many", 20)])
-    def test_all_gateways_together_stay_within_the_limit(self, _: str, gateways: int) -> None:
-        clock = FakeClock(self)
-        budgets = [ServiceRetryBudget(0.2, 100, 10.0) for _ in range(gateways)]
-        retry_times: list[float] = []
-        for _step in range(400):
-            for budget in budgets:
-                budget.set_gateways(gateways)
-                budget.record_request()
-                if budget.try_spend():
-                    retry_times.append(clock.now)
-            clock.advance(0.1)
-        per_window = 100 * gateways
-        max_in_window = max(
-            sum(start <= at < start + 10 for at in retry_times) for start in set(retry_times)
-        )
-        self.assertLessEqual(max_in_window, 0.2 * per_window + 100)
-        self.assertGreater(max_in_window, 0.2 * per_window * USED_SHARE * 0.8)
-
-
 class RequestLoggerTest(unittest.TestCase):
     def test_failures_are_always_logged_and_samples_are_complete(self) -> None:
         FakeClock(self)
--- a/tests/gateway/test_request_steps.py
+++ b/tests/gateway/test_request_steps.py
@@ -1,14 +1,13 @@
 """Steps of a request that are modules of their own: return times, retries and what withholds it."""
 
+import asyncio
 import dataclasses
 import random
 import unittest
-from typing import cast
 
 from parameterized import parameterized
 
 from pearshed._internal.decisions.engine_pauses import parse_pause
-from pearshed._internal.decisions.service_retry_budget import ServiceRetryBudget
 from pearshed._internal.gateway.availability.evacuations import EvacuationTable
 from pearshed._internal.gateway.availability.pauses import PauseTable
 from pearshed._internal.gateway.crash_detector import CrashDetector
@@ -33,11 +32,10 @@
 _MAX_SPREAD_S = 0.9
 
 
-class _Budget:
-    """A retry budget that is never spent."""
-
-    def try_spend(self) -> bool:
-        return True
+async def _always_spend(service: str) -> bool:
+    """Spend of a retry budget that is never empty."""
+    del service
+    return True
 
 
 class ReturnTimesTest(unittest.TestCase):
@@ -97,8 +95,8 @@
     def test_may_retry(
         self, _: str, outcome: AttemptOutcome, kind: RouteKind, allowed: bool
     ) -> None:
-        budget = cast(ServiceRetryBudget, _Budget())
-        rules = RetryRules(lambda service: budget, CrashDetector(), self.waits)
+        rules = RetryRules(_always_spend, CrashDetector(), self.waits)
         request = call(1)
         request = dataclasses.replace(request, route=dataclasses.replace(request.route, kind=kind))
-        self.assertEqual(allowed, rules.may_retry(request, self.endpoint, outcome, Progress()))
+        may_retry = rules.may_retry(request, self.endpoint, outcome, Progress())
+        self.assertEqual(allowed, asyncio.run(may_retry))
--- a/tests/gateway/test_streams_and_stops.py
+++ b/tests/gateway/test_streams_and_stops.py
@@ -4,12 +4,14 @@
 import dataclasses
 import socket
 from collections.abc import Awaitable, Callable
+from typing import Any
 from unittest import mock
 
 from parameterized import parameterized
 from prometheus_client.parser import text_string_to_metric_families
 from prometheus_client.samples import Sample
 
+from pearshed._internal.decisions.service_retry_budget import BURST_SHARE
 from pearshed._internal.errors import InvariantBrokenError
 from tests.lib.gateway_caller import Caller
 from tests.lib.gateway_fixture import GatewayTestCase, until
@@ -287,15 +289,24 @@
 
 
 class ReloadTest(GatewayTestCase):
-    async def test_retry_budgets_are_kept_when_other_settings_change(self) -> None:
-        gateway = await self.start_gateway()
-        budget = gateway._retry_budget("ledger")
-        self.settings = dataclasses.replace(self.settings, seeds=(self.settings.callers,))
-        gateway._reload_settings()
-        self.assertIs(budget, gateway._retry_budget("ledger"))
-        self.settings = dataclasses.replace(self.settings, repeat_ratio=0.5)
+    @parameterized.expand(
+        [("other_settings", {"grace_s": 3.0}), ("its_limits", {"repeat_slack": 20})]
+    )
+    async def test_what_was_spent_of_a_retry_budget_stays_spent_when_settings_change(
+        self, _: str, changes: dict[str, Any]
+    ) -> None:
+        await self.add_engine("ledger", respond_ok)
+        gateway = await self.start_gateway(repeat_slack=4)
+        budgets = gateway.retry_budgets
+        spent = 0
+        while await budgets.try_spend("ledger"):
+            spent += 1
+        self.assertEqual(2, spent)
+        self.settings = dataclasses.replace(self.settings, **changes)
         gateway._reload_settings()
-        self.assertIsNot(budget, gateway._retry_budget("ledger"))
+        self.assertFalse(await budgets.try_spend("ledger"))
+        capacity = gateway.pages.dump()["retry_budgets"]["ledger"]["capacity"]
+        self.assertAlmostEqual(BURST_SHARE * changes.get("repeat_slack", 4), capacity, places=1)
 
 
 class StopUnderLoadTest(GatewayTestCase):
--- a/tests/lib/gateway_fixture.py
+++ b/tests/lib/gateway_fixture.py
@@ -20,6 +20,7 @@
 from tests.lib.gateway_store import StoreStandIn
 
 _CONDITION_TIMEOUT_S = 20.0
+_RUN_BEFORE_S = 60.0
 #: Below the kernel's ephemeral port range.
 _FIRST_PORT, _LAST_PORT = 10_000, 32_000
 _port_rng = random.Random()
@@ -113,9 +114,12 @@
         return self.gateway
 
     def run_gateway(
-        self, load_settings: Callable[[], GatewaySettings]
+        self, load_settings: Callable[[], GatewaySettings], *, may_retry: bool = True
     ) -> tuple[GatewayProcess, "asyncio.Task[None]"]:
-        """Run a gateway in a task until the test ends."""
+        """Run a gateway in a task until the test ends.
+
+        :param may_retry: fill its retry budgets, as if it had run for a while.
+        """
         settings = load_settings()
         gateway = GatewayProcess(
             settings,
@@ -125,6 +129,8 @@
             PlatformHeaders(),
             QuietLogStream(),  # type: ignore[arg-type]
         )
+        if may_retry:
+            _fill_retry_budgets(gateway)
         task = asyncio.get_running_loop().create_task(gateway.run())
         self.addAsyncCleanup(_stop_gateway, gateway, task)
         return gateway, task
@@ -157,6 +163,13 @@
         return len(self.gateway.endpoints.of_service(service)) == count
 
 
+def _fill_retry_budgets(gateway: GatewayProcess) -> None:
+    """Let a gateway's budgets be those of one that has run alone for longer than their window."""
+    budgets = gateway.retry_budgets
+    budgets._started_at -= _RUN_BEFORE_S
+    budgets._gateway_count = lambda: 1
+
+
 async def _stop_gateway(gateway: GatewayProcess, task: "asyncio.Task[None]") -> None:
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/tests/unit/test_foreign_documents.py
+++ b/tests/unit/test_foreign_documents.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import random
 import unittest
 import urllib.parse
 from collections.abc import Callable
@@ -38,6 +39,10 @@
 from pearshed._internal.engine_side.rate_limits import RateLimit
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
 from pearshed._internal.gateway import peer_messages
+from pearshed._internal.gateway.exchange import messages as exchange_messages
+from pearshed._internal.gateway.exchange.exchange import GatewayExchange
+from pearshed._internal.gateway.exchange.messages import Loan, LoanRequest, News
+from pearshed._internal.gateway.exchange.retry_budgets import BudgetLimits
 from pearshed._internal.gateway.forwarding import destination
 from pearshed._internal.gateway.header_codec import ForwardingMetadata
 from pearshed._internal.http.messages import ResponseHead
@@ -229,6 +234,24 @@
         messages.encode_all(message)
 
 
+def _check_exchange(document: bytes) -> None:
+    def send(datagram: bytes, host: str) -> None:
+        exchange_messages.decode(datagram).unwrap()
+
+    exchange = GatewayExchange(
+        "10.0.0.1",
+        (),
+        lambda: (),
+        lambda: BudgetLimits(0.2, 50.0, 10.0),
+        lambda service: True,
+        send,
+        random.Random(1),
+    )
+    exchange.receive(document, "10.0.0.2")
+    exchange.run_if_due()
+    _numbers(exchange.gateway_count)
+
+
 def _check_record(document: bytes) -> None:
     record = _value_of(parse_document(document))
     if record is not None:
@@ -254,6 +277,18 @@
         (f"datagram_{number}", _check_datagram, json.loads(messages.encode(message)))
         for number, message in enumerate(_DATAGRAMS)
     ),
+    *(
+        (
+            f"exchange_{type(message).__name__}",
+            _check_exchange,
+            json.loads(exchange_messages.encode(message)),
+        )
+        for message in (
+            News({"gateways": [["10.0.0.3", 5], ["10.0.0.4", 900]]}, asks=True),
+            LoanRequest(3, "fleet", 0.5),
+            Loan(3, 0.25),
+        )
+    ),
     *(
         (f"record_{raw['kind']}_{raw['name']}", _check_record, raw)
         for raw in records.base_records()
