Take no response that ends inside its head for a complete one

Cause: http.client takes the end of the connection inside a head for the end of the head. What is left has neither a length nor chunks, so its empty body ends with the connection as it should. urllib3 goes the same way for chunk sizes and trailers.

Change: responses are read with lines that must have their end, at the side's endpoint, at the platform's configuration service and in the commands that read pages.

--- a/src/pearshed/_internal/commands/dump.py
+++ b/src/pearshed/_internal/commands/dump.py
@@ -7,6 +7,7 @@
 from pearshed._internal.cli import status_codes
 from pearshed._internal.commands.base import Command
 from pearshed._internal.errors import UnreachableProcessError
+from pearshed._internal.utils import strict_http
 
 _TIMEOUT_S = 5.0
 _PAGES = ("dump", "metrics", "readyz", "healthz")
@@ -33,7 +34,7 @@
         """Print the page."""
         url = f"http://{options.admin}/{options.page}"
         try:
-            response = urllib3.request("GET", url, timeout=_TIMEOUT_S, retries=False)
+            response = strict_http.get(url, _TIMEOUT_S)
         except urllib3.exceptions.HTTPError as error:
             raise UnreachableProcessError(
                 f"no process responds at {options.admin}",
--- a/src/pearshed/_internal/commands/where.py
+++ b/src/pearshed/_internal/commands/where.py
@@ -12,6 +12,7 @@
 from pearshed._internal.errors import UnreachableProcessError
 from pearshed._internal.gateway.forwarding.destination import DestinationQuery, encode_query
 from pearshed._internal.models.routing import PromptPart
+from pearshed._internal.utils import strict_http
 
 _TIMEOUT_S = 2.0
 _OK = 200
@@ -53,7 +54,7 @@
         )
         url = f"http://{options.gateway}/where?{encode_query(query)}"
         try:
-            response = urllib3.request("GET", url, timeout=_TIMEOUT_S, retries=False)
+            response = strict_http.get(url, _TIMEOUT_S)
         except urllib3.exceptions.HTTPError as error:
             raise UnreachableProcessError(
                 f"no gateway responds at {options.gateway}",
--- a/src/pearshed/_internal/configuration/http_source.py
+++ b/src/pearshed/_internal/configuration/http_source.py
@@ -6,6 +6,7 @@
 from pearshed._internal.configuration.feed import FeedChange, FeedName, PlatformSource
 from pearshed._internal.utils.foreign_values import parse_count
 from pearshed._internal.utils.json_split import split_elements, split_members
+from pearshed._internal.utils.strict_http import StrictPoolManager
 from pearshed._internal.utils.threads import run_in_daemon_thread
 
 _CONNECT_TIMEOUT_S = 2.0
@@ -21,7 +22,7 @@
     def __init__(self, url: str) -> None:
         self._url = url
         # A late second copy of a response on a kept connection is never taken for another feed's.
-        self._pools = {feed: urllib3.PoolManager(num_pools=1, retries=False) for feed in FeedName}
+        self._pools = {feed: StrictPoolManager(num_pools=1, retries=False) for feed in FeedName}
         self._reads = 0
 
     @property
--- a/src/pearshed/_internal/side/endpoint_client.py
+++ b/src/pearshed/_internal/side/endpoint_client.py
@@ -11,13 +11,13 @@
 from typing import Any
 
 import urllib3
-from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
 from pearshed._internal.models.outcomes import Execution
 from pearshed._internal.models.requests import REQUEST_ID_HEADER, ForwardedCall
 from pearshed._internal.utils.addresses import Address
 from pearshed._internal.utils.loop_queue import LoopQueue
+from pearshed._internal.utils.strict_http import StrictHTTPConnection
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 _READ_SIZE_BYTES = 64 * 1024
@@ -53,7 +53,7 @@
     detail: str = ""
 
 
-class _TrackedConnection(HTTPConnection):
+class _TrackedConnection(StrictHTTPConnection):
     """Registers its socket with the call that uses it, so that the call can be aborted.
 
     :ivar reusable: whether its last response named the call that it answered.
--- /dev/null
+++ b/src/pearshed/_internal/utils/strict_http.py
@@ -0,0 +1,74 @@
+"""urllib3 with responses that count only if their framing is complete.
+
+``http.client`` takes the end of a connection inside the head of a response for the end of the head:
+a response that was cut there seems to have neither a length nor chunks, and an empty body.
+"""
+
+import http.client
+import io
+from typing import Any
+
+import urllib3
+from urllib3.connection import HTTPConnection, HTTPSConnection
+from urllib3.connectionpool import HTTPConnectionPool, HTTPSConnectionPool
+
+
+class _CompleteLineReader(io.BufferedReader):
+    """Reads lines of heads, chunk sizes and trailers, each of which must have its end."""
+
+    _has_begun = False
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Read a line; return no bytes if the connection ends before the first.
+
+        :raises http.client.IncompleteRead: when the connection ends inside a line or before one.
+        """
+        line = super().readline(size)
+        is_cut = not line.endswith(b"\n") and len(line) != size
+        if is_cut and (line or self._has_begun):
+            raise http.client.IncompleteRead(line)
+        self._has_begun = True
+        return line
+
+
+class StrictHTTPResponse(http.client.HTTPResponse):
+    """A response whose head, chunk sizes and trailers are complete."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.fp = _CompleteLineReader(self.fp.detach())
+
+
+class StrictHTTPConnection(HTTPConnection):
+    """A connection whose responses are strict."""
+
+    response_class = StrictHTTPResponse
+
+
+class _StrictHTTPSConnection(HTTPSConnection):
+    response_class = StrictHTTPResponse
+
+
+class _StrictHTTPPool(HTTPConnectionPool):
+    ConnectionCls = StrictHTTPConnection
+
+
+class _StrictHTTPSPool(HTTPSConnectionPool):
+    ConnectionCls = _StrictHTTPSConnection
+
+
+class StrictPoolManager(urllib3.PoolManager):
+    """A pool manager whose responses are strict."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.pool_classes_by_scheme = {"http": _StrictHTTPPool, "https": _StrictHTTPSPool}
+
+
+def get(url: str, timeout_s: float) -> urllib3.BaseHTTPResponse:
+    """Send one GET request.
+
+    :raises urllib3.exceptions.HTTPError: when there is no complete response in time.
+    """
+    with StrictPoolManager(num_pools=1, retries=False) as pools:
+        return pools.request("GET", url, timeout=timeout_s)
--- a/tests/functional/test_response_ends.py
+++ b/tests/functional/test_response_ends.py
@@ -26,9 +26,19 @@
         cls.addClassCleanup(cls.fleet.close)
         cls.site = SmallSite(cls.fleet, endpoints=1, entries=2)
 
-    def set_engine(self, until_close: bool, omit_bytes: int = 0, token_ms: float = 1.0) -> None:
+    def set_engine(
+        self,
+        until_close: bool,
+        omit_bytes: int = 0,
+        token_ms: float = 1.0,
+        cut_head: int = -1,
+    ) -> None:
         self.fleet.set(
-            self.site.engines[0], until_close=until_close, omit_bytes=omit_bytes, token_ms=token_ms
+            self.site.engines[0],
+            until_close=until_close,
+            omit_bytes=omit_bytes,
+            token_ms=token_ms,
+            cut_head=cut_head,
         )
 
     def assert_ends_with_connection(self, response: urllib3.BaseHTTPResponse) -> None:
@@ -50,6 +60,26 @@
             self.site.entry, "inside an event", "code=endpoint_failed", "execution=ran"
         )
 
+    @parameterized.expand(
+        [
+            (f"{kind}_after_{cut_head}_bytes", kind, cut_head)
+            for kind in ("stream", "plain", "order")
+            for cut_head in (17, 40, 100)
+        ]
+    )
+    def test_a_response_that_is_cut_in_its_head_is_no_answer(
+        self, _: str, kind: str, cut_head: int
+    ) -> None:
+        self.set_engine(until_close=False, cut_head=cut_head)
+        if kind == "order":
+            response = self.fleet.call(
+                self.site.entry, "/services/writing/orders", b"order", X_Request_Class="order"
+            )
+        else:
+            response = self.fleet.call(self.site.entry, body=chat_body(stream=kind == "stream"))
+        self.assertEqual(502, response.status, response.data)
+        self.assertEqual("may_have_run", json.loads(response.data)["error"]["execution"])
+
     @parameterized.expand([("stream", True), ("plain", False)])
     def test_a_response_without_framing_is_not_framed_as_complete(
         self, _: str, stream: bool
--- a/tests/lib/engine.py
+++ b/tests/lib/engine.py
@@ -31,6 +31,8 @@
     :ivar slow: factor on both times.
     :ivar cut_after: tokens after which the connection is closed; negative for never.
     :ivar omit_bytes: bytes left out at the end of a stream's last event.
+    :ivar cut_head: bytes of a response's head after which the connection is closed; negative for
+        never.
     :ivar until_close: responses have neither a length nor chunks and end with the connection.
     :ivar status: of the responses to plain calls.
     :ivar hang: runs are suspended while it is set.
@@ -44,6 +46,7 @@
     slow: float = 1.0
     cut_after: int = -1
     omit_bytes: int = 0
+    cut_head: int = -1
     until_close: bool = False
     status: int = 200
     hang: bool = False
@@ -117,7 +120,13 @@
         """Name the request that is answered, then end the headers."""
         if request_id := self.headers.get("X-Request-Id"):
             self.send_header("X-Request-Id", request_id)
-        super().end_headers()
+        cut_head = self.server.state.cut_head
+        if cut_head < 0 or self.path.startswith("/_"):
+            super().end_headers()
+            return
+        self.wfile.write(b"".join(self._headers_buffer)[:cut_head])  # type: ignore[attr-defined]
+        self.drop_connection()
+        raise BrokenPipeError("the head was cut")
 
     def do_GET(self) -> None:
         """Serve the journal or a plain call."""
--- a/tests/unit/test_adapters.py
+++ b/tests/unit/test_adapters.py
@@ -17,6 +17,7 @@
 from pearshed._internal.side.endpoint_client import EndpointCall, EndpointClient, ResponseReceiver
 from pearshed._internal.utils.addresses import Address
 from pearshed._internal.utils.loop_queue import LoopQueue
+from pearshed._internal.utils.sockets import set_reset_on_close
 from tests.lib.fleet import free_port, wait_for
 
 _REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\n"
@@ -27,13 +28,31 @@
 _IDLE_TIMEOUT_S = 0.3
 
 
+_WHOLE = _HEAD + b"Content-Length: 4\r\n\r\nfour"
+#: Responses that end inside their head.
+_CUT_HEADS = {
+    "in_the_status_line": b"HTTP/1.1 200",
+    "after_the_status_line": _HEAD,
+    "in_a_name": _HEAD + b"Content-Le",
+    "in_a_length": _HEAD + b"Content-Length: 1",
+    "after_a_length": _HEAD + b"Content-Length: 12\r\n",
+    "in_a_framing": _HEAD + b"Transfer-Encoding: chun",
+    "after_a_type": _HEAD + b"Content-Type: text/event-stream\r\n",
+    "in_the_last_line_end": _HEAD + b"Content-Length: 12\r\n\r",
+    "in_an_interim_response": b"HTTP/1.1 100 Continue\r\n",
+    "after_an_interim_response": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "in_the_head_after_an_interim_response": b"HTTP/1.1 100 Continue\r\n\r\n" + _HEAD,
+}
+
+
 @contextlib.contextmanager
-def scripted_server(script: bytes, delay_s: float = 0.0) -> Iterator[int]:
+def scripted_server(script: bytes, delay_s: float = 0.0, is_reset: bool = False) -> Iterator[int]:
     """Serve one connection: read a request, send the script, close.
 
     A script that ends in ``...`` keeps the connection open without sending more data.
 
     :param delay_s: time from the request to the script, seconds.
+    :param is_reset: reset the connection after the script.
     """
     listener = socket.create_server(("127.0.0.1", 0))
 
@@ -51,6 +70,10 @@
             connection.sendall(script.removesuffix(_KEEP_OPEN))
             if script.endswith(_KEEP_OPEN):
                 connection.recv(65536)
+            if is_reset:
+                # What was sent arrives first.
+                threading.Event().wait(0.05)
+                set_reset_on_close(connection, True)
             connection.close()
 
     threading.Thread(target=serve, daemon=True).start()
@@ -229,6 +252,50 @@
         actual = (received.execution, received.complete, received.content)
         self.assertEqual((execution, complete, content), actual)
 
+    @parameterized.expand(
+        [
+            (f"{place}_{end}", script, end == "reset")
+            for place, script in _CUT_HEADS.items()
+            for end in ("closed", "reset")
+        ]
+    )
+    def test_a_response_that_is_cut_in_its_head_is_none(
+        self, _: str, script: bytes, is_reset: bool
+    ) -> None:
+        with scripted_server(script, is_reset=is_reset) as port:
+            received = self.call(port)
+        actual = (received.execution, received.complete, received.status, received.content)
+        self.assertEqual((Execution.MAY_HAVE_RUN, False, 0, b""), actual)
+
+    @parameterized.expand(
+        [
+            ("chunk_size_that_begins_with_zero", _CHUNKED + b"4\r\nfour\r\n0"),
+            ("last_chunk", _CHUNKED + b"4\r\nfour\r\n0\r\n"),
+            ("trailer", _CHUNKED + b"4\r\nfour\r\n0\r\nX-Sum: 1"),
+            ("after_a_trailer", _CHUNKED + b"4\r\nfour\r\n0\r\nX-Sum: 12\r\n"),
+        ]
+    )
+    def test_a_response_that_is_cut_in_the_framing_of_its_body_is_not_complete(
+        self, _: str, script: bytes
+    ) -> None:
+        with scripted_server(script) as port:
+            received = self.call(port)
+        self.assertFalse(received.complete)
+
+    @parameterized.expand(
+        [
+            ("interim", b"HTTP/1.1 100 Continue\r\n\r\n" + _WHOLE, b"four"),
+            ("interim_with_headers", b"HTTP/1.1 100 Continue\r\nX-A: 1\r\n\r\n" + _WHOLE, b"four"),
+            ("trailers", _CHUNKED + b"4\r\nfour\r\n0\r\nX-Sum: 12\r\n\r\n", b"four"),
+            ("line_feeds_only", b"HTTP/1.1 200 OK\nContent-Length: 4\n\nfour", b"four"),
+            ("no_headers", _HEAD + b"\r\nfour", b"four"),
+        ]
+    )
+    def test_complete_responses_of_other_forms(self, _: str, script: bytes, body: bytes) -> None:
+        with scripted_server(script) as port:
+            received = self.call(port)
+        self.assertEqual((200, True, body), (received.status, received.complete, received.content))
+
     @parameterized.expand(
         [
             ("length", _HEAD + b"Content-Length: 4\r\n\r\nfour", False),
@@ -316,6 +383,14 @@
 
 
 class PlatformContractTest(unittest.TestCase):
+    @parameterized.expand(_CUT_HEADS.items())
+    def test_a_response_that_is_cut_in_its_head_is_a_failure(self, _: str, script: bytes) -> None:
+        with scripted_server(script) as port:
+            platform = HttpPlatform(f"http://127.0.0.1:{port}")
+            result = asyncio.run(platform.changes(FeedName.RECORDS, 0, 0.0))
+            platform.close()
+        self.assertFalse(is_successful(result), result)
+
     @parameterized.expand(
         [
             ("empty", b'{"revision": 3}', True),
