Move the log lines of a request's steps out of the forwarder

Names of events and fields are as before, as the tests of waits, admission, limits and `pearshed explain` show.

--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -26,6 +26,11 @@
 from pearshed._internal.gateway.forwarding.candidates import CandidateFinder
 from pearshed._internal.gateway.forwarding.endpoint_waits import EndpointWaits
 from pearshed._internal.gateway.forwarding.progress import Progress, shorter_wait
+from pearshed._internal.gateway.forwarding.request_steps import (
+    RequestSteps,
+    elapsed_ms,
+    milliseconds,
+)
 from pearshed._internal.gateway.forwarding.retry_rules import RetryRules
 from pearshed._internal.gateway.forwarding.return_times import ReturnTimes
 from pearshed._internal.gateway.header_codec import (
@@ -38,7 +43,6 @@
     NoPlace,
     Place,
     RateLimitedEngines,
-    decision_name,
 )
 from pearshed._internal.gateway.request_logger import RequestLogger
 from pearshed._internal.gateway.request_metrics import RequestMetrics
@@ -57,7 +61,6 @@
 from pearshed._internal.gateway.waiting.return_exchange import ReturnExchange
 from pearshed._internal.gateway.waiting.several_engines import (
     Candidates,
-    Reservation,
     SeveralEngines,
 )
 from pearshed._internal.http.caller_connection import CallerConnection
@@ -120,6 +123,7 @@
         self._returns = returns
         self._plain_waiting = plain_waiting
         self._request_logger = request_logger
+        self._steps = RequestSteps(request_logger, metrics)
         self._metrics = metrics
         self._return_times = ReturnTimes(request_logger, rng)
         self._admission_wait = AdmissionWait()
@@ -153,7 +157,7 @@
                 customer=call.customer,
                 cause="the caller left" if connection.disconnected else "the process stops",
                 events=writer.event_count,
-                elapsed_ms=_elapsed_ms(call),
+                elapsed_ms=elapsed_ms(call),
             )
             raise
         return writer
@@ -239,27 +243,7 @@
             lambda endpoints: self._plain_placement.choose(call, endpoints),
         )
         waited_s = clock.now() - started_at
-        self._metrics.record_slot_wait(call.rank, waited_s)
-        endpoint = turn.endpoint if isinstance(turn, PlacementDecision) else None
-        load = endpoint.reported_load if endpoint is not None else None
-        self._request_logger.write(
-            "request.slot",
-            call.request_id,
-            failed=isinstance(turn, NoTurn),
-            route=call.route.name,
-            rank=call.rank,
-            endpoint=endpoint.entry.identity if endpoint is not None else "",
-            waited_ms=_milliseconds(waited_s),
-            left_ms=_milliseconds(call.remaining_s),
-            waiting=self._plain_waiting.waiting_count,
-            running=load.running if load is not None else None,
-            load_age_ms=(
-                _milliseconds(endpoint.load_age_s(clock.now()))
-                if endpoint is not None and load is not None
-                else None
-            ),
-            expected_wait_ms=_milliseconds(getattr(turn, "wait_s", 0.0)),
-        )
+        self._steps.record_turn(call, turn, waited_s, self._plain_waiting.waiting_count)
         return turn
 
     async def _find_origin(self, call: RoutedCall, progress: Progress) -> str:
@@ -289,7 +273,7 @@
             customer=call.customer,
             rank=call.rank,
             content=call.content_id,
-            left_ms=_milliseconds(call.remaining_s),
+            left_ms=milliseconds(call.remaining_s),
         )
         return progress
 
@@ -328,16 +312,8 @@
         started_at = clock.now()
         place = await self._rate_limited.take_place(call, endpoint, budget_s)
         if isinstance(place, NoPlace) or place.reservation:
-            self._request_logger.write(
-                "request.place",
-                call.request_id,
-                failed=isinstance(place, NoPlace) and progress.waits_for_place,
-                endpoint=endpoint.entry.identity,
-                outcome=decision_name(place),
-                rank=call.rank,
-                waited_ms=_milliseconds(clock.now() - started_at),
-                expected_wait_ms=_milliseconds(getattr(place, "wait_s", 0.0)),
-            )
+            failed = isinstance(place, NoPlace) and progress.waits_for_place
+            self._steps.record_place(call, endpoint, place, clock.now() - started_at, failed=failed)
         return place
 
     async def _renew_place(
@@ -486,7 +462,7 @@
                 self._rate_limited.release,
                 may_use,
                 next_number,
-                lambda item: self._log_reservation(call, needs, item),
+                lambda item: self._steps.record_reservation(call, needs, item),
             ),
             progress.waits_for_silent,
         )
@@ -529,28 +505,6 @@
             return True
         return False
 
-    def _log_reservation(self, call: RoutedCall, needs: CallerNeeds, item: Reservation) -> None:
-        estimate = item.decision.estimate
-        quote = item.quote
-        now = clock.now()
-        self._request_logger.write(
-            "request.admission",
-            call.request_id,
-            failed=item.outcome == "refused",
-            endpoint=item.endpoint.entry.identity,
-            attempt=item.number,
-            outcome=item.outcome,
-            rank=call.rank,
-            returned=needs.returned,
-            waited_ms=_milliseconds(now - item.asked_at),
-            target_left_ms=_milliseconds(needs.target_left_s),
-            useful_left_ms=_milliseconds(needs.useful_left_s),
-            estimated_ms=round(estimate.ready_ms) if estimate is not None else None,
-            estimate_age_ms=round(estimate.age_ms) if estimate is not None else None,
-            quoted_ms=quote.ready_ms if quote is not None else None,
-            quote_age_ms=_milliseconds(now - item.quoted_at) if quote is not None else None,
-        )
-
     def _finish_blocked(self, call: RoutedCall, writer: ResponseWriter, progress: Progress) -> bool:
         """End a request if it, or a part of its prompt, crashes engines; return whether it does."""
         blocked_s = self._crashes.blocked_s(call)
@@ -575,18 +529,7 @@
             call, endpoint, attempt, budget_s, has_alternative, needs
         )
         waited_s = clock.now() - requested_at
-        self._metrics.record_admission_wait(waited_s)
-        self._request_logger.write(
-            "request.admission",
-            call.request_id,
-            failed=isinstance(admission, NotAdmitted),
-            endpoint=endpoint.entry.identity,
-            attempt=attempt,
-            outcome=_admission_outcome(admission),
-            rank=call.rank,
-            waited_ms=_milliseconds(waited_s),
-            expected_wait_ms=_milliseconds(getattr(admission, "wait_s", 0.0)),
-        )
+        self._steps.record_admission(call, endpoint, attempt, admission, waited_s)
         return admission
 
     def _wait_budget_s(self, call: RoutedCall, progress: Progress) -> float:
@@ -670,7 +613,7 @@
             outcome = await attempt.run()
         finally:
             self._admission.notify_finished(admitted, decision.endpoint, attempt.longest_gap_ms)
-        self._record_attempt(
+        self._steps.record_attempt(
             call, decision, attempt, outcome, len(progress.tried), writer, rate_limit
         )
         if attempt.may_have_crashed_engine:
@@ -702,7 +645,7 @@
                 reason=getattr(last_outcome, "reason", cause),
                 events=writer.event_count,
                 endpoints_run=progress.endpoints_run,
-                elapsed_ms=_elapsed_ms(call),
+                elapsed_ms=elapsed_ms(call),
             )
             writer.abort()
             return
@@ -747,76 +690,7 @@
             route=call.route.name if call is not None else "",
             customer=call.customer if call is not None else "",
             routed_by_version=call.version if call is not None else 0,
-            elapsed_ms=_elapsed_ms(call) if call is not None else 0,
+            elapsed_ms=elapsed_ms(call) if call is not None else 0,
         )
         headers = self._codec.encode_refusal(metadata.request_id, retry_after_s)
         writer.write_response(refusal.status, None, headers, refusal.reason.encode() + b"\n")
-
-    def _record_attempt(
-        self,
-        call: RoutedCall,
-        decision: PlacementDecision,
-        attempt: Attempt,
-        outcome: AttemptOutcome,
-        number: int,
-        writer: ResponseWriter,
-        rate_limit: float | None,
-    ) -> None:
-        self._metrics.record_attempt(outcome, attempt.framing)
-        if isinstance(outcome, Answered):
-            self._metrics.record_response(call, outcome.status)
-        endpoint = decision.endpoint
-        unanswered_fields = (
-            {}
-            if isinstance(outcome, Answered)
-            else {
-                "content": call.content_id,
-                "parts": ",".join(call.shared_parts),
-                "generating_ms": _milliseconds(attempt.generating_s),
-            }
-        )
-        self._request_logger.write(
-            "request.attempt",
-            call.request_id,
-            failed=not isinstance(outcome, Answered),
-            route=call.route.name,
-            customer=call.customer,
-            rank=call.rank,
-            target_ms=call.route.target_ms,
-            gap_target_ms=call.route.gap_target_ms,
-            endpoint=endpoint.entry.identity,
-            address=str(endpoint.entry.address),
-            software_version=endpoint.entry.software_version,
-            resumes=call.metadata.resumes,
-            resumes_after=call.metadata.last_event_id,
-            attempt=number,
-            outcome=type(outcome).__name__,
-            reason=getattr(outcome, "reason", ""),
-            status=getattr(outcome, "status", 0),
-            framing=attempt.framing.value if attempt.framing is not None else "",
-            body_bytes=attempt.body_bytes,
-            unfinished_event_bytes=attempt.unfinished_event_bytes,
-            last_event_id=writer.last_event_id,
-            in_flight=endpoint.in_flight,
-            rate_limit=rate_limit,
-            first_ms=attempt.first_ms,
-            longest_gap_ms=attempt.longest_gap_ms,
-            failure_share=round(endpoint.failure_share, 2),
-            elapsed_ms=_elapsed_ms(call),
-            routed_by_version=call.version,
-            **unanswered_fields,
-        )
-
-
-def _elapsed_ms(call: RoutedCall) -> int:
-    return _milliseconds(clock.now() - call.request.received_at)
-
-
-def _milliseconds(seconds: float) -> int:
-    return round(seconds * clock.MILLISECONDS_PER_SECOND)
-
-
-def _admission_outcome(admission: Admission) -> str:
-    if isinstance(admission, NotAdmitted):
-        return "engine silent" if admission.engine_silent else "refused"
-    return "granted" if admission.reservation else "side silent"
