Answer every request before the grace of a planned stop ends

Cause: nothing but new requests heeded the stop. Requests that waited in a queue went on waiting and were sent in the last moments; at the end all connections were reset, whether an engine had the request or not.

--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -33,6 +33,7 @@
 )
 from pearshed._internal.gateway.forwarding.retry_rules import RetryRules
 from pearshed._internal.gateway.forwarding.return_times import ReturnTimes
+from pearshed._internal.gateway.forwarding.shutdown import Shutdown
 from pearshed._internal.gateway.header_codec import (
     HeaderCodec,
     RequestMetadata,
@@ -105,7 +106,9 @@
         rng: random.Random,
         evacuations: EvacuationTable,
         pauses: PauseTable,
+        shutdown: Shutdown,
     ) -> None:
+        self._shutdown = shutdown
         self._evacuations = evacuations
         self._codec = codec
         self._router = router
@@ -169,8 +172,16 @@
         self._refuse(writer, metadata, Refusal(503, "the gateway stops"))
 
     async def _forward(self, call: RoutedCall, writer: ResponseWriter) -> None:
-        """Try endpoints until one responds or no further attempt is allowed."""
+        """Try endpoints, and end the request if a stop of the gateway does."""
         progress = self._begin(call)
+        attempts = self._try_endpoints(call, writer, progress)
+        if not await self._shutdown.run(call, progress, attempts):
+            self._finish_failed(call, writer, progress, "the gateway stops")
+
+    async def _try_endpoints(
+        self, call: RoutedCall, writer: ResponseWriter, progress: Progress
+    ) -> None:
+        """Try endpoints until one responds or no further attempt is allowed."""
         cause = self._candidates.exclusion_cause(call, progress)
         if not cause and call.takes_up_stream:
             cause = await self._find_origin(call, progress)
@@ -575,7 +586,10 @@
             if place is not None and self._rate_limited.needs_new_place(entry, place):
                 self._rate_limited.record_lapse()
                 return False
+            if not self._shutdown.may_send(call):
+                return False
             progress.unused_place = None
+            progress.sent = True
             self._rate_limited.record_send(entry)
             return True
 
@@ -611,6 +625,7 @@
         )
         try:
             outcome = await attempt.run()
+            progress.sent = False
         finally:
             self._admission.notify_finished(admitted, decision.endpoint, attempt.longest_gap_ms)
         self._steps.record_attempt(
--- a/src/pearshed/_internal/gateway/forwarding/progress.py
+++ b/src/pearshed/_internal/gateway/forwarding/progress.py
@@ -33,6 +33,7 @@
     :ivar quote: the earliest one of sides that have refused it.
     :ivar blocked: it isn't sent since such requests crash engines.
     :ivar unused_place: the place at the endpoint chosen last, until the request is sent there.
+    :ivar sent: an endpoint has the request and its attempt hasn't ended.
     :ivar data_centres: data centres whose endpoints may run it; ``None`` for all.
     """
 
@@ -53,6 +54,7 @@
     quote: Quote | None = None
     blocked: bool = False
     last_outcome: AttemptOutcome | None = None
+    sent: bool = False
     data_centres: frozenset[str] | None = None
 
     def may_use(self, endpoint: Endpoint, started_at_ms: int = 0) -> bool:
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -37,6 +37,7 @@
 from pearshed._internal.gateway.exchange.retry_budgets import BudgetLimits, RetryBudgets
 from pearshed._internal.gateway.forwarder import Forwarder
 from pearshed._internal.gateway.forwarding.destination import DestinationExplainer
+from pearshed._internal.gateway.forwarding.shutdown import Shutdown
 from pearshed._internal.gateway.header_codec import HeaderCodec
 from pearshed._internal.gateway.operator_pages import OperatorPages
 from pearshed._internal.gateway.peer_directory import PeerDirectory
@@ -172,6 +173,7 @@
             self._store_cache.wait_confirmed,
         )
         self._admission.respond_from(self._stream_versions.table)
+        self._shutdown = Shutdown()
         self._prompt_placement = ReadinessPlacement(
             settings.data_centre,
             self._rng,
@@ -208,6 +210,7 @@
             self._rng,
             self._evacuations,
             self._pauses,
+            self._shutdown,
         )
         self._pauses.on_begin(self._plain_waiting.process)
         self._pages = OperatorPages(
@@ -353,6 +356,7 @@
         self._stopping = True
         started_at = clock.now()
         deadline = started_at + self._settings.grace_s - STOP_MARGIN_S
+        self._shutdown.begin(deadline)
         logging.info("process.stopping", extra={"fields": {"connections": len(self._connections)}})
         await asyncio.sleep(min(BALANCER_REMOVAL_S, self._settings.grace_s / 2))
         self._refusing_requests = True
@@ -360,6 +364,7 @@
         while clock.now() < deadline:
             # Begins with the wait, in which connections accepted last are added.
             await asyncio.sleep(_STOP_CHECK_INTERVAL_S)
+            self._shutdown.end_late_requests()
             for connection in tuple(self._connections):
                 connection.close_if_idle(LAST_REQUEST_WAIT_S)
             if not self._connections:
