Hold keys that a side has never seen in doubt after a standstill

Change: without a timer's tick for 5 s, half of the handover, the memory of keys begins 10 s after the wake, so what is older and unknown is refused as may have run. It is noticed when a request is read, before timers run.

Evidence: the new row of the side's keys granted the key before and refuses it as in doubt now; a table of standstills from 1 s to 600 s.

--- a/src/pearshed/_internal/side/process.py
+++ b/src/pearshed/_internal/side/process.py
@@ -15,7 +15,7 @@
 from pearshed._internal.settings.model import SideSettings
 from pearshed._internal.side.attempt_manager import AttemptManager
 from pearshed._internal.side.endpoint_client import EndpointClient
-from pearshed._internal.side.key_ownership import KeyOwnership
+from pearshed._internal.side.key_ownership import TICK_INTERVAL_S, KeyOwnership
 from pearshed._internal.side.keys import KeyTable
 from pearshed._internal.side.order import create_order
 from pearshed._internal.side.sessions import SideIdentity, SideSessions
@@ -45,13 +45,15 @@
             _ENDPOINT_THREADS,
         )
         self._keys = KeyTable(settings.key_retention_s, settings.key_clock_skew_s)
+        key_ownership = KeyOwnership(settings.endpoint, self._view)
+        self._timers.every(TICK_INTERVAL_S, key_ownership.tick)
         self._attempt_manager = AttemptManager(
             settings.endpoint,
             create_order(settings.order),
             self._timers,
             self._client,
             self._keys,
-            KeyOwnership(settings.endpoint, self._view),
+            key_ownership,
             settings.lease_ms / clock.MILLISECONDS_PER_SECOND,
         )
         identity = SideIdentity(
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -172,13 +172,14 @@
         self.view = VMView()
         self.keys = KeyTable(retention_s=900.0, clock_skew_s=5.0)
         self.writers: dict[str, FakeWriter] = {}
+        self.key_ownership = KeyOwnership(endpoint, self.view)
         self.manager = AttemptManager(
             endpoint,
             TieredOrder(),
             cast(TimerService, self.timers),
             cast(EndpointClient, self.client),
             self.keys,
-            KeyOwnership(endpoint, self.view),
+            self.key_ownership,
             lease_s=0.5,
         )
         self.manager.update(catalogue(documents))
--- a/tests/unit/test_side.py
+++ b/tests/unit/test_side.py
@@ -12,7 +12,12 @@
 from pearshed._internal.models.records import RequestClass, Tier
 from pearshed._internal.peers import peer_pb2 as pb
 from pearshed._internal.side.attempt_manager import OVERDUE_RUN_S
-from pearshed._internal.side.key_ownership import OWNERSHIP_HANDOVER_S, KeyOwnership, OwnedElsewhere
+from pearshed._internal.side.key_ownership import (
+    OWNERSHIP_HANDOVER_S,
+    STALL_S,
+    KeyOwnership,
+    OwnedElsewhere,
+)
 from pearshed._internal.side.order import FifoOrder, OrderPolicy, Reservation, TieredOrder
 from tests.lib import records
 from tests.lib.fakes import START_S, AttemptManagerHarness, FakeClock, catalogue, change
@@ -452,6 +457,43 @@
         ownership.update(catalogue(both[:1], revision=2))
         self.assertEqual(START_S + 500 + OWNERSHIP_HANDOVER_S, ownership.owned_since(key))
 
+    @parameterized.expand(
+        [
+            # seconds without the process running, whether it knows all requests of its keys since
+            # its start, also those read before its timers run
+            ("a_moment", 1.0, True),
+            ("a_busy_time", STALL_S - 0.1, True),
+            ("a_standstill", STALL_S + 0.1, False),
+            ("a_long_standstill", 600.0, False),
+        ]
+    )
+    def test_a_side_that_stood_still_does_not_know_all_requests_of_its_keys(
+        self, _: str, still_s: float, is_certain: bool
+    ) -> None:
+        harness = AttemptManagerHarness(records.base_records())
+        ownership = KeyOwnership("engine-1", harness.view)
+        ownership.update(catalogue([records.endpoint("engine-1", "writing", 1)]))
+        for _second in range(30):
+            self.clock.advance(1.0)
+            ownership.tick()
+        self.clock.advance(still_s)
+        woke_at = self.clock.now
+        expected = START_S if is_certain else woke_at + OWNERSHIP_HANDOVER_S
+        self.assertEqual(expected, ownership.owned_since("k1"))
+        ownership.tick()
+        self.clock.advance(1.0)
+        ownership.tick()
+        self.assertEqual(expected, ownership.owned_since("k1"))
+
+    def test_a_key_that_another_side_may_have_run_in_a_standstill_is_in_doubt(self) -> None:
+        for _second in range(200):
+            self.harness.key_ownership.tick()
+            self.clock.advance(1.0)
+        key = create_key(self.clock, 0)
+        self.clock.advance(60.0)
+        self.reserve(1, key)
+        self.assertEqual(pb.REFUSAL_KEY_IN_DOUBT, self.writer.last(1).refuse.reason)
+
 
 if __name__ == "__main__":
     unittest.main()
