Let the soak kill gateways within a retry window, cut heads, release at standstills and stop in calm

New check: arrivals beyond the first of each request, over all gateways.

The requests that may run once now have 9 s, so that a stop can cut them.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -43,11 +43,17 @@
     directory: pathlib.Path,
     size: tuple[int, int, int],
     evacuations: Evacuations = Evacuations.NONE,
+    *,
+    stops_in_calm: bool = False,
+    ignores_retry_limit: bool = False,
 ) -> bool:
     """Run one seed.
 
     :param size: numbers of gateways, engines and callers.
     :param evacuations: whether data centres are evacuated beside the faults.
+    :param stops_in_calm: stop a gateway before any other fault.
+    :param ignores_retry_limit: the gateways allow more retries than the check, and are killed while
+        engines refuse; a run which still holds would prove that the check finds nothing.
     :returns: whether all invariants held and at least one request was served.
     """
     _cancel_on_sigterm()
@@ -55,6 +61,7 @@
     gateways, engines, callers = size
     testbed = Testbed(directory, gateways, engines)
     testbed.ignores_evacuations = evacuations is Evacuations.IGNORED
+    testbed.ignores_retry_limit = ignores_retry_limit
     load = LoadGenerator(testbed, random.Random(rng.random()))
     faults = FaultInjector(testbed, random.Random(rng.random()))
     version_poll: asyncio.Task[None] | None = None
@@ -63,7 +70,11 @@
         await _wait_until_served(load, gateways)
         version_poll = asyncio.create_task(_poll_versions(testbed))
         load_task = asyncio.create_task(load.run(callers))
-        if evacuations is Evacuations.NONE:
+        if stops_in_calm:
+            await faults.stop_in_calm()
+        if ignores_retry_limit:
+            await faults.run_refusals(duration_s)
+        elif evacuations is Evacuations.NONE:
             await faults.run(duration_s)
         elif evacuations is Evacuations.IGNORED:
             # Without faults, which could keep all requests from the evacuated data centres.
@@ -178,6 +189,14 @@
         default=Evacuations.NONE,
         help="evacuate data centres; 'ignored' proves the check, as the run must fail",
     )
+    parser.add_argument(
+        "--stop-in-calm", action="store_true", help="stop a gateway before any other fault"
+    )
+    parser.add_argument(
+        "--ignore-retry-limit",
+        action="store_true",
+        help="let gateways allow more retries than the check, which the run must fail",
+    )
     parser.add_argument("--logs", type=pathlib.Path, help="directory for the logs of failed seeds")
     options = parser.parse_args()
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
@@ -188,7 +207,15 @@
             directory = pathlib.Path(path)
             try:
                 held = asyncio.run(
-                    run_soak(seed, options.seconds, directory, size, options.evacuations)
+                    run_soak(
+                        seed,
+                        options.seconds,
+                        directory,
+                        size,
+                        options.evacuations,
+                        stops_in_calm=options.stop_in_calm,
+                        ignores_retry_limit=options.ignore_retry_limit,
+                    )
                 )
             except asyncio.CancelledError:
                 print(f"seed {seed}: terminated")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -58,6 +58,9 @@
             ("copy responses late", self._copy_responses_late),
             ("ask for pauses", self._ask_for_pauses),
             ("leave an odd entry", self._leave_odd_entry),
+            ("end gateways while engines refuse", self._end_gateways_while_engines_refuse),
+            ("release at a standstill", self._release_at_a_standstill),
+            ("cut heads of responses", self._cut_heads),
         )
 
     async def run(self, duration_s: float) -> None:
@@ -70,6 +73,12 @@
                 faults.create_task(_run_fault(fault))
                 await asyncio.sleep(self._rng.uniform(0.1, 1.2))
 
+    async def run_refusals(self, duration_s: float) -> None:
+        """Kill all gateways while engines refuse, again and again."""
+        deadline = time.monotonic() + duration_s
+        while time.monotonic() < deadline:
+            await self._end_gateways_while_engines_refuse()
+
     async def run_evacuations(self, duration_s: float, rng: random.Random) -> None:
         """Evacuate one data centre, or both, for longer than the bound, again and again.
 
@@ -115,6 +124,57 @@
         """Kill all gateways at once, so that callers take their streams up at new ones."""
         await self._restart(self._testbed.gateways)
 
+    async def _end_gateways_while_engines_refuse(self) -> None:
+        """Kill all gateways twice within a window of the retry limit, while retries are wanted."""
+        service = self._rng.choice(("fleet", "ledger"))
+        engines = [engine for engine in self._testbed.engines if engine.service == service]
+        self._testbed.refusing.update(engines)
+        for _ in range(2):
+            await asyncio.sleep(self._rng.uniform(1.0, 3.0))
+            await self._restart(self._testbed.gateways)
+        await asyncio.sleep(self._rng.uniform(1.0, 3.0))
+        self._testbed.refusing.difference_update(engines)
+
+    async def _release_at_a_standstill(self) -> None:
+        """Let engines of another version join while a gateway stands still or hears nothing."""
+        number = self._rng.randrange(len(self._testbed.gateways))
+        node, proxy = self._testbed.gateways[number], self._testbed.store_proxies[number]
+        freezes = self._rng.random() < 0.5
+        if freezes:
+            node.set_process_fault_until(time.monotonic() + 10.0)
+            node.send_signal(signal.SIGSTOP)
+        else:
+            self._record_fault(3.0)
+            proxy.drop_back = True
+        for engine in self._rng.sample(self._testbed.engines, 2):
+            self._generation += 1
+            self._testbed.replace(engine, self._generation)
+        self._testbed.break_off_responses = True
+        await asyncio.sleep(self._rng.uniform(0.4, 2.5))
+        self._testbed.break_off_responses = False
+        if freezes:
+            node.send_signal(signal.SIGCONT)
+            node.set_process_fault_until(time.monotonic())
+        else:
+            proxy.clear_faults()
+            proxy.reset(1.0, self._rng)
+
+    async def _cut_heads(self) -> None:
+        duration_s = self._rng.uniform(1.0, 4.0)
+        self._record_gateway_fault(duration_s)
+        self._testbed.cut_heads = True
+        await asyncio.sleep(duration_s)
+        self._testbed.cut_heads = False
+
+    async def stop_in_calm(self) -> None:
+        """Stop a gateway while engines hold what they have until after its grace."""
+        engines = self._testbed.engines
+        held = self._rng.sample(engines, len(engines) // 2)
+        self._testbed.holding.update(held)
+        await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+        await self._stop_gateway()
+        self._testbed.holding.difference_update(held)
+
     async def _restart_after_revocation(self) -> None:
         """Kill some processes just after a key was revoked."""
         await self._revoke_key()
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -1,7 +1,9 @@
 """The history of a run, as callers and endpoints observed it, and checks of its invariants."""
 
+import bisect
 import math
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 #: Response statuses that guarantee that the request has not run and never will.
@@ -27,6 +29,10 @@
 #: many of them are allowed (the platform's bound).
 PAUSE_GRACE_S = 0.5
 MAX_ARRIVALS_IN_PAUSE = 2
+#: Limit of the arrivals beyond the first of each request (the platform's settings).
+RETRY_RATIO = 0.2
+RETRY_SLACK = 12
+RETRY_WINDOW_S = 10.0
 #: A request that has ended as many endpoints is sent to as many more at most.
 MAX_CRASHES = 3
 
@@ -65,6 +71,7 @@
     :ivar gateway_was_disturbed: it was stopped, killed or paused, or had been shortly before.
     :ivar stream: request that began the stream of which this one has events.
     :ivar versions: software versions that wrote these events.
+    :ivar service: that its route leads to.
     """
 
     request_id: str
@@ -80,6 +87,7 @@
     gateway_was_disturbed: bool = False
     stream: str = ""
     versions: frozenset[str] = frozenset()
+    service: str = ""
 
 
 @dataclass
@@ -106,6 +114,7 @@
     endpoint: str
     at: float
     pause_s: float = 0.0
+    service: str = ""
 
 
 @dataclass
@@ -152,6 +161,7 @@
         *_mixed_versions(history),
         *_runs_after_evacuation(history),
         *_arrivals_in_pauses(history),
+        *_excess_retries(history),
     ]
 
 
@@ -338,3 +348,32 @@
                 )
                 break
     return violations
+
+
+def _excess_retries(history: History) -> list[str]:
+    """Check the arrivals beyond the first of each request, of all gateways together."""
+    violations = []
+    for service in sorted({arrival.service for arrival in history.arrivals}):
+        sent = sorted(one.sent_at for one in history.outcomes if one.service == service)
+        arrived: set[str] = set()
+        retries: list[float] = []
+        for arrival in sorted(history.arrivals, key=lambda one: one.at):
+            if arrival.service == service and arrival.request_id in arrived:
+                retries.append(arrival.at)
+            elif arrival.service == service:
+                arrived.add(arrival.request_id)
+        for end in retries:
+            requests = max(_count(sent, end - shift * RETRY_WINDOW_S) for shift in (0.0, 0.5, 1.0))
+            allowed = RETRY_RATIO * requests + RETRY_SLACK
+            if _count(retries, end) > allowed:
+                violations.append(
+                    f"service {service} received {_count(retries, end)} retries in "
+                    f"{RETRY_WINDOW_S} s where {allowed:.1f} are allowed"
+                )
+                break
+    return violations
+
+
+def _count(times: Sequence[float], end: float) -> int:
+    """Count the ascending times in the window until ``end``."""
+    return bisect.bisect_right(times, end) - bisect.bisect_right(times, end - RETRY_WINDOW_S)
--- a/soak/load.py
+++ b/soak/load.py
@@ -23,7 +23,7 @@
 #: Share of requests whose prompt is large enough to make others wait or be rejected.
 _LARGE_PROMPT_SHARE = 0.1
 _SHARED_PREFIX_TOKENS = 200
-_RESPONSE_TIMEOUT_S = 10.0
+_RESPONSE_TIMEOUT_S = 12.0
 #: Times that a caller takes up a stream that ended early, at any gateway.
 _MAX_RESUMPTIONS = 2
 #: A planned stop must not interrupt requests sent until this long after its start.
@@ -131,7 +131,7 @@
         }
         headers = {
             "Authorization": f"Token {api_key}",
-            "Pearshed-Deadline-Ms": "6000",
+            "Pearshed-Deadline-Ms": "9000",
             **prompt_headers,
         }
         stream, after = taken_up if taken_up is not None else (request_id, 0)
@@ -172,6 +172,7 @@
             ),
             stream=stream if streamed else "",
             versions=versions,
+            service="fleet" if streamed else "ledger",
         )
         self._testbed.history.outcomes.append(outcome)
         if response is None or not response.complete:
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -17,7 +17,15 @@
 
 from pearshed._internal.utils.addresses import Address
 from soak.datagrams import DatagramRelay
-from soak.invariants import Arrival, Evacuation, History, Run
+from soak.invariants import (
+    RETRY_RATIO,
+    RETRY_SLACK,
+    RETRY_WINDOW_S,
+    Arrival,
+    Evacuation,
+    History,
+    Run,
+)
 from soak.proxy import Proxy
 from tests.lib.gateway_fixture import free_address
 from tests.lib.gateway_platform import (
@@ -155,7 +163,11 @@
     :ivar deadly_share: share of the requests that crash their engine.
     :ivar versions: software versions of engines.
     :ivar silent: engines that leave requests without a response for a while, and go on.
+    :ivar holding: engines that run requests and don't respond.
+    :ivar refusing: engines that turn all requests away.
+    :ivar cut_heads: engines end every fourth response inside its head.
     :ivar ignores_evacuations: the gateways' settings don't use evacuations, which proves the check.
+    :ivar ignores_retry_limit: the gateways' settings allow more retries than the check does.
     """
 
     def __init__(self, directory: pathlib.Path, gateways: int, engines: int) -> None:
@@ -179,7 +191,11 @@
         self.deadly_share = 0.0
         self.versions: dict[EngineStandIn, str] = {}
         self.silent: set[EngineStandIn] = set()
+        self.holding: set[EngineStandIn] = set()
+        self.refusing: set[EngineStandIn] = set()
+        self.cut_heads = False
         self.ignores_evacuations = False
+        self.ignores_retry_limit = False
         self.data_centres: dict[EngineStandIn, str] = {}
         self.sources: dict[str, pathlib.Path] = {}
         self._last_requests: weakref.WeakKeyDictionary[EngineConnection, tuple[str, bool]] = (
@@ -225,9 +241,9 @@
         self.configuration_version += 1
         routes = [
             route("lookup", "idempotent", "ledger", timeoutMs=3000),
-            route("confirm", "non_idempotent", "ledger", timeoutMs=3000, maxAttempts=1),
+            route("confirm", "non_idempotent", "ledger", timeoutMs=9000, maxAttempts=1),
             route("draft", "streaming", "fleet", resumable=True, sticky=True, timeoutMs=6000),
-            route("explain", "streaming", "fleet", sticky=True, timeoutMs=6000, maxAttempts=1),
+            route("explain", "streaming", "fleet", sticky=True, timeoutMs=9000, maxAttempts=1),
         ]
         tenants = [{"name": "guild", "apiKeys": list(self.valid_keys), "priority": 0}]
         document = configuration(
@@ -349,9 +365,9 @@
                 "failClosed": True,
                 "revokeMs": 5000,
                 "graceS": STOP_GRACE_S,
-                "retryBudgetRatio": 0.2,
-                "budgetSlack": 60,
-                "budgetWindowS": 10,
+                "retryBudgetRatio": 5.0 if self.ignores_retry_limit else RETRY_RATIO,
+                "budgetSlack": RETRY_SLACK,
+                "budgetWindowS": RETRY_WINDOW_S,
                 **({} if self.ignores_evacuations else {"evacuateMs": EVACUATE_MS}),
             },
             "zones": REGIONS,
@@ -396,8 +412,12 @@
             return
         request_id = request.request_id
         pause_s = self.pauses.get(engine, 0.0)
-        arrival = Arrival(request_id, engine.identity, time.monotonic(), pause_s)
+        arrived_at = time.monotonic()
+        arrival = Arrival(request_id, engine.identity, arrived_at, pause_s, engine.service)
         self.history.arrivals.append(arrival)
+        if engine in self.refusing:
+            connection.send_response(request, 503, b"", {"Pearshed-Not-Executed": "busy"})
+            return
         if pause_s:
             headers = {"Pearshed-Not-Executed": "busy", "Retry-After": f"{pause_s}"}
             connection.send_response(request, 503, b"", headers)
@@ -457,6 +477,8 @@
         version = self.versions[engine]
         limit_header = {"Server-Limit": f"{rate_limit}"} if rate_limit is not None else {}
         await asyncio.sleep(_SERVICE_TIME_S)
+        while engine in self.holding:
+            await asyncio.sleep(_EVENT_INTERVAL_S)
         earlier = self._last_requests.get(connection)
         if earlier and earlier[1]:
             # An earlier refusal once more.
@@ -469,6 +491,10 @@
         if len(self.history.runs) % 100 < self.response_loss_rate * 100:
             connection.reset()
             return
+        if self.cut_heads and len(self.history.runs) % 4 == 0:
+            connection.send(b"HTTP/1.1 200 OK\r\nPearshed-Request-Id: %s\r\n" % request_id.encode())
+            connection.close()
+            return
         unframed = self.break_off_responses and len(self.history.runs) % 2 == 0
         breaks_off = self.break_off_responses and len(self.history.runs) % 3 == 0
         if request.target.startswith(("/draft", "/explain")):
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -40,6 +40,20 @@
             passed = asyncio.run(run_soak(12, _DURATION_S, path, size, evacuations))
         self.assertEqual(holds, passed)
 
+    def test_a_planned_stop_in_calm_cuts_nothing(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory)
+            passed = asyncio.run(run_soak(2, 1.0, path, (3, 3, 12), stops_in_calm=True))
+        self.assertTrue(passed)
+
+    def test_the_check_of_the_retry_limit_finds_gateways_that_exceed_it(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory)
+            passed = asyncio.run(
+                run_soak(3, _DURATION_S, path, (2, 3, 12), ignores_retry_limit=True)
+            )
+        self.assertFalse(passed)
+
     def test_a_soak_that_is_terminated_leaves_no_process_behind(self) -> None:
         arguments = ["--seed", "1", "--seconds", "60"]
         soak = subprocess.Popen(
