Eject an engine at which a request has run out of time without a byte

What callers saw: all requests with a shared prompt part went to an engine that hung, one after the other, and each ran out of time, though other engines were idle.

Cause: a request that runs out of time left no mark on its engine; that it was unresponsive was known only while the request was there. The side doesn't notice either while the engine's report works.

Change: if the engine has sent nothing at all for 1.2 s when a request runs out of time there, it is ejected like one that can't be connected to: 0.5 s, then twice as long each time up to 4 s, if others remain.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -218,6 +218,7 @@
 
     def _timeout_outcome(self, remaining_s: float) -> AttemptOutcome:
         if remaining_s <= self._timeout_s:
+            self._endpoint.record_out_of_time()
             return OutOfTime(sent=True)
         self._endpoint.record_failure()
         return Failed(f"no answer within {self._timeout_s:.2f} s")
--- a/src/pearshed/_internal/gateway/endpoints.py
+++ b/src/pearshed/_internal/gateway/endpoints.py
@@ -26,6 +26,8 @@
 #: Weight of the latest outcome in the failure share.
 _FAILURE_WEIGHT = 0.2
 _FIRST_EJECTION_S = 0.5
+#: Time without data for requests in flight after which an endpoint is avoided, seconds.
+UNRESPONSIVE_AFTER_S = 1.2
 _MAX_EJECTION_S = 4.0
 #: Time for which an endpoint is avoided after its side has reported that it is silent, seconds.
 SILENCE_TTL_S = 0.5
@@ -303,6 +305,17 @@
 
         Connections that fail while it is ejected show nothing new: they were begun together.
         """
+        self._eject("no connection could be opened")
+
+    def record_out_of_time(self) -> None:
+        """Record that a request got no response in its time; eject an endpoint that sends nothing.
+
+        Its report may work all the same, and without a mark the next request would wait there too.
+        """
+        if self.unresponsive_s(clock.now()) >= UNRESPONSIVE_AFTER_S:
+            self._eject("it sends nothing")
+
+    def _eject(self, cause: str) -> None:
         if self.is_ejected(clock.now()):
             return
         self.record_failure()
@@ -315,6 +328,7 @@
                 "fields": {
                     "identity": self._entry.identity,
                     "address": str(self._entry.address),
+                    "cause": cause,
                     "for_s": ejection_s,
                     "failure_share": round(self._failure_share, 2),
                 }
--- a/src/pearshed/_internal/gateway/forwarding/destination.py
+++ b/src/pearshed/_internal/gateway/forwarding/destination.py
@@ -8,9 +8,13 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
+from pearshed._internal.gateway.endpoints import (
+    UNRESPONSIVE_AFTER_S,
+    Endpoint,
+    EndpointTable,
+)
 from pearshed._internal.gateway.header_codec import RequestMetadata
-from pearshed._internal.gateway.placement import UNRESPONSIVE_AFTER_S, Placement, PlacementDecision
+from pearshed._internal.gateway.placement import Placement, PlacementDecision
 from pearshed._internal.gateway.rate_limited_engines import RateLimitedEngines
 from pearshed._internal.gateway.routed_call import RoutedCall
 from pearshed._internal.http.messages import HttpRequest
--- a/src/pearshed/_internal/gateway/placement.py
+++ b/src/pearshed/_internal/gateway/placement.py
@@ -8,15 +8,13 @@
 
 from pearshed._internal.decisions.engine_load import Quote
 from pearshed._internal.decisions.readiness import ReadinessEstimate
-from pearshed._internal.gateway.endpoints import Endpoint
+from pearshed._internal.gateway.endpoints import UNRESPONSIVE_AFTER_S, Endpoint
 from pearshed._internal.gateway.lane_allocator import LaneAllocator
 from pearshed._internal.gateway.routed_call import RoutedCall
 from pearshed._internal.membership import rendezvous
 from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.timers import clock
 
-#: Time without data for the requests in flight after which an endpoint is likely down.
-UNRESPONSIVE_AFTER_S = 1.2
 #: Failure share from which an endpoint is avoided.
 _FAILING_SHARE = 0.5
 #: Share of requests that may use a failing endpoint, so that its recovery is noticed.
--- a/src/pearshed/_internal/gateway/placing/readiness_placement.py
+++ b/src/pearshed/_internal/gateway/placing/readiness_placement.py
@@ -10,10 +10,9 @@
 from pearshed._internal.decisions.engine_load import Quote
 from pearshed._internal.decisions.engine_pace import PaceState
 from pearshed._internal.decisions.readiness import ReadinessEstimate
-from pearshed._internal.gateway.endpoints import Endpoint
+from pearshed._internal.gateway.endpoints import UNRESPONSIVE_AFTER_S, Endpoint
 from pearshed._internal.gateway.lane_allocator import LaneAllocator
 from pearshed._internal.gateway.placement import (
-    UNRESPONSIVE_AFTER_S,
     Placement,
     PlacementDecision,
     prefer_healthy,
--- a/tests/gateway/test_policies.py
+++ b/tests/gateway/test_policies.py
@@ -9,7 +9,11 @@
 from parameterized import parameterized
 
 from pearshed._internal.engine_side.traffic_table import RouteTraffic
-from pearshed._internal.gateway.endpoints import Endpoint, EndpointTable
+from pearshed._internal.gateway.endpoints import (
+    UNRESPONSIVE_AFTER_S,
+    Endpoint,
+    EndpointTable,
+)
 from pearshed._internal.gateway.header_codec import EndpointLoadReport
 from pearshed._internal.gateway.lane_allocator import (
     FLEET_TRAFFIC_TTL_S,
@@ -18,11 +22,7 @@
     LaneAllocator,
 )
 from pearshed._internal.gateway.leaving_endpoints import MAX_RUNS, LeavingEndpoints
-from pearshed._internal.gateway.placement import (
-    UNRESPONSIVE_AFTER_S,
-    LeastLoadPlacement,
-    PromptPlacement,
-)
+from pearshed._internal.gateway.placement import LeastLoadPlacement, PromptPlacement
 from pearshed._internal.gateway.request_logger import MAX_LINES_PER_S, RequestLogger
 from pearshed._internal.gateway.routed_call import RoutedCall
 from pearshed._internal.models.routing import (
--- a/tests/gateway/test_silent_engines.py
+++ b/tests/gateway/test_silent_engines.py
@@ -9,8 +9,7 @@
 from pearshed._internal.engine_side.engine_silence import MAX_SILENCE_S, EngineSilence
 from pearshed._internal.engine_side.monitor import EngineReport, RunningRequest
 from pearshed._internal.engine_side.prefill_speed import ASSUMED_TOKENS_PER_S
-from pearshed._internal.gateway.endpoints import Endpoint
-from pearshed._internal.gateway.placement import UNRESPONSIVE_AFTER_S
+from pearshed._internal.gateway.endpoints import UNRESPONSIVE_AFTER_S, Endpoint
 from pearshed._internal.timers import clock
 from tests.lib.admission import QueueTestCase, admission_request
 from tests.lib.engine_side import SilentMonitor
