Begin an entry's retry budget empty

A gateway's row is added that passes on the code as it was: a restarted gateway learns an engine's pause by one request.

--- a/src/pearshed/_internal/entry/retry_budget.py
+++ b/src/pearshed/_internal/entry/retry_budget.py
@@ -11,11 +11,12 @@
     """A token bucket that requests and time fill, and retries drain.
 
     Each request adds a tenth of a retry. Time adds a small minimum, so that an entry with little
-    traffic can retry too, while a failing fleet doesn't get every request twice.
+    traffic can retry too, while a failing fleet doesn't get every request twice. It begins empty:
+    a restart would allow again what was spent before.
     """
 
     def __init__(self) -> None:
-        self._balance = _MIN_RETRIES_PER_S
+        self._balance = 0.0
         self._credited_at = clock.now()
         self._spent = 0
         self._denied = 0
--- a/tests/gateway/test_engine_pauses.py
+++ b/tests/gateway/test_engine_pauses.py
@@ -313,6 +313,22 @@
     TARGETS_MS = (500, 2500)
 
 
+class RestartedGatewayTest(PausingEngineTestCase):
+    async def test_a_restarted_gateway_learns_a_pause_by_one_request_and_keeps_it(self) -> None:
+        async def refuse(connection: EngineConnection, request: EngineRequest) -> None:
+            connection.send_response(request, 503, b"", pause_headers())
+
+        self.pausing = await self.add_engine("ledger", refuse)
+        for _start in range(3):
+            await self.start_gateway(peers=Address("127.0.0.2", free_address().port))
+            await until(lambda: self.has_endpoints("ledger", 1))
+            before = len(self.pausing.requests)
+            statuses = [(await self.send("/lookup/a")).status for _ in range(8)]
+            self.assertEqual([503] * 8, statuses)
+            self.assertEqual(before + 1, len(self.pausing.requests))
+            self.gateway.close()
+
+
 class HeldRequestsTest(PausingEngineTestCase):
     """Plain requests that wait at the gateway for a slot or for a place."""
 
