Conclude no stream's origin from a route that led elsewhere lately

Change: the conclusion needs a route with one service, and routes of its host that have led where they lead for 30 s before the request came.

--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -162,9 +162,7 @@
         self._returns = ReturnExchange(self._is_any_service_contended)
         self._side_exchange.add(self._returns)
         self._plain_waiting = PlainWaiting(lambda: self._exchange.gateway_count or ASSUMED_GATEWAYS)
-        self._version_history = VersionHistory()
-        self._store_cache.on_entry(self._version_history.record)
-        self._store_cache.on_gap(self._version_history.record_gap)
+        self._version_history = self._create_version_history()
         self._stream_versions = StreamVersions(
             self._admission,
             lambda: self._side_exchange.hosts,
@@ -235,6 +233,14 @@
         self._add_metrics()
         self._page_server = PageServer(self._find_page, self._timers)
 
+    def _create_version_history(self) -> VersionHistory:
+        """Create a history that follows the store."""
+        history = VersionHistory()
+        self._store_cache.on_configuration(history.update_routes)
+        self._store_cache.on_entry(history.record)
+        self._store_cache.on_gap(history.record_gap)
+        return history
+
     def _add_metrics(self) -> None:
         metrics = self._pages.metrics
         metrics.add(self._request_metrics.collect)
--- a/src/pearshed/_internal/gateway/stream_versions.py
+++ b/src/pearshed/_internal/gateway/stream_versions.py
@@ -219,9 +219,9 @@
         store confirms their list first.
         """
         arrived_at = call.request.received_at
-        if self._history.sole_origin(call.service, arrived_at) is None:
+        if self._history.sole_origin(call.route, arrived_at) is None:
             return None
         timeout_s = min(CONFIRMATION_TIMEOUT_S, call.remaining_s)
         if not await self._confirm_state(arrived_at, timeout_s):
             return None
-        return self._history.sole_origin(call.service, arrived_at)
+        return self._history.sole_origin(call.route, arrived_at)
--- a/tests/decisions/test_version_history.py
+++ b/tests/decisions/test_version_history.py
@@ -15,11 +15,15 @@
     content_key,
     stream_key,
 )
-from pearshed._internal.models.routing import EndpointEntry
+from pearshed._internal.models.routing import EndpointEntry, RoutingConfiguration
 from pearshed._internal.models.stream_origin import StreamOrigin
 from tests.lib.fakes import FakeClock
-from tests.lib.routed_calls import entry
+from tests.lib.routed_calls import entry, route, routing
 
+_ROUTE, _OTHER = route("draft"), route("draft", services=("other",))
+_SPLIT = route("draft", services=("fleet", "other"))
+#: Takes some of the first route's requests to another service.
+_LONGER = route("letters", "/letters/", ("other",))
 V1, V2 = StreamOrigin("fleet", "v1"), StreamOrigin("fleet", "v2")
 
 
@@ -45,42 +49,61 @@
             ("listed_within_one_response", [["v1"], HISTORY_S, "brief v2", ["v1"], 5.0], None),
             ("listed_briefly_long_ago", [["v1"], 5.0, "brief v2", ["v1"], HISTORY_S + 1.0], V1),
             ("no_version_named", [["", ""], HISTORY_S], None),
+            ("other_routes_lately", [["v1"], 60.0, routing(_OTHER), 5.0], None),
+            ("led_elsewhere_lately", [["v1"], routing(_OTHER), 60.0, routing(_ROUTE), 5.0], None),
+            ("another_prefix_lately", [["v1"], 60.0, routing(_ROUTE, _LONGER), 5.0], None),
+            (
+                "another_prefix_gone",
+                [["v1"], routing(_ROUTE, _LONGER), 60.0, routing(_ROUTE)],
+                None,
+            ),
+            ("same_routes_again", [["v1"], 60.0, routing(_ROUTE), 5.0], V1),
+            ("routes_changed_long_ago", [["v1"], 5.0, routing(_ROUTE, _LONGER), HISTORY_S], V1),
         ]
     )
     def test_only_a_version_without_others_is_known_to_have_begun_all_streams(
-        self, _: str, steps: list[list[str] | float | str], expected: StreamOrigin | None
+        self,
+        _: str,
+        steps: list[list[str] | float | str | RoutingConfiguration],
+        expected: StreamOrigin | None,
     ) -> None:
         fake_clock = FakeClock(self)
         history = VersionHistory()
         history.record_gap()
+        history.update_routes(routing(_ROUTE))
         for step in steps:
             if isinstance(step, float):
                 fake_clock.advance(step)
+            elif isinstance(step, RoutingConfiguration):
+                history.update_routes(step)
             elif isinstance(step, list):
                 history.update(engine(number, version) for number, version in enumerate(step))
             elif step == "gap":
                 history.record_gap()
             else:
                 history.record(engine(9, step.removeprefix("brief ")))
-        self.assertEqual(expected, history.sole_origin("fleet", fake_clock.now))
-        self.assertIsNone(history.sole_origin("other", fake_clock.now))
+        self.assertEqual(expected, history.sole_origin(_ROUTE, fake_clock.now))
+        self.assertIsNone(history.sole_origin(_OTHER, fake_clock.now))
+        self.assertIsNone(history.sole_origin(_SPLIT, fake_clock.now))
 
     def test_nothing_is_concluded_before_the_list_is_known(self) -> None:
         fake_clock = FakeClock(self)
         history = VersionHistory()
+        history.update_routes(routing(_ROUTE))
         history.update([engine(1, "v1")])
         fake_clock.advance(2 * HISTORY_S)
-        self.assertIsNone(history.sole_origin("fleet", fake_clock.now))
+        self.assertIsNone(history.sole_origin(_ROUTE, fake_clock.now))
 
     def test_a_request_that_came_before_enough_was_known_is_not_answered_from_it(self) -> None:
         fake_clock = FakeClock(self)
         history = VersionHistory()
         history.record_gap()
+        history.update_routes(routing(_ROUTE))
         history.update([engine(1, "v1")])
         arrived_at = fake_clock.now + HISTORY_S - 1.0
         fake_clock.advance(HISTORY_S + 1.0)
-        self.assertIsNone(history.sole_origin("fleet", arrived_at))
-        self.assertEqual(V1, history.sole_origin("fleet", fake_clock.now))
+        self.assertIsNone(history.sole_origin(_ROUTE, arrived_at))
+        self.assertEqual(V1, history.sole_origin(_ROUTE, fake_clock.now))
 
 
 class StreamOriginTest(unittest.TestCase):
--- a/tests/gateway/test_out_of_step_gateways.py
+++ b/tests/gateway/test_out_of_step_gateways.py
@@ -16,6 +16,7 @@
 from tests.lib.fault_proxy import FaultProxy
 from tests.lib.gateway_caller import CallerResponse
 from tests.lib.gateway_fixture import until
+from tests.lib.gateway_platform import configuration, route
 
 _GATEWAYS = 3
 _IN_STEP, _OUT_OF_STEP = 0, 1
@@ -135,6 +136,25 @@
         self.assert_refused(response)
         self.assertEqual([], self.arrived("r"))
 
+    async def test_a_stream_whose_route_has_moved_goes_on_at_no_other_service(self) -> None:
+        await self.start_fleet()
+        annex = await self.add_engine("annex", self.respond, version="v1")
+        self.versions[annex.identity] = "v1"
+        known_since = clock.now()
+        await until(lambda: clock.now() - known_since > SHORT_HISTORY_S + 0.5)
+        self.set_cut(True)
+        self.assertEqual("v1", await self.begin_stream(_IN_STEP, "s"))
+        for gateway in (_IN_STEP, _GATEWAYS - 1):
+            self.end_gateway(gateway)
+        self.set_cut(False)
+        moved = [route("plain", "streaming", "annex", resumable=True, maxAttempts=4)]
+        services = [{"name": name, "healthPath": "/healthz"} for name in ("fleet", "annex")]
+        self.store.put("op/config", configuration(3, routes=moved, services=services))
+        await until(lambda: self.gateways[_OUT_OF_STEP].store_cache.version == 3)
+        response = await self.take_up("s", b"", "r", names_stream=True)
+        self.assert_refused(response)
+        self.assertEqual([], annex.requests)
+
     async def test_a_gateway_in_step_again_lets_the_stream_go_on(self) -> None:
         await self.start_fleet()
         self.set_cut(True)
--- a/tests/lib/routed_calls.py
+++ b/tests/lib/routed_calls.py
@@ -6,11 +6,13 @@
 from pearshed._internal.gateway.routed_call import RoutedCall
 from pearshed._internal.http.messages import HttpRequest
 from pearshed._internal.models.routing import (
+    DEFAULT_CALLER_LIMITS,
     EndpointEntry,
     EndpointState,
     PromptPart,
     Route,
     RouteKind,
+    RoutingConfiguration,
     ServiceShare,
 )
 from pearshed._internal.utils.addresses import Address
@@ -33,14 +35,19 @@
     return EndpointEntry(**values)
 
 
-def route(name: str) -> Route:
+def route(name: str, prefix: str = "/", services: tuple[str, ...] = ("fleet",)) -> Route:
     """Create a streaming route."""
-    shares = (ServiceShare("fleet", 1.0),)
+    shares = tuple(ServiceShare(service, 1.0) for service in services)
     return Route(
-        name, "h", "/", RouteKind.STREAMING, shares, 5000, 1000, 300, 2, 0, True, True, False
+        name, "h", prefix, RouteKind.STREAMING, shares, 5000, 1000, 300, 2, 0, True, True, False
     )
 
 
+def routing(*routes: Route) -> RoutingConfiguration:
+    """Create a configuration with the routes of one host."""
+    return RoutingConfiguration(1, {"h": routes}, {}, {}, False, DEFAULT_CALLER_LIMITS, 1, 1)
+
+
 def call(number: int, shared: str = "", shared_tokens: int = 0, name: str = "draft") -> RoutedCall:
     """Create a routed request with a prompt."""
     prompt: tuple[PromptPart, ...] = (PromptPart(f"own-{number}", 500),)
