Lock the ports of tests against other test runs

Cause: a port that a test run had chosen was free while its process was killed and started again, or not yet listening, and another run on the machine could take it. Two loops of the fault tests side by side failed 5 of 30 times so ("address already in use", or an answer of a process of the other run).

Change: one registry for all tests locks a byte of a shared file for each port, until the process ends. After 4000 ports a run gets its own oldest ones again.

--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -16,7 +16,8 @@
     Site,
 )
 from tests.lib import records
-from tests.lib.fleet import ROOT, Fleet, Node, free_port, wait_for
+from tests.lib.fleet import ROOT, Fleet, Node, wait_for
+from tests.lib.ports import free_port
 
 _ENTRY_COUNT = 2
 _PEER_SETTINGS = {"heartbeat_s": 1.0, "silence_s": 3.0}
--- a/tests/functional/test_command_line.py
+++ b/tests/functional/test_command_line.py
@@ -16,7 +16,8 @@
 from pearshed._internal.cli import status_codes
 from pearshed._internal.cli.main import main
 from tests.lib import records
-from tests.lib.fleet import ROOT, Fleet, SmallSite, free_port
+from tests.lib.fleet import ROOT, Fleet, SmallSite
+from tests.lib.ports import free_port
 from tools.build_binary import build
 
 _EXAMPLES = ROOT / "examples"
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -1,7 +1,5 @@
 """Runs entry and side processes on loopback, with stand-ins for the platform and engines."""
 
-import contextlib
-import itertools
 import json
 import os
 import pathlib
@@ -19,33 +17,16 @@
 
 from tests.lib import records
 from tests.lib.fault_proxy import FaultProxy
+from tests.lib.ports import free_port
 from tests.lib.records import Document
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TIMEOUT_S = 60.0
 _POLL_INTERVAL_S = 0.02
 
-_FIRST_PORT = 10_000
-_LAST_PORT = 32_000
-# The first port depends on the process id, so that concurrent test runs rarely collide.
-_PORTS = itertools.chain(
-    range(_FIRST_PORT + os.getpid() * 37 % 20_000, _LAST_PORT), range(_FIRST_PORT, _LAST_PORT)
-)
 _Value = TypeVar("_Value")
 
 
-def free_port() -> int:
-    """Find a free port on loopback, below the kernel's ephemeral port range.
-
-    An outgoing connection may take an ephemeral port before the process meant for it listens.
-    """
-    for port in _PORTS:
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            return port
-    raise AssertionError("no free port on loopback")
-
-
 def wait_for(read: Callable[[], _Value | None], awaited: str) -> _Value:
     """Poll until ``read`` returns a true value, and return it.
 
--- a/tests/lib/gateway_fixture.py
+++ b/tests/lib/gateway_fixture.py
@@ -1,8 +1,6 @@
 """Runs a gateway in the test's process, with stand-ins for the store and the engines."""
 
 import asyncio
-import random
-import socket
 import unittest
 from collections.abc import Callable
 from typing import Any
@@ -18,13 +16,10 @@
 from tests.lib.gateway_caller import Caller, CallerResponse
 from tests.lib.gateway_platform import EngineStandIn, configuration
 from tests.lib.gateway_store import StoreStandIn
+from tests.lib.ports import free_port
 
 _CONDITION_TIMEOUT_S = 20.0
 _RUN_BEFORE_S = 60.0
-#: Below the kernel's ephemeral port range.
-_FIRST_PORT, _LAST_PORT = 10_000, 32_000
-_port_rng = random.Random()
-_used_ports: set[int] = set()
 
 
 class QuietLogStream:
@@ -37,23 +32,8 @@
 
 
 def free_address() -> Address:
-    """Find a free port on loopback that was not returned before.
-
-    The caller binds the port later: until then it must not be returned again, nor lie in the
-    kernel's ephemeral port range.
-    """
-    while True:
-        port = _port_rng.randrange(_FIRST_PORT, _LAST_PORT)
-        if port in _used_ports:
-            continue
-        _used_ports.add(port)
-        try:
-            for socket_type in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                with socket.socket(type=socket_type) as probe:
-                    probe.bind(("127.0.0.1", port))
-        except OSError:
-            continue
-        return Address("127.0.0.1", port)
+    """Return an address on loopback whose port is free and which no other test process gets."""
+    return Address("127.0.0.1", free_port())
 
 
 def gateway_settings(store: Address, **overrides: Any) -> GatewaySettings:
--- a/tests/unit/test_adapters.py
+++ b/tests/unit/test_adapters.py
@@ -18,7 +18,8 @@
 from pearshed._internal.utils.addresses import Address
 from pearshed._internal.utils.loop_queue import LoopQueue
 from pearshed._internal.utils.sockets import set_reset_on_close
-from tests.lib.fleet import free_port, wait_for
+from tests.lib.fleet import wait_for
+from tests.lib.ports import free_port
 
 _REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\n"
 _HEAD = b"HTTP/1.1 200 OK\r\n"
