Send a stream's head to the caller with its first byte

Cause: an entry sent the head of a streamed response as soon as it came. When the engine ended between its head and its first event, the caller got a head, no byte and an end without a last chunk; nothing could run elsewhere any more. The fault tests kill an engine once or twice each, so they fail by it now and then.

Change: the attempt delivers the head with the first part of the body, or at the response's end. Until then the request may run elsewhere if it is idempotent and the retry budget allows it, or is answered with an error.

--- a/src/pearshed/_internal/entry/attempt.py
+++ b/src/pearshed/_internal/entry/attempt.py
@@ -146,14 +146,16 @@
 
     def flush_buffered(self) -> None:
         """Relay a response that was buffered until it was complete."""
-        if self._delivery_started or self._head is None:
-            return
-        self._delivery_started = True
-        self._sink.put(self._head)
+        self._begin_delivery()
         if self._buffered_chunks:
             self._sink.put(RelayedChunk(b"".join(self._buffered_chunks)))
             self._buffered_chunks.clear()
 
+    def _begin_delivery(self) -> None:
+        if not self._delivery_started and self._head is not None:
+            self._delivery_started = True
+            self._sink.put(self._head)
+
     def _receive_head(self, link: LinkT, frame: pb.Frame) -> None:
         if self._head is not None:
             self._dropped_frames += 1
@@ -164,9 +166,6 @@
         if self._bound_link is None:
             # A response replayed for an idempotency key comes without a grant.
             self._events.put_nowait((link, frame))
-        if self._relays_immediately():
-            self._delivery_started = True
-            self._sink.put(self._head)
 
     def _relays_immediately(self) -> bool:
         """Return whether chunks are relayed as they arrive.
@@ -182,6 +181,8 @@
             return
         self._offset += len(delta.content)
         if self._relays_immediately():
+            # Not before: without a byte of the body, another endpoint can still respond.
+            self._begin_delivery()
             self._sink.put(RelayedChunk(delta.content))
         else:
             self._buffered_chunks.append(delta.content)
--- a/tests/functional/test_faults.py
+++ b/tests/functional/test_faults.py
@@ -245,6 +245,16 @@
             runs = sum(len(fleet.journal(engine)["journal"]) for engine in site.engines)
             self.assertEqual(1, runs)
 
+    def test_a_stream_that_ends_before_its_first_byte_runs_elsewhere(self) -> None:
+        with Fleet() as fleet:
+            site = SmallSite(fleet, endpoints=2)
+            fleet.set(site.engines[0], cut_after=0)
+            load = Load(fleet, site.entries, [STREAM], callers=1).start()
+            wait_for(lambda: len(load.outcomes) >= 12, "the calls")
+            outcomes = load.finish()
+            self.assertGreater(len(fleet.journal(site.engines[0])["journal"]), 0)
+        self.assertEqual([True] * len(outcomes), [outcome.complete for outcome in outcomes])
+
 
 class KeyFaultTest(unittest.TestCase):
     """A request with an idempotency key runs at most once, even if the key's owner restarts."""
--- a/tests/functional/test_response_ends.py
+++ b/tests/functional/test_response_ends.py
@@ -32,6 +32,7 @@
         omit_bytes: int = 0,
         token_ms: float = 1.0,
         cut_head: int = -1,
+        cut_after: int = -1,
     ) -> None:
         self.fleet.set(
             self.site.engines[0],
@@ -39,6 +40,7 @@
             omit_bytes=omit_bytes,
             token_ms=token_ms,
             cut_head=cut_head,
+            cut_after=cut_after,
         )
 
     def assert_ends_with_connection(self, response: urllib3.BaseHTTPResponse) -> None:
@@ -80,6 +82,12 @@
         self.assertEqual(502, response.status, response.data)
         self.assertEqual("may_have_run", json.loads(response.data)["error"]["execution"])
 
+    def test_a_stream_that_ends_before_its_first_byte_is_no_answer(self) -> None:
+        self.set_engine(until_close=False, cut_after=0)
+        response = self.fleet.call(self.site.entry, body=chat_body())
+        self.assertEqual(502, response.status, response.data)
+        self.assertEqual("may_have_run", json.loads(response.data)["error"]["execution"])
+
     @parameterized.expand([("stream", True), ("plain", False)])
     def test_a_response_without_framing_is_not_framed_as_complete(
         self, _: str, stream: bool
