Show that a gateway that starts during a drill of the store takes a revoked key

The store comes back from a copy that still has the key; the operator writes the change again two seconds later. A gateway that starts in between takes the copy for the present state, since nothing but the age of the store's confirmation counts and other gateways aren't asked.

review/2 shows it: engines run requests that were sent later than revokeMs after the acknowledgement, which breaks CONFIG.

--- a/review/lib/clients.py
+++ b/review/lib/clients.py
@@ -13,6 +13,8 @@
 PROMISES = frozenset((408, 421, 429, 503))
 #: Statuses after which no request is sent again.
 FINAL = frozenset((400, 401, 404, 413, 431))
+#: Each attempt of all clients has an id of its own.
+_NUMBERS = itertools.count(1)
 
 
 @dataclass
@@ -66,7 +68,6 @@
         self._outcomes = outcomes
         self._deadline_s = deadline_s
         self._retries = retries
-        self._numbers = itertools.count(1)
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle: dict[str, list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {}
 
@@ -104,7 +105,7 @@
             node = self._nodes[(self._nodes.index(node) + 1) % len(self._nodes)]
 
     async def _attempt(self, node: Node, ends_at: float, number: int) -> Outcome:
-        request_id = f"{self._kind[0]}{next(self._numbers):08x}"
+        request_id = f"{self._kind[0]}{next(_NUMBERS):08x}"
         sent_at = time.monotonic()
         response: wire.Message | None = None
         try:
--- a/review/lib/platform.py
+++ b/review/lib/platform.py
@@ -75,18 +75,52 @@
     created: int
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What the store held at a moment."""
+
+    items: dict[str, _Item]
+    revision: int
+
+
 class Store(_Server):
-    """The platform's store, read by the system and written by the test."""
+    """The platform's store, read by the system and written by the test.
+
+    :ivar away: it takes neither calls nor writes.
+    """
 
     def __init__(self, host: str = "127.0.0.1") -> None:
         super().__init__(host)
         self._items: dict[str, _Item] = {}
         self._history: list[tuple[int, str, bytes | None]] = []
+        self._known_since = 0
         self._revision = 1
+        self._era = 1
         self._changed = asyncio.Event()
+        self.away = False
+
+    def copy(self) -> StoreCopy:
+        """Copy what it holds now."""
+        return StoreCopy(dict(self._items), self._revision)
+
+    def leave(self) -> None:
+        """Go away: connections are refused."""
+        self.away = True
+        self.stop()
+
+    async def come_back(self, copy: StoreCopy) -> None:
+        """Come back from a copy: revisions go back, and the era rises by one."""
+        self._era += 1
+        self._items, self._revision = dict(copy.items), copy.revision
+        self._history.clear()
+        self._known_since = copy.revision
+        self.away = False
+        await self.start()
 
     def put(self, key: str, document: Any) -> None:
-        """Write an item, as JSON."""
+        """Write an item, as JSON; nothing is written while the store is away."""
+        if self.away:
+            return
         value = json.dumps(document).encode()
         self._revision += 1
         created = self._items[key].created if key in self._items else self._revision
@@ -108,7 +142,7 @@
         """Answer reads and watches."""
         while (request := await wire.read_request(reader)) is not None:
             status, document = await self._answer(request.start[1])
-            headers = {"Content-Type": "application/json", "Store-Era": "1"}
+            headers = {"Content-Type": "application/json", "Store-Era": str(self._era)}
             body = json.dumps({**document, "storeRevision": self._revision}).encode()
             await asyncio.sleep(0.004)
             writer.write(wire.encode(f"HTTP/1.1 {status} Status", headers, body))
@@ -126,6 +160,8 @@
             page = [_encode(key, self._items[key]) for key in keys[:_PAGE_ITEMS]]
             return 200, {"items": page, "truncated": len(keys) > _PAGE_ITEMS}
         if parts.path == "/v1/kv-watch":
+            if not self._known_since <= int(query["sinceRev"]) <= self._revision:
+                return 410, {}
             return 200, {"events": await self._watch(query)}
         return 404, {}
 
