--- a/src/pearshed/_internal/engine_side/place_queue.py
+++ b/src/pearshed/_internal/engine_side/place_queue.py
@@ -20,6 +20,9 @@
 #: A queue without a request for this long is dropped, seconds; a new one starts without a place.
 QUEUE_TTL_S = 600.0
 
+#: Runs for which a side counts; more than a fleet has limited engines at a time.
+MAX_RUNS = 4096
+
 
 def effective_rate(per_s: float) -> float:
     """Return the requests per second to send to an engine that has named a limit."""
@@ -217,6 +220,9 @@
         """Return the queue of a run."""
         queue = self._queues.get(run)
         if queue is None:
+            if len(self._queues) >= MAX_RUNS:
+                oldest = min(self._queues, key=lambda name: self._queues[name].requested_at)
+                del self._queues[oldest]
             queue = self._queues[run] = PlaceQueue(
                 lambda: self._per_s(run), lambda: self._cold_per_s(run)
             )
--- a/src/pearshed/_internal/engine_side/process.py
+++ b/src/pearshed/_internal/engine_side/process.py
@@ -39,11 +39,13 @@
 from pearshed._internal.engine_side.place_queue import PlaceKeeper
 from pearshed._internal.engine_side.prompt_cache import PromptCache
 from pearshed._internal.engine_side.rate_limits import RateLimit, RateLimitTable
+from pearshed._internal.engine_side.recent_peers import RecentPeers
 from pearshed._internal.engine_side.settings import EngineSideSettings
 from pearshed._internal.engine_side.side_pages import SidePages
 from pearshed._internal.engine_side.stream_origins import OriginTable
 from pearshed._internal.engine_side.traffic_table import TrafficTable
-from pearshed._internal.http.page_server import PageServer
+from pearshed._internal.http.page_server import Page, PageServer
+from pearshed._internal.resources.process_account import ProcessAccount
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import TimerService
@@ -92,19 +94,25 @@
         self._stop_requested = asyncio.Event()
         self._traffic = TrafficTable()
         self._crashes = CrashTable()
-        self._crashes_sent_at: dict[_Peer, float] = {}
+        self._crashes_sent_at = RecentPeers(_REPORT_SPAN_S)
         self._crashes_encoded_at = float("-inf")
         self._crash_datagrams: tuple[bytes, ...] = ()
         self._limits = RateLimitTable()
         self._returns = ReturnTable()
-        self._returns_sent_at: dict[_Peer, float] = {}
+        self._returns_sent_at = RecentPeers(_RETURNS_INTERVAL_S)
         self._origins = OriginTable()
         self._cold_phases = ColdPhases()
         self._places = PlaceKeeper(self._limits.per_s, self._cold_phases.per_s)
         self._malformed_datagrams = 0
         self._rng = random.Random()
         self._pages = SidePages(self._queue, self._places, log_stream, self.dump)
-        self._page_server = PageServer(self._pages.page, self._timers)
+        self._account = ProcessAccount(lambda: settings.machine)
+        self._pages.add_metrics(self._account.collect)
+        self._page_server = PageServer(
+            lambda target: Page(*self._pages.page(target), content_type=""),
+            self._timers,
+            self._account.pages,
+        )
 
     @property
     def serving(self) -> bool:
@@ -174,6 +182,7 @@
             "gateways": self._traffic.gateway_count,
             "datagrams_malformed": self._malformed_datagrams,
             "log_lines_dropped": self._log_stream.dropped,
+            "held": self._account.dump(),
         }
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -221,9 +230,8 @@
     def _respond_to_crash_report(self, peer: _Peer) -> None:
         """Send all known crashes, once for the datagrams of one report."""
         now = clock.now()
-        if now - self._crashes_sent_at.get(peer, float("-inf")) < _REPORT_SPAN_S:
+        if not self._crashes_sent_at.begin(peer, now):
             return
-        self._crashes_sent_at[peer] = now
         if now - self._crashes_encoded_at > _ENCODED_TTL_S:
             self._crashes_encoded_at = now
             records = self._crashes.records
@@ -233,9 +241,7 @@
 
     def _respond_to_return_report(self, peer: _Peer) -> None:
         """Send the known refusals of all gateways."""
-        now = clock.now()
-        if now - self._returns_sent_at.get(peer, float("-inf")) >= _RETURNS_INTERVAL_S:
-            self._returns_sent_at[peer] = now
+        if self._returns_sent_at.begin(peer, clock.now()):
             self._send(ReturnReport("", tuple(self._returns.report())), peer)
 
     def _handle_request(self, request: AdmissionRequest, peer: _Peer) -> None:
--- a/src/pearshed/_internal/engine_side/settings.py
+++ b/src/pearshed/_internal/engine_side/settings.py
@@ -1,7 +1,8 @@
 """Settings of the process beside an engine."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from pearshed._internal.resources.limits import MachineLimits
 from pearshed._internal.utils.addresses import Address
 
 
@@ -11,9 +12,11 @@
 
     :ivar listen: address for datagrams of gateways (UDP) and for operators' pages (TCP).
     :ivar engine: address of the engine.
+    :ivar machine: memory and descriptors of the process.
     """
 
     name: str
     data_centre: str
     listen: Address
     engine: Address
+    machine: MachineLimits = field(default_factory=MachineLimits.of_machine)
--- a/src/pearshed/_internal/engine_side/side_pages.py
+++ b/src/pearshed/_internal/engine_side/side_pages.py
@@ -12,7 +12,14 @@
 from pearshed._internal.http.page_server import page_name
 from pearshed._internal.telemetry.histogram import latency_histogram
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
-from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
+from pearshed._internal.telemetry.metrics import (
+    Collect,
+    Metric,
+    MetricsPage,
+    Sample,
+    counter,
+    gauge,
+)
 
 
 class SidePages:
@@ -40,6 +47,10 @@
         self._metrics = MetricsPage()
         self._metrics.add(self._collect)
 
+    def add_metrics(self, collect: Collect) -> None:
+        """Add metrics of another component."""
+        self._metrics.add(collect)
+
     def record_granted(self, rank: int, waited_s: float) -> None:
         """Count an admitted request and its wait."""
         self._decisions[("granted", rank)] += 1
--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -27,6 +27,7 @@
 from pearshed._internal.http.endpoint_connection import EndKind, EndpointConnection, ResponseEnd
 from pearshed._internal.http.event_stream import EventBuffer, is_event_stream
 from pearshed._internal.http.messages import BodyFraming, ResponseHead
+from pearshed._internal.http.segments import SEGMENT_BYTES, SegmentedBytes, segments_of
 from pearshed._internal.timers import clock
 
 _SUCCESS = range(200, 300)
@@ -178,10 +179,13 @@
         self._sent_at = clock.now()
         idle_s = self._sent_at - connection.idle_since
         self._request_handle = self._endpoint.start_request(self._call.metadata.prompt_tokens)
+        body = self._call.request.body
+        is_small = len(body) <= SEGMENT_BYTES
         connection.send(
-            self._encode(remaining_s),
+            self._encode(remaining_s) + (bytes(body) if is_small else b""),
             self._matches_response,
             expects_body=not self._call.request.head_only,
+            body=() if is_small else segments_of(body),
         )
         if not self._call.route.retryable and not self._call.route.streaming:
             self._writer.ignore_disconnect()
@@ -271,18 +275,26 @@
         self._writer.relay_response(head, body)
         return Answered(head.status)
 
-    async def _read_body(self, connection: EndpointConnection) -> tuple[bytes, ResponseEnd]:
-        chunks: list[bytes] = []
+    async def _read_body(
+        self, connection: EndpointConnection
+    ) -> tuple[SegmentedBytes, ResponseEnd]:
+        body = SegmentedBytes()
         while True:
             event = await connection.next_event()
             if isinstance(event, ResponseEnd):
                 self._complete = event.kind is EndKind.COMPLETE
-                return b"".join(chunks), event
+                return body, event
             if isinstance(event, bytes):
                 self._body_bytes += len(event)
-                chunks.append(event)
+                body.append(event)
+            reason = ""
             if self._body_bytes > MAX_BUFFERED_RESPONSE_BYTES:
-                return b"", self._refuse_unbounded(f"a body of over {self._body_bytes} bytes")
+                reason = f"a body of over {self._body_bytes} bytes"
+            elif len(body) > SEGMENT_BYTES and not self._writer.hold(body.held_bytes):
+                reason = f"no room for more than {self._body_bytes} bytes of a body"
+            if reason:
+                self._writer.hold(0)
+                return SegmentedBytes(), self._refuse_unbounded(reason)
 
     def _refuse_unbounded(self, reason: str) -> ResponseEnd:
         """Log a response that has grown too large; its connection is reset after the attempt."""
@@ -404,7 +416,7 @@
         if body or call.request.method not in (b"GET", b"HEAD", b"DELETE"):
             headers.append((b"content-length", b"%d" % len(body)))
         start = call.request.method + b" " + call.request.target + b" HTTP/1.1"
-        return messages.encode_head(start, headers) + body
+        return messages.encode_head(start, headers)
 
     def _matches_response(self, head: ResponseHead) -> bool:
         return self._codec.decode_response(head).request_id == self._call.request_id
--- a/src/pearshed/_internal/gateway/forwarder.py
+++ b/src/pearshed/_internal/gateway/forwarder.py
@@ -140,7 +140,7 @@
         """
         metadata = self._codec.decode_request(request.headers)
         writer = ResponseWriter(connection, request, close_connection)
-        routed = self._router.route(request, metadata)
+        routed = self._router.route(request, metadata, connection.hold_metadata)
         if not is_successful(routed):
             self._refuse(writer, metadata, routed.failure())
             return writer
@@ -698,7 +698,7 @@
         self._request_logger.write(
             "request.refused",
             metadata.request_id,
-            failed=True,
+            failed=call is not None,
             status=refusal.status,
             reason=refusal.reason,
             retry_after_s=retry_after_s,
--- a/src/pearshed/_internal/gateway/header_codec.py
+++ b/src/pearshed/_internal/gateway/header_codec.py
@@ -4,10 +4,14 @@
 from dataclasses import dataclass, field
 
 from pearshed._internal.decisions.engine_pauses import PauseRequest
-from pearshed._internal.http.messages import Header, Headers, ResponseHead
+from pearshed._internal.http.header_block import Header
+from pearshed._internal.http.messages import Headers, ResponseHead
 from pearshed._internal.models.routing import EndpointEntry, PromptPart
 from pearshed._internal.utils.addresses import Address
 
+#: Memory of one part of a prompt, bytes; its id is a part of the head that is charged anyway.
+_PROMPT_PART_BYTES = 200
+
 
 @dataclass(frozen=True, slots=True)
 class RequestMetadata:
@@ -35,7 +39,12 @@
     prompt_tokens: int
     max_output_tokens: int
     output_tokens_hint: int
-    forwarded_headers: tuple[Header, ...] = field(repr=False)
+    forwarded_headers: Headers = field(repr=False)
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the decoded prompt, bytes; the forwarded headers are charged with the head."""
+        return len(self.prompt) * _PROMPT_PART_BYTES
 
     @property
     def expected_output_tokens(self) -> int:
--- a/src/pearshed/_internal/gateway/operator_pages.py
+++ b/src/pearshed/_internal/gateway/operator_pages.py
@@ -13,6 +13,7 @@
 from pearshed._internal.gateway.exchange.exchange import GatewayExchange
 from pearshed._internal.gateway.store_cache import StoreCache
 from pearshed._internal.http.page_server import page_name
+from pearshed._internal.resources.process_account import ProcessAccount
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
 from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
 from pearshed._internal.timers import clock
@@ -26,6 +27,7 @@
 
     :param connections: open connections of callers.
     :param exchange: what gateways know together, and the retry budgets.
+    :param account: what connections hold.
     :param engine_speeds: returns the speeds of engines with the ages of their figures.
     """
 
@@ -41,9 +43,11 @@
         log_stream: BoundedLogStream,
         not_ready_reasons: Callable[[], list[str]],
         evacuations: EvacuationTable,
+        account: ProcessAccount,
         engine_speeds: Callable[[], Sequence[Mapping[str, object]]] = tuple,
     ) -> None:
         self._evacuations = evacuations
+        self._account = account
         self._name = name
         self._store_cache = store_cache
         self._endpoints = endpoints
@@ -56,6 +60,7 @@
         self._engine_speeds = engine_speeds
         self._metrics = MetricsPage()
         self._metrics.add(self._collect)
+        self._metrics.add(account.collect)
 
     @property
     def metrics(self) -> MetricsPage:
@@ -100,6 +105,7 @@
             "gateways": self._exchange.gateway_count,
             "retry_budgets": self._exchange.retry_budgets.dump(),
             "log_lines_dropped": self._log_stream.dropped,
+            "held": self._account.dump(),
             "blocked_parts": [
                 {
                     "part": part.part_id,
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -62,13 +62,14 @@
 from pearshed._internal.http.caller_connection import CallerConnection
 from pearshed._internal.http.listener import Listener
 from pearshed._internal.http.messages import HttpRequest, RequestProblem
-from pearshed._internal.http.page_server import PageServer, page_name, write_problem
+from pearshed._internal.http.page_server import Page, PageServer, page_name, write_problem
 from pearshed._internal.models.routing import (
     DEFAULT_CALLER_LIMITS,
     CallerLimits,
     EndpointEntry,
     RoutedService,
 )
+from pearshed._internal.resources.process_account import ProcessAccount
 from pearshed._internal.telemetry.log_stream import BoundedLogStream
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import TimerService
@@ -113,6 +114,7 @@
         self._log_stream = log_stream
         self._rng = random.Random()
         self._timers = TimerService()
+        self._account = ProcessAccount(lambda: self._settings.machine)
         self._evacuation_settings = _evacuation_settings(settings)
         self._evacuations = EvacuationTable(lambda: self._evacuation_settings)
         self._store_cache = StoreCache(store, decoder, self._rng, self._evacuations)
@@ -130,6 +132,7 @@
         self._store_task_error: BaseException | None = None
         self._stop_requested = asyncio.Event()
         self._request_metrics = RequestMetrics()
+        self._request_logger = RequestLogger(self._log_context)
         self._admission = SideAdmissionClient(
             settings.peers.port,
             self._apply_fleet_traffic,
@@ -203,7 +206,7 @@
             self._stream_versions,
             self._returns,
             self._plain_waiting,
-            RequestLogger(self._log_context),
+            self._request_logger,
             self._request_metrics,
             self._rng,
             self._evacuations,
@@ -222,6 +225,7 @@
             log_stream,
             self.not_ready_reasons,
             self._evacuations,
+            self._account,
             lambda: self._prompt_placement.dump(self._endpoints.endpoints),
         )
         self._destinations = DestinationExplainer(
@@ -231,7 +235,7 @@
             self._rate_limited,
         )
         self._add_metrics()
-        self._page_server = PageServer(self._find_page, self._timers)
+        self._page_server = PageServer(self._find_page, self._timers, self._account.pages)
 
     def _create_version_history(self) -> VersionHistory:
         """Create a history that follows the store."""
@@ -394,19 +398,20 @@
         self._store.close()
         self._log_stream.drain()
 
-    def _find_page(self, target: str) -> tuple[int, bytes]:
+    def _find_page(self, target: str) -> Page:
         if target.startswith(SYNC_PATH):
-            return self._peer_sync.respond(target)
+            return Page(*self._peer_sync.respond(target), content_type="")
         if target.partition("?")[0] == KEYS_PATH:
-            return self._key_confirmation.respond(target)
+            return Page(*self._key_confirmation.respond(target), content_type="")
         if page_name(target) == "where":
             status, content = self._destinations.page(target.partition("?")[2])
-            return status, orjson.dumps(content)
-        return self._pages.page(target)
+            return Page(status, orjson.dumps(content), "application/json")
+        return Page(*self._pages.page(target), content_type="")
 
     def _create_connection(self) -> CallerConnection:
         return CallerConnection(
             self._caller_limits,
+            self._account.callers,
             self._serve_in_task,
             self._connections.discard,
         )
@@ -417,9 +422,12 @@
             if request is None:
                 return
             if isinstance(request, RequestProblem):
-                logging.info(
+                self._request_logger.write(
                     "request.malformed",
-                    extra={"fields": {"status": request.status, "reason": request.message}},
+                    "",
+                    failed=False,
+                    status=request.status,
+                    reason=request.message,
                 )
                 write_problem(connection, request)
                 return
@@ -429,6 +437,7 @@
                 return
             if not await self._serve_request(connection, request):
                 return
+            await connection.drain()
             connection.finish_request()
 
     async def _serve_request(self, connection: CallerConnection, request: HttpRequest) -> bool:
--- a/src/pearshed/_internal/gateway/request_router.py
+++ b/src/pearshed/_internal/gateway/request_router.py
@@ -5,6 +5,7 @@
 
 from returns.result import Failure, Result, Success
 
+from pearshed._internal.decisions.room_refusal import NO_ROOM, return_after_s
 from pearshed._internal.gateway.availability.regions import allowed_data_centres
 from pearshed._internal.gateway.header_codec import RequestMetadata
 from pearshed._internal.gateway.routed_call import Refusal, RoutedCall
@@ -37,12 +38,21 @@
         self._routes_trusted = routes_trusted
         self._rng = rng
 
-    def route(self, request: HttpRequest, metadata: RequestMetadata) -> Result[RoutedCall, Refusal]:
+    def route(
+        self,
+        request: HttpRequest,
+        metadata: RequestMetadata,
+        hold: Callable[[int], bool] = lambda _: True,
+    ) -> Result[RoutedCall, Refusal]:
         """Route a request.
 
+        :param hold: charges bytes that the decoded request holds; returns whether there is room.
+
         An unknown route or key is refused with 404 or 401 only by a fresh configuration. Without
         one, the refusal is a 503, which guarantees that the request was not run.
         """
+        if not hold(metadata.held_bytes):
+            return Failure(Refusal(503, NO_ROOM, return_after_s(self._rng)))
         configuration = self._configuration()
         if configuration is None:
             return Failure(Refusal(503, "no configuration is known yet"))
--- a/src/pearshed/_internal/gateway/response_writer.py
+++ b/src/pearshed/_internal/gateway/response_writer.py
@@ -2,11 +2,19 @@
 
 from pearshed._internal.http import messages
 from pearshed._internal.http.caller_connection import CallerConnection
+from pearshed._internal.http.endpoint_connection import (
+    READ_BUFFER_BYTES,
+    RECEIVED_AT_ONCE_BYTES,
+)
 from pearshed._internal.http.event_stream import StreamEvent
-from pearshed._internal.http.messages import BodyFraming, Header, HttpRequest, ResponseHead
+from pearshed._internal.http.header_block import Header
+from pearshed._internal.http.messages import BodyFraming, HttpRequest, ResponseHead
+from pearshed._internal.http.segments import SEGMENT_BYTES, SegmentedBytes, segments_of
 
 #: A response with this status may not have a Content-Length (RFC 9110, section 8.6).
 _NO_CONTENT = 204
+#: What an endpoint sends on while the caller doesn't read, bytes; the connection holds it.
+_UNREAD_STREAM_BYTES = READ_BUFFER_BYTES + RECEIVED_AT_ONCE_BYTES
 
 
 class ResponseWriter:
@@ -63,7 +71,7 @@
         """Write a response with a complete body."""
         self._write_response(status, reason, [*headers, _content_length(body)], body)
 
-    def relay_response(self, head: ResponseHead, body: bytes) -> None:
+    def relay_response(self, head: ResponseHead, body: bytes | SegmentedBytes) -> None:
         """Write an endpoint's response, whose body is only as complete as its framing says."""
         headers = messages.end_to_end(head.headers)
         if self._head_only or head.framing is BodyFraming.NO_BODY:
@@ -100,7 +108,17 @@
         if event.event_id is not None:
             self._last_event_id = event.event_id
         self._write_body(event.content)
-        await self._connection.drain()
+        if self._connection.blocked:
+            self._connection.hold_answer(_UNREAD_STREAM_BYTES)
+            await self._connection.drain()
+            self._connection.hold_answer(0)
+
+    def hold(self, held_bytes: int) -> bool:
+        """Charge what was received of an endpoint's answer, bytes.
+
+        :returns: whether there is room for it.
+        """
+        return self._connection.hold_answer(held_bytes)
 
     def end_stream(self, remainder: bytes) -> None:
         """End a complete stream.
@@ -122,7 +140,11 @@
         self._connection.abort()
 
     def _write_response(
-        self, status: int, reason: bytes | None, headers: list[Header], body: bytes
+        self,
+        status: int,
+        reason: bytes | None,
+        headers: list[Header],
+        body: bytes | SegmentedBytes,
     ) -> None:
         if self._started:
             # The caller would take a second head for a part of the first response's body.
@@ -131,7 +153,13 @@
         self._started = True
         headers = [*headers, *self._connection_header()]
         content = messages.encode_head(messages.status_line(status, reason), headers)
-        self._connection.write(content if self._head_only else content + body)
+        if self._head_only:
+            self._connection.write(content)
+        elif len(body) <= SEGMENT_BYTES:
+            self._connection.write(content + bytes(body))
+        else:
+            self._connection.write(content)
+            self._connection.write_segments(segments_of(body))
 
     def _begin_body_until_close(self) -> None:
         self._close_connection = True
@@ -144,5 +172,5 @@
         return [(b"connection", b"close")] if self._close_connection else []
 
 
-def _content_length(body: bytes) -> Header:
+def _content_length(body: bytes | SegmentedBytes) -> Header:
     return (b"content-length", b"%d" % len(body))
--- a/src/pearshed/_internal/gateway/routed_call.py
+++ b/src/pearshed/_internal/gateway/routed_call.py
@@ -6,6 +6,7 @@
 from pearshed._internal.gateway.header_codec import RequestMetadata
 from pearshed._internal.http import messages
 from pearshed._internal.http.messages import HttpRequest, ResponseHead
+from pearshed._internal.http.segments import SegmentedBytes, segments_of
 from pearshed._internal.models.routing import Route
 from pearshed._internal.timers import clock
 
@@ -70,7 +71,8 @@
         customer = self.customer.encode()
         for value in (request.method, host.lower(), request.target, customer, request.body):
             digest.update(b"%d:" % len(value))
-            digest.update(value)
+            for segment in segments_of(value):
+                digest.update(segment)
         return digest.hexdigest()
 
     @property
@@ -142,7 +144,7 @@
 
     reason: str
     head: ResponseHead | None = None
-    body: bytes = field(default=b"", repr=False)
+    body: bytes | SegmentedBytes = field(default=b"", repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pearshed/_internal/gateway/settings.py
+++ b/src/pearshed/_internal/gateway/settings.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from pearshed._internal.resources.limits import MachineLimits
 from pearshed._internal.utils.addresses import Address
 
 
@@ -28,6 +29,7 @@
     :ivar regions: region of each data centre.
     :ivar cold_overshoot: a cold engine may get this many times what it takes in a second, and
         ``cold_slack`` requests more; ``None`` if cold engines are not limited.
+    :ivar machine: memory and descriptors of the process.
     """
 
     name: str
@@ -48,3 +50,4 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     cold_overshoot: float | None = None
     cold_slack: float = 0.0
+    machine: MachineLimits = field(default_factory=MachineLimits.of_machine)
--- a/src/pearshed/_internal/http/caller_connection.py
+++ b/src/pearshed/_internal/http/caller_connection.py
@@ -1,23 +1,33 @@
-"""Server side of HTTP connections: parses complete requests, writes responses as a stream."""
+"""Server side of HTTP connections: receives requests, sends responses, and accounts for both."""
 
 import asyncio
-import collections
 import enum
 import select
 from collections.abc import Callable, Iterable
 
-import httptools
-
+from pearshed._internal.decisions.ending_order import Holding, HoldingStage
+from pearshed._internal.decisions.room_refusal import NO_ROOM, return_after_s
 from pearshed._internal.http import messages
-from pearshed._internal.http.messages import Header, HttpRequest, RequestProblem
+from pearshed._internal.http.messages import HttpRequest, RequestProblem
+from pearshed._internal.http.outgoing import OutgoingContent
+from pearshed._internal.http.request_parser import ParserStage, RequestParser, held_bytes_of
 from pearshed._internal.models.routing import CallerLimits
+from pearshed._internal.resources.account import Holder, ResourceAccount
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.sockets import set_reset_on_close
 
-#: Bytes received since the last finished request at which reading pauses while one is served.
-MAX_PIPELINED_BYTES = 64 * 1024
-#: Unsent bytes of a response at which the writer is paused.
-WRITE_BUFFER_BYTES = 256 * 1024
+#: Unparsed bytes at which reading pauses while a request is served.
+MAX_PIPELINED_BYTES = 16 * 1024
+#: Bytes that are read at once from one connection.
+RECEIVED_AT_ONCE_BYTES = 64 * 1024
+_RECEIVE_BUFFER = memoryview(bytearray(RECEIVED_AT_ONCE_BYTES))
+#: Time in which a refused client may go on sending before its connection is reset, seconds. Closing
+#: it at once would reset it, and the client might lose the refusal.
+LINGER_S = 2.0
+#: Memory of a connection without a request: the transport, the protocol, the parser and the task.
+CONNECTION_BYTES = 8 * 1024
+#: Memory of what serves a request: its record, an endpoint's connection and the task's frames.
+SERVING_BYTES = 16 * 1024
 
 
 class ConnectionState(enum.Enum):
@@ -26,13 +36,15 @@
     IDLE = "idle"
     READING = "reading"
     SERVING = "serving"
+    REFUSED = "refused"
     CLOSED = "closed"
 
 
-class CallerConnection(asyncio.Protocol):
-    """Protocol of one caller's connection; pipelined requests are queued.
+class CallerConnection(asyncio.BufferedProtocol, Holder):
+    """Protocol of one caller's connection; requests sent ahead wait until those before are served.
 
     :param limits: returns the current limits; called for each check, since they may change.
+    :param account: charged with what the connection holds.
     :param on_connected: called once the connection is open; starts the task that serves it.
     :param on_closed: called once the connection is closed.
     """
@@ -40,28 +52,33 @@
     def __init__(
         self,
         limits: Callable[[], CallerLimits],
+        account: ResourceAccount,
         on_connected: Callable[["CallerConnection"], None],
         on_closed: Callable[["CallerConnection"], None],
     ) -> None:
         self._limits = limits
+        self._account = account
         self._on_connected = on_connected
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._requests: collections.deque[HttpRequest | RequestProblem] = collections.deque()
-        self._request_queued: asyncio.Future[None] | None = None
-        self._writable: asyncio.Future[None] | None = None
+        self._outgoing: OutgoingContent | None = None
+        self._parser = RequestParser(limits)
+        self._unparsed = bytearray()
+        self._unparsed_since = 0.0
+        self._request_parsed: asyncio.Future[None] | None = None
+        self._sent: asyncio.Future[None] | None = None
         self._disconnect_callback: Callable[[], None] | None = None
         self._state = ConnectionState.IDLE
         self._state_since = clock.now()
         self._reading_since = 0.0
-        self._bytes_since_finish = 0
-        self._header_bytes = 0
+        self._progressed_at = self._state_since
+        self._pending_bytes = 0
+        self._request_bytes = 0
+        self._metadata_bytes = 0
+        self._answer_bytes = 0
         self._reading_paused = False
-        self._refused = False
         self._body_until_close = False
         self._closing = False
-        self._reset_request()
 
     @property
     def state(self) -> ConnectionState:
@@ -73,20 +90,30 @@
         """Whether the connection is closed."""
         return self._state is ConnectionState.CLOSED
 
+    @property
+    def blocked(self) -> bool:
+        """Whether the caller takes bytes more slowly than they are written."""
+        return self._outgoing is not None and self._outgoing.blocked and not self.disconnected
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start serving the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._outgoing = OutgoingContent(transport)
         self._on_connected(self)
+        self._account.open(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake the tasks that wait on the connection, and report the disconnect."""
         if self._body_until_close and self._closing and exc is None:
             self._set_reset_on_close(False)
         self._state = ConnectionState.CLOSED
-        self._wake(self._request_queued)
-        self._wake(self._writable)
+        self._account.close(self)
+        self._unparsed = bytearray()
+        if self._outgoing is not None:
+            self._outgoing.clear()
+        self._wake(self._request_parsed)
+        self._wake(self._sent)
         self._notify_disconnect()
         self._on_closed(self)
 
@@ -95,60 +122,101 @@
         return False
 
     def pause_writing(self) -> None:
-        """Make ``drain()`` wait until the write buffer has emptied."""
-        self._writable = asyncio.get_running_loop().create_future()
+        """Keep what is written until the transport's buffer has emptied."""
+        if self._outgoing is not None:
+            self._outgoing.pause()
 
     def resume_writing(self) -> None:
-        """Wake the task that waits in ``drain()``."""
-        self._wake(self._writable)
-        self._writable = None
+        """Send what was kept, and wake the task that waits in ``drain()``."""
+        if self._outgoing is None:
+            return
+        self._outgoing.resume()
+        self._record_sending()
+        if self._outgoing.blocked:
+            return
+        self._wake(self._sent)
+        if self._closing and self._transport is not None:
+            self._transport.close()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the event loop puts received bytes; one place serves all connections."""
+        return _RECEIVE_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle received bytes."""
+        self.data_received(bytes(_RECEIVE_BUFFER[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes."""
-        if self._refused:
+        """Parse received bytes, or keep them while a request is served."""
+        if self._parser.refused or self._closing or self.disconnected:
             return
+        now = clock.now()
+        self._progressed_at = now
         if self._state is ConnectionState.IDLE:
             self._set_state(ConnectionState.READING)
-            self._reading_since = clock.now()
-        self._bytes_since_finish += len(data)
-        self._header_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400, "upgrades of the protocol are not supported")
-        except httptools.HttpParserError as error:
-            self._refuse(400, f"the request is malformed: {error}")
-        if not self._headers_done and self._header_bytes > self._limits().max_header_bytes:
-            self._refuse(431, "the request's header is too large")
-        if (
-            self._state is ConnectionState.SERVING
-            and self._bytes_since_finish > MAX_PIPELINED_BYTES
-        ):
-            self._pause_reading()
+            self._reading_since = now
+        if self._state is ConnectionState.SERVING or self._unparsed or self._parser.has_parsed:
+            self._keep(data, now)
+        else:
+            parsed = self._parse(data, now)
+            if parsed < len(data):
+                self._keep(memoryview(data)[parsed:], now)
+        self._account.update(self)
 
     async def next_request(self) -> HttpRequest | RequestProblem | None:
         """Wait for the next request.
 
         :returns: the request, why it is refused, or ``None`` when the caller disconnected.
         """
-        while not self._requests:
-            if self._state is ConnectionState.CLOSED:
-                return None
-            self._request_queued = asyncio.get_running_loop().create_future()
-            await self._request_queued
+        if self._parser.has_parsed:
+            # Requests sent ahead leave the other connections their turn.
+            await asyncio.sleep(0)
+        while not self._parser.has_parsed and not self.disconnected:
+            self._request_parsed = asyncio.get_running_loop().create_future()
+            await self._request_parsed
+        if self.disconnected:
+            return None
+        request = self._parser.take()
+        if isinstance(request, RequestProblem):
+            return request
         self._set_state(ConnectionState.SERVING)
-        return self._requests.popleft()
+        self._request_bytes = SERVING_BYTES + held_bytes_of(request)
+        self._account.update(self)
+        return request
 
     def finish_request(self) -> None:
-        """Mark the request as served, and resume reading."""
+        """Mark the request as served, parse what was kept, and resume reading."""
         if self._state is not ConnectionState.SERVING:
             return
-        self._bytes_since_finish = 0
+        self._request_bytes = self._metadata_bytes = self._answer_bytes = 0
+        self._progressed_at = clock.now()
         self._set_state(ConnectionState.IDLE)
+        self._record_sending()
+        self._parse_kept()
         self._send_continue_if_due()
-        if self._reading_paused and self._transport is not None:
+        if self._reading_paused and len(self._unparsed) <= MAX_PIPELINED_BYTES:
             self._reading_paused = False
-            self._transport.resume_reading()
+            if self._transport is not None:
+                self._transport.resume_reading()
+        self._account.update(self)
+
+    def hold_metadata(self, held_bytes: int) -> bool:
+        """Charge what was decoded from the request that is served, bytes.
+
+        :returns: whether there is room for it.
+        """
+        self._metadata_bytes = held_bytes
+        self._account.update(self)
+        return self._account.has_room_for(self)
+
+    def hold_answer(self, held_bytes: int) -> bool:
+        """Charge what was received so far of an answer that isn't written yet, bytes.
+
+        :returns: whether there is room for it.
+        """
+        self._answer_bytes = held_bytes
+        self._account.update(self)
+        return self._account.has_room_for(self)
 
     def on_disconnect(self, callback: Callable[[], None] | None) -> None:
         """Set the callback for the caller's disconnect, called once; replaces the previous one."""
@@ -158,13 +226,22 @@
 
     def write(self, content: bytes) -> None:
         """Send bytes; they are dropped when the connection is closed."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(content)
+        if self._outgoing is not None and not self._closing:
+            self._outgoing.write(content)
+            self._record_sending()
+
+    def write_segments(self, segments: Iterable[bytes | bytearray]) -> None:
+        """Send the segments of an answer, which must not change any more."""
+        self._answer_bytes = 0
+        if self._outgoing is not None and not self._closing:
+            self._outgoing.write_segments(segments)
+            self._record_sending()
 
     async def drain(self) -> None:
-        """Wait while the write buffer is full."""
-        if self._writable is not None and not self.disconnected:
-            await self._writable
+        """Wait while the caller takes bytes more slowly than they are written."""
+        while self.blocked:
+            self._sent = asyncio.get_running_loop().create_future()
+            await self._sent
 
     def begin_body_until_close(self) -> None:
         """Begin a body whose end is marked by the end of the connection.
@@ -176,12 +253,26 @@
 
     def close(self) -> None:
         """Close the connection once everything written has been sent."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._closing = True
+        if self._transport is None or self._closing or self._transport.is_closing():
+            return
+        self._closing = True
+        if self._outgoing is None or not self._outgoing.blocked:
             self._transport.close()
 
+    def close_refused(self) -> None:
+        """Close the connection after a refusal, once the caller has read it and stops sending."""
+        if self._transport is None or self._closing or self._transport.is_closing():
+            return
+        if self._outgoing is None or self._outgoing.blocked or not self._transport.can_write_eof():
+            self.close()
+            return
+        self._set_state(ConnectionState.REFUSED)
+        self._transport.write_eof()
+
     def abort(self) -> None:
         """End the connection at once, so that a truncated response can't look complete."""
+        if self._outgoing is not None:
+            self._outgoing.clear()
         if self._transport is not None:
             self._transport.abort()
 
@@ -195,96 +286,148 @@
             self.close()
 
     def close_if_overdue(self, now: float) -> None:
-        """Close an idle connection, or refuse a slow header, after the timeout."""
+        """Close an idle connection, refuse a slow request, and reset one that takes no answer."""
         limits = self._limits()
-        if self._state is ConnectionState.IDLE:
+        self._record_sending()
+        stalled_s = now - self._progressed_at
+        if self._pending_bytes and stalled_s > limits.idle_timeout_s:
+            self.abort()
+        elif self._state is ConnectionState.REFUSED:
+            if now - self._state_since > LINGER_S:
+                self.abort()
+        elif self._state is ConnectionState.IDLE:
             if now - self._state_since > limits.idle_timeout_s:
                 self.close()
-        elif (
-            self._state is ConnectionState.READING
-            and not self._headers_done
-            and now - self._reading_since > limits.header_timeout_s
-        ):
-            self._refuse(408, "the request's header took too long")
-
-    # Callbacks of the parser.
-
-    def on_message_begin(self) -> None:
-        """Start parsing a request."""
-        self._reset_request()
-        if self._reading_since == 0.0 or self._state is ConnectionState.SERVING:
-            self._reading_since = clock.now()
-
-    def on_url(self, url: bytes) -> None:
-        """Append to the request target."""
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self._headers.append((name.lower(), value.strip()))
-
-    def on_headers_complete(self) -> None:
-        """Validate the header, and send 100 Continue if the caller expects it."""
-        self._headers_done = True
-        problem = _header_problem(self._headers, self._target)
-        if problem is not None:
-            self._refuse(problem.status, problem.message)
-            return
-        expectation = messages.header_value(self._headers, b"expect") or b""
-        self._expects_continue = expectation.lower() == b"100-continue"
-        self._send_continue_if_due()
+        elif self._state is ConnectionState.READING:
+            self._refuse_if_overdue(now, limits)
+
+    # What the connection makes the process hold.
+
+    def holding(self) -> "Holding[Holder]":
+        """Return what the connection holds."""
+        self._refresh_pending()
+        stage = self._holding_stage()
+        ahead_bytes = len(self._unparsed) + self._parser.held_bytes
+        held_bytes = (
+            CONNECTION_BYTES
+            + ahead_bytes
+            + self._request_bytes
+            + self._metadata_bytes
+            + self._answer_bytes
+            + self._pending_bytes
+        )
+        return Holding(
+            self,
+            stage,
+            held_bytes,
+            ahead_bytes if stage is HoldingStage.AHEAD else held_bytes,
+            self._parser.message_bytes,
+            self._reading_since,
+            self._progressed_at,
+        )
 
-    def on_body(self, body: bytes) -> None:
-        """Append a piece of the body."""
-        self._body_bytes += len(body)
-        if self._body_bytes > self._limits().max_body_bytes:
-            self._refuse(413, "the request's body is too large")
-            return
-        self._body.append(body)
+    def end_for_lack_of_room(self) -> None:
+        """Refuse what isn't being served as not run; end a connection without a request."""
+        stage = self._holding_stage()
+        is_begun = self._parser.stage is not ParserStage.BETWEEN
+        if stage is HoldingStage.AHEAD:
+            self._unparsed = bytearray()
+            self._parser.refuse_parsed(503, NO_ROOM, return_after_s())
+            self._account.update(self)
+        elif stage is HoldingStage.RECEIVING and is_begun:
+            self._parser.refuse(503, NO_ROOM, return_after_s())
+            self._wake(self._request_parsed)
+            self._account.update(self)
+        else:
+            self.abort()
+            self._account.close(self)
+
+    def _holding_stage(self) -> HoldingStage:
+        if self._state is ConnectionState.REFUSED:
+            return HoldingStage.REFUSED
+        if self._pending_bytes:
+            return HoldingStage.SENDING
+        if self._state is ConnectionState.SERVING and not self._closing:
+            is_ahead = self._unparsed or (self._parser.has_parsed and not self._parser.refused)
+            return HoldingStage.AHEAD if is_ahead else HoldingStage.SERVING
+        if self._parser.has_parsed:
+            return HoldingStage.SERVING
+        if self._closing or self._parser.refused:
+            return HoldingStage.REFUSED
+        if self._state is ConnectionState.READING:
+            return HoldingStage.RECEIVING
+        return HoldingStage.IDLE
+
+    def _record_sending(self) -> None:
+        """Charge what the caller still has to take."""
+        if self._refresh_pending():
+            self._account.update(self)
+
+    def _refresh_pending(self) -> bool:
+        """Read what the caller still has to take; return whether that has changed."""
+        pending_bytes = self._outgoing.pending_bytes if self._outgoing is not None else 0
+        if pending_bytes == self._pending_bytes:
+            return False
+        if pending_bytes < self._pending_bytes or not self._pending_bytes:
+            self._progressed_at = clock.now()
+        self._pending_bytes = pending_bytes
+        return True
+
+    # Receiving.
+
+    def _keep(self, data: bytes | memoryview, now: float) -> None:
+        """Keep bytes that follow a request which hasn't been served yet."""
+        if not self._unparsed:
+            self._unparsed_since = now
+        self._unparsed += data
+        if len(self._unparsed) > MAX_PIPELINED_BYTES:
+            self._pause_reading()
 
-    def on_message_complete(self) -> None:
-        """Queue the complete request."""
-        self._expects_continue = False
-        if self._refused:
+    def _parse_kept(self) -> None:
+        """Parse the bytes kept while a request was served, up to the end of the next one."""
+        if not self._unparsed or self._parser.has_parsed or self._parser.refused:
             return
-        request = HttpRequest(
-            self._parser.get_method(),
-            self._target,
-            tuple(self._headers),
-            b"".join(self._body),
-            self._parser.should_keep_alive(),
-            self._parser.get_http_version() == "1.1",
-            self._reading_since or clock.now(),
-        )
-        self._header_bytes = 0
-        self._reading_since = 0.0
-        self._requests.append(request)
-        self._wake(self._request_queued)
+        self._set_state(ConnectionState.READING)
+        self._reading_since = self._unparsed_since
+        unparsed, self._unparsed = self._unparsed, bytearray()
+        parsed = self._parse(bytes(unparsed), self._unparsed_since)
+        if parsed < len(unparsed):
+            self._unparsed = unparsed[parsed:]
+
+    def _parse(self, data: bytes, received_at: float) -> int:
+        """Parse bytes, and wake the task if a request is complete or refused.
 
-    def _reset_request(self) -> None:
-        self._target = b""
-        self._headers: list[Header] = []
-        self._headers_done = False
-        self._expects_continue = False
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        :returns: the number of bytes parsed.
+        """
+        parsed = self._parser.feed(data, received_at)
+        self._send_continue_if_due()
+        if self._parser.has_parsed:
+            self._wake(self._request_parsed)
+        return len(data) if self._parser.refused else parsed
 
     def _send_continue_if_due(self) -> None:
         """Send 100 Continue if it is expected and no earlier response must come first."""
         if (
-            self._expects_continue
+            self._parser.expects_continue
             and self._state is not ConnectionState.SERVING
-            and not self._requests
+            and not self._parser.has_parsed
         ):
-            self._expects_continue = False
+            self._parser.expectation_met()
             self.write(messages.status_line(100) + b"\r\n\r\n")
 
-    def _refuse(self, status: int, message: str) -> None:
-        if self._refused:
+    def _refuse_if_overdue(self, now: float, limits: CallerLimits) -> None:
+        if self._parser.refused or self._parser.has_parsed:
             return
-        self._refused = True
-        self._requests.append(RequestProblem(status, message))
-        self._wake(self._request_queued)
+        if self._parser.stage is not ParserStage.BODY:
+            if now - self._reading_since > limits.header_timeout_s:
+                self._refuse(408, "the request's header took too long")
+        elif now - self._progressed_at > limits.idle_timeout_s:
+            self._refuse(408, "the request's body stopped")
+
+    def _refuse(self, status: int, message: str) -> None:
+        self._parser.refuse(status, message)
+        self._wake(self._request_parsed)
+        self._account.update(self)
 
     def _has_unread_bytes(self) -> bool:
         """Return whether bytes wait in the kernel; closing the connection would reset it."""
@@ -319,19 +462,3 @@
     def _wake(future: "asyncio.Future[None] | None") -> None:
         if future is not None and not future.done():
             future.set_result(None)
-
-
-def _header_problem(headers: Iterable[Header], target: bytes) -> RequestProblem | None:
-    """Return why a request is invalid, or ambiguous: two parsers could read it differently."""
-    headers = tuple(headers)
-    if len(messages.header_values(headers, b"host")) != 1:
-        return RequestProblem(400, "a request needs exactly one Host header")
-    lengths = messages.header_values(headers, b"content-length")
-    codings = messages.header_values(headers, b"transfer-encoding")
-    if codings and (lengths or [value.lower() for value in codings] != [b"chunked"]):
-        return RequestProblem(400, "the length of the body is ambiguous")
-    if len(lengths) > 1 or any(not value.isdigit() for value in lengths):
-        return RequestProblem(400, "the length of the body is ambiguous")
-    if not target.startswith(b"/"):
-        return RequestProblem(400, "the target must be a path")
-    return None
--- a/src/pearshed/_internal/http/endpoint_connection.py
+++ b/src/pearshed/_internal/http/endpoint_connection.py
@@ -4,21 +4,25 @@
 import collections
 import enum
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import httptools
 from absl import logging
 
 from pearshed._internal.http import messages
-from pearshed._internal.http.messages import BodyFraming, Header, ResponseHead
+from pearshed._internal.http.header_block import HeaderBlock
+from pearshed._internal.http.messages import BodyFraming, Headers, ResponseHead
+from pearshed._internal.http.outgoing import OutgoingContent
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
 
 #: Time after which the kernel closes a connection whose sent bytes aren't acknowledged.
 TCP_USER_TIMEOUT_MS = 3000
 #: Buffered bytes of a response at which reading pauses.
-READ_BUFFER_BYTES = 256 * 1024
+READ_BUFFER_BYTES = 64 * 1024
+#: Bytes that the event loop reads at once, so that this much may be buffered beyond that.
+RECEIVED_AT_ONCE_BYTES = 256 * 1024
 #: Bytes that may arrive while a response makes no progress: without an end of its head or of a
 #: chunk's header, or in responses that match no request.
 MAX_UNDELIVERED_BYTES = 256 * 1024
@@ -66,7 +70,10 @@
         self.run_confirmed = False
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._events: collections.deque[ResponseEvent] = collections.deque()
+        self._outgoing: OutgoingContent | None = None
+        self._lines = bytearray()
+        self._in_head = False
+        self._events: collections.deque[ResponseEvent | bytearray] = collections.deque()
         self._event_queued: asyncio.Future[None] | None = None
         self._matches: ResponseMatcher | None = None
         self._delivering = False
@@ -111,6 +118,7 @@
         """Set the socket options."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._outgoing = OutgoingContent(transport)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -119,6 +127,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the response in progress; an error is never the end of its body."""
         self._closed = True
+        if self._outgoing is not None:
+            self._outgoing.clear()
         if self._matches is None:
             return
         if self._body_until_close and self._in_response and self._delivering and exc is None:
@@ -126,6 +136,16 @@
         else:
             self._push(ResponseEnd(EndKind.TRUNCATED, f"connection lost: {exc or 'closed'}"))
 
+    def pause_writing(self) -> None:
+        """Keep the rest of a request until the transport's buffer has emptied."""
+        if self._outgoing is not None:
+            self._outgoing.pause()
+
+    def resume_writing(self) -> None:
+        """Send more of a request."""
+        if self._outgoing is not None:
+            self._outgoing.resume()
+
     def eof_received(self) -> bool:
         """Close the connection when the endpoint has closed its side."""
         return False
@@ -148,27 +168,38 @@
             self._push(ResponseEnd(EndKind.MALFORMED, reason))
             self._discard()
 
-    def send(self, content: bytes, matches: ResponseMatcher, *, expects_body: bool = True) -> None:
+    def send(
+        self,
+        content: bytes,
+        matches: ResponseMatcher,
+        *,
+        expects_body: bool = True,
+        body: Iterable[bytes | bytearray] = (),
+    ) -> None:
         """Send a request.
 
+        :param content: its head, and its body if that isn't given apart.
         :param matches: returns whether a response's head belongs to this request.
         :param expects_body: false for HEAD, whose response has no body whatever its headers say.
+        :param body: segments of a large body; they are kept, not copied, until they are sent.
         """
-        assert self._transport is not None
+        assert self._outgoing is not None
         self._matches = matches
         self._expects_body = expects_body
         self._events.clear()
         self._buffered_bytes = 0
         self._delivering = False
         self._undelivered_bytes = 0
-        self._transport.write(content)
+        self._outgoing.write(content)
+        self._outgoing.write_segments(body)
 
     async def next_event(self) -> ResponseEvent:
         """Wait for the next event of the response."""
         while not self._events:
             self._event_queued = asyncio.get_running_loop().create_future()
             await self._event_queued
-        event = self._events.popleft()
+        queued = self._events.popleft()
+        event = bytes(queued) if isinstance(queued, bytearray) else queued
         if isinstance(event, bytes):
             self._buffered_bytes -= len(event)
             if self._reading_paused and self._buffered_bytes < READ_BUFFER_BYTES // 2:
@@ -185,7 +216,7 @@
         self._matches = None
         self._idle_since = clock.now()
         self._response_count += 1
-        unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
+        unsent = self._outgoing is not None and self._outgoing.pending_bytes > 0
         if self._body_until_close or unsent or self._in_response:
             self._not_reusable = True
         if self._not_reusable or self._closed:
@@ -203,8 +234,9 @@
     def on_message_begin(self) -> None:
         """Start parsing a response."""
         self._in_response = True
+        self._in_head = True
         self._reason_phrase = b""
-        self._headers: list[Header] = []
+        self._lines = bytearray()
         if self._delivering:
             # An extra response directly after the expected one.
             self._unmatched_responses += 1
@@ -215,15 +247,18 @@
         self._reason_phrase += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self._headers.append((name.lower(), value.strip()))
+        """Append a header; trailers are dropped, as none is known to be safe as a header."""
+        if self._in_head:
+            self._lines += b"%s:%s\n" % (name.lower(), value.strip())
 
     def on_headers_complete(self) -> None:
         """Queue the head if the response matches the request in progress."""
+        self._in_head = False
+        lines, self._lines = bytes(self._lines), bytearray()
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS or self._delivering:
             return
-        head = ResponseHead(status, self._reason_phrase, tuple(self._headers))
+        head = ResponseHead(status, self._reason_phrase, HeaderBlock(lines))
         if self._matches is None or not self._matches(head):
             self._unmatched_responses += 1
             self._not_reusable = True
@@ -241,7 +276,7 @@
         """Queue a piece of the body; pause reading when the buffer is full."""
         if self._delivering and not self._ended():
             self._buffered_bytes += len(body)
-            self._push(body)
+            self._push_body(body)
             if (
                 self._buffered_bytes > READ_BUFFER_BYTES
                 and not self._reading_paused
@@ -267,6 +302,17 @@
             self._not_reusable = True
         self._keep_alive_s = _keep_alive_timeout(head.headers)
 
+    def _push_body(self, body: bytes) -> None:
+        """Queue a piece of the body, joined with those that wait, so that memory follows bytes."""
+        waiting = self._events[-1] if self._events else None
+        if isinstance(waiting, bytearray):
+            waiting += body
+        elif isinstance(waiting, bytes):
+            self._events[-1] = bytearray(waiting) + body
+        else:
+            self._push(body)
+        self._undelivered_bytes = 0
+
     def _push(self, event: ResponseEvent) -> None:
         if self._ended():
             return
@@ -286,7 +332,7 @@
     logging.warning("response.unbounded", extra={"fields": {"peer": peer, "reason": reason}})
 
 
-def _keep_alive_timeout(headers: tuple[Header, ...]) -> float | None:
+def _keep_alive_timeout(headers: Headers) -> float | None:
     value = messages.header_value(headers, b"keep-alive")
     if value is None:
         return None
--- a/src/pearshed/_internal/http/json_client.py
+++ b/src/pearshed/_internal/http/json_client.py
@@ -17,7 +17,8 @@
     ResponseEnd,
     connect,
 )
-from pearshed._internal.http.messages import Header, Headers, ResponseHead
+from pearshed._internal.http.header_block import Header
+from pearshed._internal.http.messages import Headers, ResponseHead
 from pearshed._internal.utils.addresses import Address
 from pearshed._internal.utils.foreign_values import parse_count
 
--- a/src/pearshed/_internal/http/listener.py
+++ b/src/pearshed/_internal/http/listener.py
@@ -12,8 +12,11 @@
 from pearshed._internal.utils.sockets import HANDSHAKE_S, drop_new_connections
 
 LISTEN_BACKLOG = 1024
+#: Connections accepted in one turn of the event loop; those that exceed the room are ended in the
+#: next one, and until then each has a descriptor.
+ACCEPTED_AT_ONCE = 32
 
-ProtocolFactory = Callable[[], asyncio.Protocol]
+ProtocolFactory = Callable[[], asyncio.BaseProtocol]
 
 
 class Listener:
@@ -26,6 +29,12 @@
         self._server = server
         self._create_connection = create_connection
 
+    @property
+    def address(self) -> Address:
+        """The bound address."""
+        host, port = self._socket.getsockname()[:2]
+        return Address(host, port)
+
     @classmethod
     async def open(cls, address: Address, create_connection: ProtocolFactory) -> "Listener":
         """Listen on an address.
@@ -38,8 +47,10 @@
                 (address.host, address.port), family=family, backlog=LISTEN_BACKLOG
             )
             server = await asyncio.get_running_loop().create_server(
-                create_connection, sock=sock, backlog=LISTEN_BACKLOG
+                create_connection, sock=sock, backlog=ACCEPTED_AT_ONCE
             )
+            # The event loop has set the length of the kernel's queue to the same number.
+            sock.listen(LISTEN_BACKLOG)
         except OSError as error:
             raise AddressInUseError(
                 f"can't listen on {address}",
--- a/src/pearshed/_internal/http/messages.py
+++ b/src/pearshed/_internal/http/messages.py
@@ -1,11 +1,13 @@
 """HTTP messages after parsing, and encoding of their parts."""
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-Header = tuple[bytes, bytes]
-Headers = tuple[Header, ...]
+from pearshed._internal.http.header_block import Header, HeaderBlock
+from pearshed._internal.http.segments import SegmentedBytes
+
+Headers = Sequence[Header]
 
 #: Hop-by-hop headers (RFC 9110, section 7.6.1).
 CONNECTION_HEADERS = frozenset(
@@ -50,13 +52,14 @@
 
     :ivar target: path with query string, as sent.
     :ivar headers: names in lower case.
+    :ivar body: in segments if it is large.
     :ivar received_at: clock reading when its first byte was received, seconds.
     """
 
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes = field(repr=False)
+    body: bytes | SegmentedBytes = field(repr=False)
     keep_alive: bool
     http_1_1: bool
     received_at: float
@@ -77,10 +80,12 @@
     """An invalid request; the connection is closed after the error response.
 
     :ivar status: HTTP status of the error response.
+    :ivar retry_after_s: time after which the caller may send it again, seconds; 0 for none given.
     """
 
     status: int
     message: str
+    retry_after_s: int = 0
 
 
 class BodyFraming(enum.Enum):
@@ -121,6 +126,8 @@
 
     :param name: in lower case.
     """
+    if isinstance(headers, HeaderBlock):
+        return headers.first(name)
     for candidate, value in headers:
         if candidate == name:
             return value
@@ -129,6 +136,8 @@
 
 def header_values(headers: Iterable[Header], name: bytes) -> list[bytes]:
     """Return all values of a header that may occur several times."""
+    if isinstance(headers, HeaderBlock):
+        return headers.all(name)
     return [value for candidate, value in headers if candidate == name]
 
 
--- a/src/pearshed/_internal/http/page_server.py
+++ b/src/pearshed/_internal/http/page_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from absl import logging
 
@@ -10,6 +11,7 @@
 from pearshed._internal.http.listener import Listener
 from pearshed._internal.http.messages import RequestProblem
 from pearshed._internal.models.routing import CallerLimits
+from pearshed._internal.resources.account import ResourceAccount
 from pearshed._internal.timers import clock
 from pearshed._internal.timers.service import TimerService
 from pearshed._internal.utils.addresses import Address
@@ -20,29 +22,49 @@
 #: A response with this status has no body and no Content-Length.
 _NO_CONTENT = 204
 
-#: Returns the status and content of a page for the target of a request.
-PageHandler = Callable[[str], tuple[int, bytes]]
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """A page as it is sent.
+
+    :ivar content_type: not sent if it is empty.
+    """
+
+    status: int
+    content: bytes
+    content_type: str = "text/plain"
+
+
+#: Returns the page for the target of a request.
+PageHandler = Callable[[str], Page]
 
 
 class PageServer:
     """Serves pages, with one task for each connection.
 
     :param handler: called on the event loop for each request.
+    :param account: charged with what the connections hold.
     """
 
-    def __init__(self, handler: PageHandler, timers: TimerService) -> None:
+    def __init__(
+        self, handler: PageHandler, timers: TimerService, account: ResourceAccount
+    ) -> None:
         self._handler = handler
+        self._account = account
         self._listeners: list[Listener] = []
         self._connections: set[CallerConnection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         timers.every(_TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
 
-    async def listen(self, address: Address) -> None:
+    async def listen(self, address: Address) -> Address:
         """Listen on an address.
 
+        :returns: the bound address, with the port that the kernel chose for port 0.
         :raises AddressInUseError: when it can't be bound.
         """
-        self._listeners.append(await Listener.open(address, self._create_connection))
+        listener = await Listener.open(address, self._create_connection)
+        self._listeners.append(listener)
+        return listener.address
 
     def close(self) -> None:
         """Stop listening, and abort all connections."""
@@ -54,7 +76,9 @@
             connection.abort()
 
     def _create_connection(self) -> CallerConnection:
-        return CallerConnection(lambda: PAGE_LIMITS, self._serve_in_task, self._connections.discard)
+        return CallerConnection(
+            lambda: PAGE_LIMITS, self._account, self._serve_in_task, self._connections.discard
+        )
 
     def _serve_in_task(self, connection: CallerConnection) -> None:
         self._connections.add(connection)
@@ -71,17 +95,17 @@
                 write_problem(connection, request)
                 return
             try:
-                status, content = self._handler(request.target.decode("latin-1"))
+                page = self._handler(request.target.decode("latin-1"))
             except Exception:
                 target = request.target.decode("latin-1")
                 logging.exception("page.failed", extra={"fields": {"target": target}})
                 write_problem(connection, RequestProblem(500, f"{target} can't be rendered"))
                 return
-            headers = ((b"content-length", b"%d" % len(content)),) if status != _NO_CONTENT else ()
-            connection.write(messages.encode_head(messages.status_line(status), headers) + content)
+            _write_page(connection, page, close=not request.keep_alive)
             if not request.keep_alive:
                 connection.close()
                 return
+            await connection.drain()
             connection.finish_request()
 
     def _check_timeouts(self) -> None:
@@ -90,6 +114,18 @@
             connection.close_if_overdue(now)
 
 
+def _write_page(connection: CallerConnection, page: Page, *, close: bool) -> None:
+    headers = []
+    if page.content_type and page.content:
+        headers.append((b"content-type", page.content_type.encode()))
+    if page.status != _NO_CONTENT:
+        headers.append((b"content-length", b"%d" % len(page.content)))
+    if close:
+        headers.append((b"connection", b"close"))
+    connection.write(messages.encode_head(messages.status_line(page.status), headers))
+    connection.write(page.content)
+
+
 def page_name(target: str) -> str:
     """Return the name of the requested page: the last segment of the path."""
     return target.partition("?")[0].rpartition("/")[2]
@@ -98,10 +134,12 @@
 def write_problem(connection: CallerConnection, problem: RequestProblem) -> None:
     """Respond to an invalid request, and close its connection."""
     content = problem.message.encode() + b"\n"
-    headers = (
+    headers = [
         (b"content-type", b"text/plain"),
         (b"content-length", b"%d" % len(content)),
         (b"connection", b"close"),
-    )
+    ]
+    if problem.retry_after_s:
+        headers.append((b"retry-after", b"%d" % problem.retry_after_s))
     connection.write(messages.encode_head(messages.status_line(problem.status), headers) + content)
-    connection.close()
+    connection.close_refused()
--- a/src/pearshed/_internal/platform/headers.py
+++ b/src/pearshed/_internal/platform/headers.py
@@ -11,10 +11,12 @@
     ResponseMetadata,
 )
 from pearshed._internal.http import messages
-from pearshed._internal.http.messages import Header, Headers, ResponseHead
+from pearshed._internal.http.header_block import Header, HeaderBlock
+from pearshed._internal.http.messages import Headers, ResponseHead
 from pearshed._internal.models.routing import EndpointEntry, PromptPart
 from pearshed._internal.platform import names
 from pearshed._internal.timers.clock import MILLISECONDS_PER_SECOND
+from pearshed._internal.utils.bounded_ids import bounded_id
 from pearshed._internal.utils.foreign_values import parse_count, to_integer, to_number
 
 #: The platform accepts ranks of one digit.
@@ -26,19 +28,18 @@
 
     def decode_request(self, headers: Headers) -> RequestMetadata:
         """Decode the headers of a caller's request."""
-        values = dict(reversed(headers))
-        prompt_tokens, max_output_tokens = _parse_token_limits(values.get(names.TOKEN_LIMITS, b""))
+        prompt_tokens, max_output_tokens = _parse_token_limits(_value(headers, names.TOKEN_LIMITS))
         return RequestMetadata(
-            request_id=values.get(names.REQUEST_ID, b"").decode("latin-1"),
-            deadline_ms=_parse_milliseconds(values.get(names.DEADLINE_MS, b"")),
-            api_key=_parse_api_key(values.get(names.AUTHORIZATION, b"")),
-            last_event_id=values.get(names.LAST_EVENT_ID, b"").decode("latin-1"),
-            resumes=values.get(names.RESUMES, b"").decode("latin-1"),
-            prompt=_parse_prompt_parts(values.get(names.PROMPT_PARTS, b"")),
+            request_id=_value(headers, names.REQUEST_ID).decode("latin-1"),
+            deadline_ms=_parse_milliseconds(_value(headers, names.DEADLINE_MS)),
+            api_key=_parse_api_key(_value(headers, names.AUTHORIZATION)),
+            last_event_id=_value(headers, names.LAST_EVENT_ID).decode("latin-1"),
+            resumes=_value(headers, names.RESUMES).decode("latin-1"),
+            prompt=_parse_prompt_parts(_value(headers, names.PROMPT_PARTS)),
             prompt_tokens=prompt_tokens,
             max_output_tokens=max_output_tokens,
-            output_tokens_hint=_parse_count(values.get(names.LENGTH_HINT, b"")),
-            forwarded_headers=tuple(
+            output_tokens_hint=_parse_count(_value(headers, names.LENGTH_HINT)),
+            forwarded_headers=HeaderBlock.of(
                 header
                 for header in messages.end_to_end(headers)
                 if header[0] not in names.SYSTEM_HEADERS
@@ -63,16 +64,17 @@
 
     def decode_response(self, head: ResponseHead) -> ResponseMetadata:
         """Decode the headers of an endpoint's response."""
-        values = dict(reversed(head.headers))
+        headers = head.headers
         return ResponseMetadata(
-            request_id=values.get(names.REQUEST_ID, b"").decode("latin-1"),
-            signed=names.SIGNATURE in values,
-            not_executed=names.NOT_EXECUTED in values or head.status == 421,
-            load=_parse_load(values.get(names.LOAD, b"")),
-            leaving=values.get(names.LEAVING) == b"1",
-            rate_limit=_parse_rate(values.get(names.RATE_LIMIT, b"")),
-            cold_s=_parse_seconds(values.get(names.COLD_MS, b"")),
-            pause=_parse_pause(head.status, values.get(names.RETRY_AFTER, b"")),
+            request_id=_value(headers, names.REQUEST_ID).decode("latin-1"),
+            signed=messages.header_value(headers, names.SIGNATURE) is not None,
+            not_executed=messages.header_value(headers, names.NOT_EXECUTED) is not None
+            or head.status == 421,
+            load=_parse_load(_value(headers, names.LOAD)),
+            leaving=_value(headers, names.LEAVING) == b"1",
+            rate_limit=_parse_rate(_value(headers, names.RATE_LIMIT)),
+            cold_s=_parse_seconds(_value(headers, names.COLD_MS)),
+            pause=_parse_pause(head.status, _value(headers, names.RETRY_AFTER)),
         )
 
     def encode_refusal(self, request_id: str, retry_after_s: float) -> list[Header]:
@@ -101,6 +103,10 @@
             return 0
 
 
+def _value(headers: Headers, name: bytes) -> bytes:
+    return messages.header_value(headers, name) or b""
+
+
 def _parse_pause(status: int, value: bytes) -> PauseRequest | None:
     """Return the pause that an engine asks for; only a 503 asks the gateway, others the caller."""
     return parse_pause(value) if status == 503 and value else None
@@ -138,7 +144,7 @@
         tokens = parse_count(text)
         if not part_id or tokens is None:
             return tuple(parts)
-        parts.append(PromptPart(part_id, tokens))
+        parts.append(PromptPart(bounded_id(part_id), tokens))
     return tuple(parts)
 
 
--- a/src/pearshed/_internal/platform/settings_file.py
+++ b/src/pearshed/_internal/platform/settings_file.py
@@ -12,6 +12,7 @@
 from pearshed._internal.errors import FieldProblem, SettingsError
 from pearshed._internal.gateway.settings import GatewaySettings
 from pearshed._internal.platform import names
+from pearshed._internal.resources.limits import MachineLimits
 from pearshed._internal.timers.clock import MILLISECONDS_PER_SECOND
 from pearshed._internal.utils.addresses import Address, parse_address
 
@@ -76,6 +77,15 @@
         data_centre=reader.text("zone"),
         listen=Address(host, reader.first_peer_port()),
         engine=reader.address("", "app"),
+        machine=_read_machine(reader),
+    )
+
+
+def _read_machine(reader: "_Reader") -> MachineLimits:
+    descriptors = reader.optional_number("limits", "maxFds")
+    return MachineLimits.of_machine(
+        reader.optional_number("limits", "memoryMb"),
+        int(descriptors) if descriptors is not None else None,
     )
 
 
@@ -108,6 +118,7 @@
         },
         cold_overshoot=reader.optional_number("bounds", "coldOvershoot"),
         cold_slack=reader.optional_number("bounds", "coldSlack") or 0.0,
+        machine=_read_machine(reader),
     )
 
 
--- a/tests/gateway/test_caller_connection.py
+++ b/tests/gateway/test_caller_connection.py
@@ -6,11 +6,14 @@
 
 from parameterized import parameterized
 
+from pearshed._internal.decisions.ending_order import Room
 from pearshed._internal.http.caller_connection import CallerConnection
 from pearshed._internal.http.messages import HttpRequest, RequestProblem
 from pearshed._internal.models.routing import CallerLimits
+from pearshed._internal.resources.account import ResourceAccount
 
 LIMITS = CallerLimits(1024, 2048, 3.0, 15.0)
+ROOM = Room(1024 * 1024, 10)
 HEAD = b"POST /a/ HTTP/1.1\r\nHost: h\r\n"
 
 
@@ -28,6 +31,12 @@
     def set_write_buffer_limits(self, high: Any = None, low: Any = None) -> None:
         pass
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def can_write_eof(self) -> bool:
+        return False
+
     def is_closing(self) -> bool:
         return self.closed
 
@@ -46,7 +55,8 @@
 
 class CallerConnectionTest(unittest.IsolatedAsyncioTestCase):
     def connect(self) -> CallerConnection:
-        connection = CallerConnection(lambda: LIMITS, lambda _: None, lambda _: None)
+        account = ResourceAccount("callers", lambda: ROOM)
+        connection = CallerConnection(lambda: LIMITS, account, lambda _: None, lambda _: None)
         self.transport = FakeTransport()
         connection.connection_made(self.transport)
         return connection
--- a/tests/lib/crowd_fixture.py
+++ b/tests/lib/crowd_fixture.py
@@ -138,4 +138,4 @@
             self.assertTrue(self.gateway.alive, self.gateway.log_text[-2000:])
             status = await self.ordinary_status()
         self.assertTrue(self.gateway.alive, self.gateway.log_text[-2000:])
-        self.assertEqual(200, status)
+        self.assertEqual(200, status, self.gateway.log_text[-4000:])
--- a/tests/lib/crowds.py
+++ b/tests/lib/crowds.py
@@ -103,7 +103,7 @@
         for task in self._tasks:
             task.cancel()
         for connection in self._connections:
-            if connection.transport is not None:
+            if connection.transport is not None and not connection.ended:
                 connection.transport.abort()
 
     async def _run_client(self, gate: asyncio.Semaphore) -> None:
