--- a/src/pearshed/_internal/gateway/request_logger.py
+++ b/src/pearshed/_internal/gateway/request_logger.py
@@ -16,8 +16,8 @@
 class RequestLogger:
     """Writes one line for each decision about a request.
 
-    Lines about failures are always written. Other lines are sampled under load by the request's
-    id, so that all processes keep the lines of the same requests.
+    Lines about failures of routed requests are always written. Other lines are sampled under load
+    by the request's id, so that all processes keep the lines of the same requests.
 
     :param context: returns the version and age of the configuration, added to each line.
     """
@@ -51,4 +51,6 @@
         self._lines_this_second += 1
         if self._lines_this_second <= MAX_LINES_PER_S:
             return True
-        return zlib.crc32(request_id.encode()) % SAMPLE_ONE_IN == 0
+        # Requests without an id have nothing in common.
+        sampled_by = request_id or str(self._lines_this_second)
+        return zlib.crc32(sampled_by.encode()) % SAMPLE_ONE_IN == 0
--- a/src/pearshed/_internal/gateway/request_metrics.py
+++ b/src/pearshed/_internal/gateway/request_metrics.py
@@ -7,10 +7,14 @@
 
 from pearshed._internal.gateway.routed_call import AttemptOutcome, RoutedCall
 from pearshed._internal.http.messages import BodyFraming
+from pearshed._internal.telemetry.bounded_labels import BoundedLabels
 from pearshed._internal.telemetry.histogram import latency_histogram
 from pearshed._internal.telemetry.metrics import HistogramMetric, Metric, Sample
 from pearshed._internal.timers import clock
 
+#: Reasons of refusals that are counted apart; some state what an endpoint sent.
+_MAX_REASONS = 64
+
 
 class RequestMetrics:
     """Counts responses, refusals and attempts, and records latencies."""
@@ -19,6 +23,7 @@
         self._responses: Counter[tuple[str, int]] = Counter()
         self._on_time: Counter[str] = Counter()
         self._refusals: Counter[tuple[int, str]] = Counter()
+        self._reasons = BoundedLabels(_MAX_REASONS)
         self._attempts: Counter[str] = Counter()
         self._framings: Counter[tuple[str, str]] = Counter()
         self._response_start: dict[str, Histogram] = {}
@@ -46,7 +51,7 @@
 
     def record_refusal(self, status: int, reason: str) -> None:
         """Count a refusal by the gateway."""
-        self._refusals[(status, reason)] += 1
+        self._refusals[(status, self._reasons.label(reason))] += 1
 
     def record_attempt(self, outcome: AttemptOutcome, framing: BodyFraming | None) -> None:
         """Count an attempt by its outcome.
--- a/src/pearshed/_internal/logs.py
+++ b/src/pearshed/_internal/logs.py
@@ -13,6 +13,8 @@
 
 _VERBOSE_LIBRARIES = ("asyncio", "grpclib", "h2", "hpack", "urllib3")
 
+_MAX_FIELD_CHARACTERS = 512
+
 
 class JsonFormatter(standard_logging.Formatter):
     """Formats a log record as a JSON object that includes the name of the process.
@@ -33,7 +35,8 @@
             "process": self._process,
             "message": record.getMessage(),
         }
-        document.update(getattr(record, "fields", {}))
+        for name, value in getattr(record, "fields", {}).items():
+            document[name] = _shorten(value)
         if record.exc_info:
             document["exception"] = self.formatException(record.exc_info)
         return json.dumps(document, separators=(",", ":"))
@@ -46,7 +49,7 @@
         """Format the record."""
         timestamp = time.strftime("%H:%M:%S", time.gmtime(record.created))
         fields = " ".join(
-            f"{name}={value}" for name, value in getattr(record, "fields", {}).items()
+            f"{name}={_shorten(value)}" for name, value in getattr(record, "fields", {}).items()
         )
         line = f"{timestamp}.{int(record.msecs):03d} {record.levelname[0]} {record.getMessage()}"
         if fields:
@@ -56,6 +59,13 @@
         return line
 
 
+def _shorten(value: object) -> object:
+    """Cut a long text, which callers or endpoints may have chosen."""
+    if isinstance(value, str) and len(value) > _MAX_FIELD_CHARACTERS:
+        return value[:_MAX_FIELD_CHARACTERS] + "..."
+    return value
+
+
 def configure(process: str, log_format: LogFormat, verbosity: str) -> None:
     """Log to standard error in the given format.
 
