Serve the admin pages of entries and sides on the event loop, within an account

What operators saw: beside a few silent clients, or some that stopped inside a head, /readyz of an entry or side got no answer, and the head of a request had no limit.

Cause: three threads read requests, each as long as its client likes up to 10 s, and the library's limit of a head wasn't set; connections were not counted.

Change: the pages come from the server that gateways use, with its limits and an account of their own. process.memory_mb and process.max_descriptors may lower what follows from the machine.

--- a/src/pearshed/_internal/admin/server.py
+++ b/src/pearshed/_internal/admin/server.py
@@ -1,23 +1,16 @@
-"""Serves the health, readiness, metrics and state dump pages of a process over HTTP."""
+"""Serves the health, readiness, metrics and state dump pages of an entry or a side over HTTP."""
 
 import abc
-import asyncio
 import json
-import threading
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
-from cheroot import wsgi
-
-from pearshed._internal.errors import AddressInUseError
+from pearshed._internal.http.page_server import Page, PageServer
+from pearshed._internal.resources.account import ResourceAccount
 from pearshed._internal.telemetry.metrics import MetricsPage
+from pearshed._internal.timers.service import TimerService
 from pearshed._internal.utils.addresses import Address
 
-_THREADS = 3
-_DUMP_TIMEOUT_S = 5.0
-
-StartResponse = Callable[[str, list[tuple[str, str]]], Any]
-
 
 class Inspectable(abc.ABC):
     """The state of a process that its admin pages show."""
@@ -32,91 +25,56 @@
 
 
 class AdminServer:
-    """Serves the admin pages on a separate address, from threads of its own.
+    """Serves the admin pages on a separate address.
 
-    :param loop: the event loop whose thread reads the state.
+    :param account: charged with what the connections hold.
     """
 
     def __init__(
         self,
         address: Address,
-        loop: asyncio.AbstractEventLoop,
         process: Inspectable,
         metrics: MetricsPage,
+        timers: TimerService,
+        account: ResourceAccount,
     ) -> None:
         self._address = address
-        self._loop = loop
         self._process = process
         self._metrics = metrics
-        self._server = wsgi.Server(
-            (address.host, address.port), self._serve, numthreads=_THREADS, max=_THREADS
-        )
-        self._thread = threading.Thread(target=self._server.serve, name="admin", daemon=True)
+        self._server = PageServer(self._find_page, timers, account)
 
     @property
     def address(self) -> Address:
         """The bound address, with the port that the kernel chose if the settings have port 0."""
-        host, port = self._server.bind_addr[:2]
-        return Address(host, port)
+        return self._address
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Bind the address and serve.
 
         :raises AddressInUseError: if it can't be bound.
         """
-        prepare_server(self._server, self._address, "admin")
-        self._thread.start()
+        self._address = await self._server.listen(self._address)
 
     def stop(self) -> None:
         """Stop serving."""
-        self._server.stop()
+        self._server.close()
 
-    def _serve(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
-        status, content_type, content = self._render_page(environ)
-        headers = [("Content-Type", content_type), ("Content-Length", str(len(content)))]
-        start_response(status, headers)
-        return [content]
-
-    def _render_page(self, environ: Mapping[str, Any]) -> tuple[str, str, bytes]:
-        path = environ["PATH_INFO"]
+    def _find_page(self, target: str) -> Page:
+        path = target.partition("?")[0]
         if path == "/healthz":
-            return "200 OK", "text/plain", b"ok\n"
+            return Page(200, b"ok\n")
         if path == "/readyz":
             return self._render_readiness()
         if path == "/metrics":
-            content, content_type = self._call_on_loop(
-                lambda: self._metrics.render(environ.get("HTTP_ACCEPT", "*/*"))
-            )
-            return "200 OK", content_type, content
+            content, content_type = self._metrics.render("text/plain")
+            return Page(200, content, content_type)
         if path == "/dump":
-            document = json.dumps(self._call_on_loop(self._process.dump), indent=2, default=str)
-            return "200 OK", "application/json", document.encode() + b"\n"
-        return "404 Not Found", "text/plain", b"pages: /healthz /readyz /metrics /dump\n"
+            document = json.dumps(self._process.dump(), indent=2, default=str)
+            return Page(200, document.encode() + b"\n", "application/json")
+        return Page(404, b"pages: /healthz /readyz /metrics /dump\n")
 
-    def _render_readiness(self) -> tuple[str, str, bytes]:
+    def _render_readiness(self) -> Page:
         reasons = self._process.not_ready_reasons()
         if reasons:
-            return "503 Service Unavailable", "text/plain", ("\n".join(reasons) + "\n").encode()
-        return "200 OK", "text/plain", b"ready\n"
-
-    def _call_on_loop(self, read: Callable[[], Any]) -> Any:
-        async def read_on_loop() -> Any:
-            return read()
-
-        return asyncio.run_coroutine_threadsafe(read_on_loop(), self._loop).result(_DUMP_TIMEOUT_S)
-
-
-def prepare_server(server: wsgi.Server, address: Address, purpose: str) -> None:
-    """Bind a server's address.
-
-    :param purpose: what the address serves, for the error message.
-    :raises AddressInUseError: if it can't be bound.
-    """
-    try:
-        server.prepare()
-    except OSError as error:
-        raise AddressInUseError(
-            f"can't listen on {address} for {purpose}",
-            context=[str(error)],
-            hint="the port may be in use, or the IP address may not belong to this machine",
-        ) from error
+            return Page(503, ("\n".join(reasons) + "\n").encode())
+        return Page(200, b"ready\n")
--- a/src/pearshed/_internal/entry/http_server.py
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -18,9 +18,11 @@
 
 from pearshed._internal.entry import responses
 from pearshed._internal.entry.classifier import new_request_id
+from pearshed._internal.errors import AddressInUseError
 from pearshed._internal.models.outcomes import FailureCode, RequestFailure
 from pearshed._internal.settings.model import EntrySettings
 from pearshed._internal.timers import clock
+from pearshed._internal.utils.addresses import Address
 from pearshed._internal.utils.sockets import (
     HANDSHAKE_S,
     drop_new_connections,
@@ -309,3 +311,19 @@
         return bool(poll.poll(0))
     except (OSError, ValueError):
         return True
+
+
+def prepare_server(server: wsgi.Server, address: Address, purpose: str) -> None:
+    """Bind a server's address.
+
+    :param purpose: what the address serves, for the error message.
+    :raises AddressInUseError: if it can't be bound.
+    """
+    try:
+        server.prepare()
+    except OSError as error:
+        raise AddressInUseError(
+            f"can't listen on {address} for {purpose}",
+            context=[str(error)],
+            hint="the port may be in use, or the IP address may not belong to this machine",
+        ) from error
--- a/src/pearshed/_internal/entry/process.py
+++ b/src/pearshed/_internal/entry/process.py
@@ -7,14 +7,13 @@
 
 from absl import logging
 
-from pearshed._internal.admin.server import prepare_server
 from pearshed._internal.configuration.catalogue import Catalogue
 from pearshed._internal.entry.admission import EntryAdmission
 from pearshed._internal.entry.application import CallerApplication
 from pearshed._internal.entry.classifier import Classifier
 from pearshed._internal.entry.dispatcher import Dispatcher
 from pearshed._internal.entry.health import EndpointHealth
-from pearshed._internal.entry.http_server import CallerServer
+from pearshed._internal.entry.http_server import CallerServer, prepare_server
 from pearshed._internal.entry.key_router import KeyRouter
 from pearshed._internal.entry.link import EntryIdentity, SideLink
 from pearshed._internal.entry.links import LinkTable
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -114,7 +114,7 @@
         self._log_stream = log_stream
         self._rng = random.Random()
         self._timers = TimerService()
-        self._account = ProcessAccount(lambda: self._settings.machine)
+        self._account = ProcessAccount(lambda: self._settings.machine, serves_callers=True)
         self._evacuation_settings = _evacuation_settings(settings)
         self._evacuations = EvacuationTable(lambda: self._evacuation_settings)
         self._store_cache = StoreCache(store, decoder, self._rng, self._evacuations)
--- a/src/pearshed/_internal/http/segments.py
+++ b/src/pearshed/_internal/http/segments.py
@@ -30,6 +30,9 @@
 
     def append(self, content: bytes) -> None:
         """Append bytes."""
+        if len(self._last) + len(content) < SEGMENT_BYTES:
+            self._last += content
+            return
         start = 0
         while start < len(content):
             end = start + SEGMENT_BYTES - len(self._last)
--- a/src/pearshed/_internal/processes/base.py
+++ b/src/pearshed/_internal/processes/base.py
@@ -19,6 +19,7 @@
 from pearshed._internal.errors import InvariantBrokenError
 from pearshed._internal.membership.vm_view import VMView
 from pearshed._internal.peers.relay import FeedRelay
+from pearshed._internal.resources.process_account import ProcessAccount
 from pearshed._internal.settings.model import PlatformSettings, ProcessSettings, TlsFiles
 from pearshed._internal.telemetry.metrics import Metric, MetricsPage, Sample, counter, gauge
 from pearshed._internal.timers.service import TimerService
@@ -53,7 +54,11 @@
         self._stop_requested = asyncio.Event()
         self._stopping = False
         self._failure: BaseException | None = None
-        self._admin = AdminServer(settings.admin, asyncio.get_running_loop(), self, self._metrics)
+        self._account = ProcessAccount(lambda: settings.machine)
+        self._metrics.add(self._account.collect)
+        self._admin = AdminServer(
+            settings.admin, self, self._metrics, self._timers, self._account.pages
+        )
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then finish the requests in flight."""
@@ -64,7 +69,7 @@
         self._store.subscribe(lambda _: self._relay.announce_changes())
         self._view.subscribe(self._relay.announce_changes)
         try:
-            self._admin.start()
+            await self._admin.start()
             for follower in self._followers:
                 self._spawn(follower.run())
             await self._start()
@@ -112,6 +117,7 @@
             "refused_records": [str(problem) for problem in self._store.refused],
             "platform_reads": self._platform.reads,
             "timers_pending": self._timers.pending,
+            "held": self._account.dump(),
             **self._dump(),
         }
 
--- a/src/pearshed/_internal/resources/limits.py
+++ b/src/pearshed/_internal/resources/limits.py
@@ -56,12 +56,12 @@
     @property
     def callers(self) -> Room:
         """Room for callers' connections; each request takes a connection to an endpoint too."""
-        sockets = self.descriptors - _FILE_DESCRIPTORS - _OWN_SOCKETS - _ACCEPT_SLACK
-        connections = (sockets - PAGE_CONNECTIONS) // 2
-        return Room(
-            max(_LEAST_CALLERS_BYTES, int(self._held_bytes * (1 - _PAGES_SHARE))),
-            max(_LEAST_CONNECTIONS, connections),
-        )
+        return Room(self._callers_bytes, max(_LEAST_CONNECTIONS, self._free_sockets // 2))
+
+    @property
+    def entry_callers(self) -> Room:
+        """Room for the connections of an entry's callers; its links to sides are shared."""
+        return Room(self._callers_bytes, max(_LEAST_CONNECTIONS, self._free_sockets))
 
     @property
     def pages(self) -> Room:
@@ -70,6 +70,20 @@
             max(_LEAST_CALLERS_BYTES // 2, int(self._held_bytes * _PAGES_SHARE)), PAGE_CONNECTIONS
         )
 
+    @property
+    def peers(self) -> Room:
+        """Room for the connections of entries to a side."""
+        return self.entry_callers
+
+    @property
+    def _free_sockets(self) -> int:
+        reserved = _FILE_DESCRIPTORS + _OWN_SOCKETS + _ACCEPT_SLACK + PAGE_CONNECTIONS
+        return self.descriptors - reserved
+
+    @property
+    def _callers_bytes(self) -> int:
+        return max(_LEAST_CALLERS_BYTES, int(self._held_bytes * (1 - _PAGES_SHARE)))
+
     @property
     def _held_bytes(self) -> float:
         return max(0, self.memory_bytes - PROGRAM_BYTES) * _CALLERS_SHARE
--- a/src/pearshed/_internal/settings/loader.py
+++ b/src/pearshed/_internal/settings/loader.py
@@ -8,6 +8,7 @@
 import yaml
 
 from pearshed._internal.errors import FieldProblem, SettingsError
+from pearshed._internal.resources.limits import MachineLimits
 from pearshed._internal.settings.model import (
     EntrySettings,
     LogFormat,
@@ -122,11 +123,25 @@
         admin=_read_address(section, "admin"),
         log_format=_read_choice(section, "log_format", LogFormat.PLAIN),
         log_level=section.text("log_level", "info", _LOG_LEVELS),
+        machine=_read_machine(section),
     )
     section.finish()
     return settings
 
 
+def _read_machine(section: FieldReader) -> MachineLimits:
+    """Read limits that may be lower than those of the machine."""
+    return MachineLimits.of_machine(
+        _read_optional_integer(section, "memory_mb", minimum=64),
+        _read_optional_integer(section, "max_descriptors", minimum=512),
+    )
+
+
+def _read_optional_integer(section: FieldReader, name: str, *, minimum: int) -> int | None:
+    value = section.integer(name, minimum, minimum=minimum)
+    return value if section.has(name) else None
+
+
 def _read_choice(section: FieldReader, name: str, default: _Choice) -> _Choice:
     choices = {choice.value: choice for choice in type(default)}
     return choices.get(section.text(name, default.value, list(choices)), default)
--- a/src/pearshed/_internal/settings/model.py
+++ b/src/pearshed/_internal/settings/model.py
@@ -1,8 +1,9 @@
 """Validated settings of entries and sides."""
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from pearshed._internal.resources.limits import MachineLimits
 from pearshed._internal.utils.addresses import Address
 
 
@@ -34,6 +35,7 @@
 
     :ivar name: unique name; for an entry, the name of its VM in the platform's VM list.
     :ivar admin: address of the health, metrics and state dump pages.
+    :ivar machine: memory and descriptors of the process.
     """
 
     name: str
@@ -41,6 +43,7 @@
     admin: Address
     log_format: LogFormat
     log_level: str
+    machine: MachineLimits = field(default_factory=MachineLimits.of_machine)
 
 
 @dataclass(frozen=True)
