Count what callers make an entry hold

What callers saw: beside 60 bodies that stopped a byte short an entry held 380 MB; 900 silent connections took 900 descriptors; beside 60 bodies in chunks of two bytes ordinary calls got 503 and the entry wasn't ready.

Cause: each thread read a body in one piece, with a copy for each chunk, and kept all headers; entry.max_connections bound idle connections only. A body beyond the limit was read to its end before it was refused, and trailers were parsed as the next request.

Change: connections are in the entry's account from their start. Only headers that the entry reads are kept. What ends for lack of room gets 503 with Retry-After.

--- a/src/pearshed/_internal/entry/application.py
+++ b/src/pearshed/_internal/entry/application.py
@@ -11,7 +11,7 @@
 
 from absl import logging
 from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from pearshed._internal.configuration.catalogue import Catalogue
 from pearshed._internal.entry import responses
@@ -24,6 +24,7 @@
 )
 from pearshed._internal.entry.dispatcher import Dispatcher
 from pearshed._internal.entry.http_server import (
+    READ_BODY_KEY,
     READ_DONE_KEY,
     RESPONSE_FRAMING_KEY,
     SOCKET_KEY,
@@ -93,24 +94,8 @@
         )
 
     def _read_call(self, environ: dict[str, Any]) -> Result[HttpCall, RequestFailure]:
-        limit = self._max_body_bytes
-        content_length = int(environ.get("CONTENT_LENGTH") or 0)
-        too_large = RequestFailure(FailureCode.TOO_LARGE, f"the body is larger than {limit} bytes")
-        if content_length > limit:
-            return Failure(too_large)
-        try:
-            content = environ["wsgi.input"].read(content_length or limit + 1)
-        except (OSError, ValueError) as error:
-            return Failure(
-                RequestFailure(FailureCode.MALFORMED, f"the body can't be read: {error}")
-            )
-        if len(content) > limit:
-            return Failure(too_large)
-        if len(content) < content_length:
-            return Failure(
-                RequestFailure(FailureCode.MALFORMED, "the body is shorter than announced")
-            )
-        return Success(_http_call(environ, content))
+        body: Result[bytes, RequestFailure] = environ[READ_BODY_KEY](self._max_body_bytes)
+        return body.map(lambda content: _http_call(environ, content))
 
     def _route(
         self, call: HttpCall, request_id: str
--- a/src/pearshed/_internal/entry/classifier.py
+++ b/src/pearshed/_internal/entry/classifier.py
@@ -28,6 +28,8 @@
 _PREFIX_CHARACTERS = 512
 _HASH_BYTES = 8
 _FORWARDED_HEADERS = ("content-type", "accept", "accept-language", "user-agent")
+#: Headers of calls that anything is done with, in lower case.
+READ_HEADERS = frozenset(("authorization", CLASS_HEADER, KEY_HEADER, *_FORWARDED_HEADERS))
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/pearshed/_internal/entry/http_server.py
+++ b/src/pearshed/_internal/entry/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import io
 import math
 import select
@@ -15,11 +16,22 @@
 from cheroot import server, wsgi
 from cheroot.makefile import MakeFile
 from cheroot.ssl import Adapter
+from returns.pipeline import is_successful
+from returns.result import Result
 
+from pearshed._internal.decisions.ending_order import Holding, HoldingStage
 from pearshed._internal.entry import responses
-from pearshed._internal.entry.classifier import new_request_id
+from pearshed._internal.entry.body_reader import (
+    BodySource,
+    no_room,
+    read_chunks,
+    read_known_length,
+)
+from pearshed._internal.entry.caller_room import CallerRoom
+from pearshed._internal.entry.classifier import READ_HEADERS, new_request_id
 from pearshed._internal.errors import AddressInUseError
 from pearshed._internal.models.outcomes import FailureCode, RequestFailure
+from pearshed._internal.resources.account import Holder
 from pearshed._internal.settings.model import EntrySettings
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
@@ -30,6 +42,7 @@
 )
 
 SOCKET_KEY = "pearshed.socket"
+READ_BODY_KEY = "pearshed.read_body"
 RESPONSE_FRAMING_KEY = "pearshed.response_framing"
 READ_DONE_KEY = "pearshed.read_done"
 
@@ -37,6 +50,13 @@
 _SPARE_THREADS = 32
 _MAX_HEADER_BYTES = 64 * 1024
 _BUSY_READ_TIMEOUT_S = 1.0
+#: Memory of a connection with its buffers, bytes.
+_CONNECTION_BYTES = 24 * 1024
+#: A body is held by the call and, while it is sent to a side, by a frame and by its message.
+_COPIES_OF_BODY = 3
+#: Headers that the server reads itself, in its spelling.
+_SERVER_HEADERS = (b"Connection", b"Content-Length", b"Expect", b"Host", b"Transfer-Encoding")
+_READ_HEADERS = frozenset((*_SERVER_HEADERS, *(name.title().encode() for name in READ_HEADERS)))
 _CHEROOT_INFO_LEVEL = 20
 _LOG_LEVEL_FOR_INFO = logging.DEBUG
 _CODES_BY_STATUS = {
@@ -108,18 +128,52 @@
                 sock.shutdown(socket.SHUT_RD)
 
 
+class _KnownHeaderReader(server.HeaderReader):
+    """Keeps the headers that the server and the application read.
+
+    Each line of a few bytes would otherwise take some hundred.
+    """
+
+    def _allow_header(self, key_name: bytes) -> bool:
+        return key_name in _READ_HEADERS
+
+
 class _TimedRequest(server.HTTPRequest):
     """A request with a read timeout."""
 
+    header_reader = _KnownHeaderReader()
+
     def parse_request(self) -> None:
         """Read the request line and headers."""
         self.server.read_monitor.start_read(self.conn.socket)
+        self.conn.begin_receiving()
         super().parse_request()
 
+    def read_body(self, limit: int) -> Result[bytes, RequestFailure]:
+        """Read the body.
+
+        :param limit: its largest size, bytes.
+        """
+        length = int(self.inheaders.get(b"Content-Length", 0))
+        body: Result[bytes, RequestFailure] = (
+            read_chunks(self.conn, self.conn.rfile, limit)
+            if self.chunked_read
+            else read_known_length(self.conn, self.rfile, length, limit)
+        )
+        if not is_successful(body):
+            # The server would read the rest of the body before it responds.
+            self.close_connection = True
+            self.rfile = server.KnownLengthRFile(self.conn.rfile, 0)
+        self.conn.begin_serving(body.value_or(b""))
+        return body
+
     def simple_response(self, status: str | int, msg: str = "") -> None:
         """Refuse a malformed HTTP request with the same error document as other refusals."""
         code, _, phrase = str(status).partition(" ")
         failure = RequestFailure(_CODES_BY_STATUS.get(code, FailureCode.MALFORMED), msg or phrase)
+        if self.conn.ended:
+            failure = no_room()
+            status = responses.status_line(failure.status)
         _, headers, content = responses.error_response(failure, new_request_id())
         lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in headers)]
         self.close_connection = True
@@ -128,19 +182,87 @@
             self.conn.wfile.write("\r\n".join(lines).encode("iso-8859-1") + content)
 
 
-class _TimedConnection(server.HTTPConnection):
-    """A connection that stops the read timeout when its thread stops serving it."""
+class _TimedConnection(server.HTTPConnection, Holder, BodySource):
+    """A connection that is accounted for, and whose read timeout ends with its thread's service.
+
+    :raises ConnectionAbortedError: when too many are open already; the server drops it.
+    """
 
     RequestHandlerClass = _TimedRequest
     #: Whether the response in progress is not complete and must not seem so.
     breaks_off = False
 
+    def __init__(self, caller_server: "CallerServer", sock: socket.socket, *args: Any) -> None:
+        super().__init__(caller_server, sock, *args)
+        self._stage = HoldingStage.IDLE
+        self._content_bytes = 0
+        self._moved_bytes = 0
+        self._begun_at = self._progressed_at = clock.now()
+        self._ended = False
+        if not caller_server.room.open(self):
+            sock.close()
+            raise ConnectionAbortedError(errno.ECONNABORTED, "too many connections are open")
+
+    @property
+    def ended(self) -> bool:
+        """Whether it was ended for lack of room."""
+        return self._ended
+
     def communicate(self) -> Any:
         """Serve one request of the connection."""
         try:
             return super().communicate()  # type: ignore[no-untyped-call]
         finally:
             self.server.read_monitor.finish_read(self.socket)
+            self._begin(HoldingStage.IDLE)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.server.room.close(self)
+        super().close()
+
+    def begin_receiving(self) -> None:
+        """Record that a thread begins to read a request."""
+        self._begin(HoldingStage.RECEIVING)
+
+    def record_received(self, received_bytes: int, held_bytes: int) -> None:
+        """Record progress of a body."""
+        self._moved_bytes += received_bytes
+        self._content_bytes = held_bytes
+        self._progressed_at = clock.now()
+        self.server.room.update(self)
+
+    def begin_serving(self, body: bytes) -> None:
+        """Record that a request was read."""
+        self._begin(HoldingStage.SERVING, _COPIES_OF_BODY * len(body))
+
+    def holding(self) -> "Holding[Holder]":
+        """Return what the connection holds."""
+        held_bytes = _CONNECTION_BYTES + self._content_bytes
+        stage = HoldingStage.REFUSED if self._ended else self._stage
+        return Holding(
+            self,
+            stage,
+            held_bytes,
+            held_bytes,
+            self._moved_bytes,
+            self._begun_at,
+            self._progressed_at,
+        )
+
+    def end_for_lack_of_room(self) -> None:
+        """Let the thread that reads, or is about to, find the end of the input."""
+        self._ended = True
+        self._content_bytes = 0
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RD)
+
+    def _begin(self, stage: HoldingStage, content_bytes: int = 0) -> None:
+        self._stage = stage
+        self._content_bytes = content_bytes
+        self._moved_bytes = 0
+        self._begun_at = self._progressed_at = clock.now()
+        self.server.room.update(self)
 
     def _close_kernel_socket(self) -> None:
         """End the connection, but for one that is reset when its socket is closed."""
@@ -196,6 +318,7 @@
         sock = self.req.conn.socket
         environ[SOCKET_KEY] = sock
         environ[RESPONSE_FRAMING_KEY] = ResponseFraming(self.req)
+        environ[READ_BODY_KEY] = self.req.read_body
         environ[READ_DONE_KEY] = lambda: self.req.server.read_monitor.finish_read(sock)
         return environ
 
@@ -234,6 +357,8 @@
 
     There is a thread for each request that may be admitted and some spare, so that refusals and
     calls that are not routed never wait for a thread.
+
+    :param room: what callers' connections may hold.
     """
 
     ConnectionClass = _TimedConnection
@@ -242,8 +367,10 @@
         self,
         settings: EntrySettings,
         application: WsgiApplication,
+        room: CallerRoom,
         tls: ssl.SSLContext | None = None,
     ) -> None:
+        self.room = room
         threads = settings.max_requests + _SPARE_THREADS
         super().__init__(
             (settings.listen.host, settings.listen.port),
--- a/src/pearshed/_internal/entry/process.py
+++ b/src/pearshed/_internal/entry/process.py
@@ -8,8 +8,10 @@
 from absl import logging
 
 from pearshed._internal.configuration.catalogue import Catalogue
+from pearshed._internal.decisions.ending_order import Room
 from pearshed._internal.entry.admission import EntryAdmission
 from pearshed._internal.entry.application import CallerApplication
+from pearshed._internal.entry.caller_room import CallerRoom
 from pearshed._internal.entry.classifier import Classifier
 from pearshed._internal.entry.dispatcher import Dispatcher
 from pearshed._internal.entry.health import EndpointHealth
@@ -80,6 +82,7 @@
         self._server = CallerServer(
             settings,
             self._application(),
+            self._create_room(),
             self._caller_tls.create_server_context() if self._caller_tls is not None else None,
         )
         self._server_thread = threading.Thread(
@@ -108,6 +111,13 @@
         if not self._startup_check.confirmed:
             self._startup_check.update(len(self._links.links), self._relay.compared_peers)
 
+    def _create_room(self) -> CallerRoom:
+        """Create the room for callers' connections, with a thread-safe account."""
+        machine = self._settings.process.machine
+        connections = min(machine.entry_callers.connections, self._settings.max_connections)
+        room = Room(machine.entry_callers.held_bytes, connections)
+        return CallerRoom(self._account.add("callers", lambda: room), connections)
+
     def _application(self) -> CallerApplication:
         return CallerApplication(
             asyncio.get_running_loop(),
