Bound the connections of entries to a side

What entries saw: 900 connections without a call took 912 descriptors of a side, which has no more for its endpoint and for other entries.

Cause: the gRPC server accepts without a limit, and nothing ends a connection that stays silent or stops after the preface of HTTP/2.

Change: its connections are in the side's account; those without a call are ended first, the one that has been silent longest before others.

--- a/src/pearshed/_internal/side/process.py
+++ b/src/pearshed/_internal/side/process.py
@@ -4,13 +4,11 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-import grpclib.server
 from absl import logging
 
 from pearshed._internal.configuration.catalogue import Catalogue
 from pearshed._internal.errors import AddressInUseError
 from pearshed._internal.peers import peer_pb2 as pb
-from pearshed._internal.peers.transport import connection_configuration
 from pearshed._internal.processes.base import Process
 from pearshed._internal.settings.model import SideSettings
 from pearshed._internal.side.attempt_manager import AttemptManager
@@ -18,6 +16,7 @@
 from pearshed._internal.side.key_ownership import TICK_INTERVAL_S, KeyOwnership
 from pearshed._internal.side.keys import KeyTable
 from pearshed._internal.side.order import create_order
+from pearshed._internal.side.peer_server import PeerServer
 from pearshed._internal.side.sessions import SideIdentity, SideSessions
 from pearshed._internal.telemetry.metrics import Metric, Sample, counter, gauge
 from pearshed._internal.timers import clock
@@ -62,10 +61,9 @@
         self._sessions = SideSessions(
             identity, settings.peers, self._attempt_manager, self._timers, self._relay
         )
-        self._server = grpclib.server.Server(
-            [self._sessions],
-            config=connection_configuration(),
-        )
+        machine = settings.process.machine
+        peers = self._account.add("peers", lambda: machine.peers)
+        self._server = PeerServer([self._sessions], peers)
         self._store.subscribe(self._apply_catalogue)
         self._view.subscribe(self._apply_vm_list)
         self._metrics.add(self._collect)
@@ -91,7 +89,7 @@
         listen = self._settings.listen
         try:
             tls = self._peer_tls.create_server_context() if self._peer_tls is not None else None
-            await self._server.start(listen.host, listen.port, ssl=tls)
+            await self._server.listen(listen, tls)
             self._serving = True
         except OSError as error:
             raise AddressInUseError(
