Bound the ids that datagrams of peers bring into tables

Cause: a gateway and a side remember 20,000 origins of streams and 20,000 successes of prompt parts, each with texts of up to 4 KB from a datagram: 80 MB, as much as the smallest front has.

Change: ids of over 64 characters are kept as digests, as those of callers are; an origin of over 512 characters is refused as malformed.

--- a/src/pearshed/_internal/engine_side/messages.py
+++ b/src/pearshed/_internal/engine_side/messages.py
@@ -21,6 +21,7 @@
 from pearshed._internal.models.routing import PromptPart
 from pearshed._internal.models.stream_origin import StreamOrigin
 from pearshed._internal.timers import clock
+from pearshed._internal.utils.bounded_ids import bounded_id
 from pearshed._internal.utils.foreign_values import describe, to_integer, to_number
 
 #: Larger datagrams are rejected, bytes; prompts have a few parts, services a few routes.
@@ -30,6 +31,8 @@
 #: Datagrams of one report of crashes; they have room for about 500 suspects.
 MAX_REPORT_DATAGRAMS = 8
 _EMPTY_REPORT_BYTES = 64
+#: Service and software version of an engine; many streams' origins are remembered.
+_MAX_ORIGIN_CHARACTERS = 512
 #: Added to the age of a success, which must not seem later with each exchange; more than the time
 #: for which a side sends the same datagrams, and their way.
 _SUCCESS_AGE_MARGIN_MS = 150
@@ -561,7 +564,8 @@
 def _decode_origin_message(reservation: str, extension: Mapping[str, Any]) -> Result[Message, str]:
     if "began" in extension:
         stream, service, version = extension["began"]
-        return Success(OriginReport(reservation, str(stream), _origin_of(service, version)))
+        key = bounded_id(str(stream))
+        return Success(OriginReport(reservation, key, _origin_of(service, version)))
     if "origin_of" in extension:
         return Success(OriginRequest(reservation, str(extension["origin_of"])))
     if "origin" in extension:
@@ -581,6 +585,8 @@
     """
     if not isinstance(service, str) or not isinstance(version, str):
         raise ValueError("the origin of a stream is not text")
+    if len(service) + len(version) > _MAX_ORIGIN_CHARACTERS:
+        raise ValueError("the origin of a stream is too long")
     return StreamOrigin(service, version)
 
 
@@ -668,12 +674,12 @@
             CrashRecord(
                 str(run),
                 _time_of(age_ms),
-                frozenset(tuple(str(part) for part in chain) for chain in suspects),
+                frozenset(tuple(bounded_id(str(part)) for part in chain) for chain in suspects),
                 bool(refuted),
             )
             for run, age_ms, refuted, suspects in raw_records
         ),
-        {str(part): _time_of(age_ms) for part, age_ms in raw_successes},
+        {bounded_id(str(part)): _time_of(age_ms) for part, age_ms in raw_successes},
     )
 
 
