--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,10 +12,11 @@
 import tempfile
 import time
 
+from soak.crowds import Crowds, CrowdSender
 from soak.faults import FaultInjector
-from soak.invariants import find_violations
+from soak.invariants import MAX_DESCRIPTORS, MEMORY_MB, find_violations
 from soak.load import LoadGenerator
-from soak.testbed import Testbed
+from soak.testbed import CROWD_LIMITS, Testbed
 from tests.lib.gateway_caller import Caller
 
 _READY_TIMEOUT_S = 20.0
@@ -46,6 +47,7 @@
     *,
     stops_in_calm: bool = False,
     ignores_retry_limit: bool = False,
+    crowds: Crowds = Crowds.NONE,
 ) -> bool:
     """Run one seed.
 
@@ -54,6 +56,7 @@
     :param stops_in_calm: stop a gateway before any other fault.
     :param ignores_retry_limit: the gateways allow more retries than the check, and are killed while
         engines refuse; a run which still holds would prove that the check finds nothing.
+    :param crowds: whether crowds of misbehaving clients come beside the faults.
     :returns: whether all invariants held and at least one request was served.
     """
     _cancel_on_sigterm()
@@ -62,14 +65,21 @@
     testbed = Testbed(directory, gateways, engines)
     testbed.ignores_evacuations = evacuations is Evacuations.IGNORED
     testbed.ignores_retry_limit = ignores_retry_limit
+    if crowds is not Crowds.NONE:
+        testbed.caller_limits = CROWD_LIMITS
+    if crowds is Crowds.ENDURED:
+        testbed.machine = {"memoryMb": MEMORY_MB, "maxFds": MAX_DESCRIPTORS}
     load = LoadGenerator(testbed, random.Random(rng.random()))
     faults = FaultInjector(testbed, random.Random(rng.random()))
+    sender = CrowdSender(testbed, random.Random(seed))
     version_poll: asyncio.Task[None] | None = None
     try:
         await testbed.start()
         await _wait_until_served(load, gateways)
         version_poll = asyncio.create_task(_poll_versions(testbed))
         load_task = asyncio.create_task(load.run(callers))
+        if crowds is not Crowds.NONE:
+            crowd_task = asyncio.create_task(sender.run(duration_s))
         if stops_in_calm:
             await faults.stop_in_calm()
         if ignores_retry_limit:
@@ -83,6 +93,8 @@
             await asyncio.gather(
                 faults.run(duration_s), faults.run_evacuations(duration_s, random.Random(seed))
             )
+        if crowds is not Crowds.NONE:
+            await crowd_task
         load.stop()
         await load_task
         await faults.kill_all()
@@ -102,6 +114,7 @@
         f"{len(testbed.history.runs)} runs, {len(resumed)} streams taken up, "
         f"{sum(bool(item.versions) for item in resumed)} of them went on, "
         f"{len(faults.injected)} faults, {len(testbed.history.evacuations)} evacuations, "
+        f"{len(sender.sent)} crowds, "
         f"statuses {statuses}: " + ("held" if not violations else "BROKEN")
     )
     for violation in violations[:5]:
@@ -197,6 +210,13 @@
         action="store_true",
         help="let gateways allow more retries than the check, which the run must fail",
     )
+    parser.add_argument(
+        "--crowds",
+        type=Crowds,
+        choices=list(Crowds),
+        default=Crowds.NONE,
+        help="send crowds of misbehaving clients; 'unbounded' proves the check, as it must fail",
+    )
     parser.add_argument("--logs", type=pathlib.Path, help="directory for the logs of failed seeds")
     options = parser.parse_args()
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
@@ -215,6 +235,7 @@
                         options.evacuations,
                         stops_in_calm=options.stop_in_calm,
                         ignores_retry_limit=options.ignore_retry_limit,
+                        crowds=options.crowds,
                     )
                 )
             except asyncio.CancelledError:
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -33,6 +33,10 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 12
 RETRY_WINDOW_S = 10.0
+#: Memory of a process, MB, and descriptors, of which some are for files (the platform's settings).
+MEMORY_MB = 88
+MAX_DESCRIPTORS = 700
+FILE_DESCRIPTORS = 200
 #: A request that has ended as many endpoints is sent to as many more at most.
 MAX_CRASHES = 3
 
@@ -137,6 +141,10 @@
     versions: dict[str, list[int]] = field(default_factory=dict)
     #: Requests sent after the recovery from the loss of all processes, and those served.
     recovery: tuple[int, int] = (0, 0)
+    #: Most memory, MB, and most open descriptors of each process, while crowds of clients came.
+    resources: dict[str, tuple[float, int]] = field(default_factory=dict)
+    #: Processes that ended by themselves meanwhile.
+    own_ends: set[str] = field(default_factory=set)
 
     def store_was_healthy(self, start: float, end: float) -> bool:
         """Return whether no store fault overlaps a period or the settling time before it."""
@@ -162,6 +170,8 @@
         *_runs_after_evacuation(history),
         *_arrivals_in_pauses(history),
         *_excess_retries(history),
+        *_exceeded_resources(history),
+        *(f"a process ended by itself: {end}" for end in sorted(history.own_ends)),
     ]
 
 
@@ -374,6 +384,16 @@
     return violations
 
 
+def _exceeded_resources(history: History) -> list[str]:
+    """Describe processes that used more than the machine of their settings has."""
+    return [
+        f"{name} used {memory_mb:.0f} MB and {descriptors} descriptors where {MEMORY_MB} MB and "
+        f"{MAX_DESCRIPTORS - FILE_DESCRIPTORS} are allowed"
+        for name, (memory_mb, descriptors) in history.resources.items()
+        if memory_mb >= MEMORY_MB or descriptors >= MAX_DESCRIPTORS - FILE_DESCRIPTORS
+    ]
+
+
 def _count(times: Sequence[float], end: float) -> int:
     """Count the ascending times in the window until ``end``."""
     return bisect.bisect_right(times, end) - bisect.bisect_right(times, end - RETRY_WINDOW_S)
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -56,6 +56,13 @@
 REGIONS = {"olympia": "west", "tacoma": "west"}
 OTHER_DATA_CENTRE = "tacoma"
 EVACUATE_MS = 5000
+#: Limits on callers while crowds come: those of the platform's pages.
+CROWD_LIMITS = {
+    "maxHeaderBytes": 16 * 1024,
+    "maxBodyBytes": 4 * 1024 * 1024,
+    "headerTimeoutMs": 30_000,
+    "idleTimeoutMs": 30_000,
+}
 #: Generations of engines that have crashed; the others are counted from 1.
 CRASH_GENERATION = 10_000
 
@@ -168,6 +175,8 @@
     :ivar cut_heads: engines end every fourth response inside its head.
     :ivar ignores_evacuations: the gateways' settings don't use evacuations, which proves the check.
     :ivar ignores_retry_limit: the gateways' settings allow more retries than the check does.
+    :ivar caller_limits: of the configuration, if they are others than usual.
+    :ivar machine: memory and descriptors in the settings of processes; none: those of the machine.
     """
 
     def __init__(self, directory: pathlib.Path, gateways: int, engines: int) -> None:
@@ -196,6 +205,8 @@
         self.cut_heads = False
         self.ignores_evacuations = False
         self.ignores_retry_limit = False
+        self.caller_limits: Mapping[str, int] | None = None
+        self.machine: Mapping[str, int] = {}
         self.data_centres: dict[EngineStandIn, str] = {}
         self.sources: dict[str, pathlib.Path] = {}
         self._last_requests: weakref.WeakKeyDictionary[EngineConnection, tuple[str, bool]] = (
@@ -245,6 +256,8 @@
             route("draft", "streaming", "fleet", resumable=True, sticky=True, timeoutMs=6000),
             route("explain", "streaming", "fleet", sticky=True, timeoutMs=9000, maxAttempts=1),
         ]
+        if self.caller_limits is not None:
+            overrides["limits"] = dict(self.caller_limits)
         tenants = [{"name": "guild", "apiKeys": list(self.valid_keys), "priority": 0}]
         document = configuration(
             self.configuration_version, routes=routes, tenants=tenants, **overrides
@@ -339,6 +352,7 @@
                 "ip": side_host,
                 "portRange": [self._port, self._port + 1],
                 "app": str(engine.address),
+                "limits": self.machine,
             }
             self.sides.append(self._create_node(f"side-{host}", "engine-side", settings))
 
@@ -372,6 +386,7 @@
             },
             "zones": REGIONS,
             "provider": {"address": str(proxy.address)},
+            "limits": self.machine,
         }
         self.gateways.append(self._create_node(f"gateway-{number}", "gateway", settings))
 
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -13,6 +13,7 @@
 from parameterized import parameterized
 
 from soak.__main__ import Evacuations, run_soak
+from soak.crowds import Crowds
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 _DURATION_S = 6.0
@@ -40,6 +41,15 @@
             passed = asyncio.run(run_soak(12, _DURATION_S, path, size, evacuations))
         self.assertEqual(holds, passed)
 
+    @parameterized.expand([(Crowds.ENDURED, True), (Crowds.UNBOUNDED, False)])
+    def test_crowds_are_endured_unless_what_they_hold_is_unbounded(
+        self, crowds: Crowds, holds: bool
+    ) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory)
+            passed = asyncio.run(run_soak(41, _DURATION_S, path, (2, 3, 6), crowds=crowds))
+        self.assertEqual(holds, passed)
+
     def test_a_planned_stop_in_calm_cuts_nothing(self) -> None:
         with tempfile.TemporaryDirectory() as directory:
             path = pathlib.Path(directory)
