Answer a request that offers an upgrade once

Cause: the parser stops after the head of such a request, since another protocol would begin. The request was queued, and the stop queued a refusal too.

Change: parsing goes on after the offer, which is ignored; a body that was announced is parsed as one.

Result: 27 rows of OfferTest, of which all fail before; the property that answers don't depend on segments and are no more than requests, with 300 generated inputs (hypothesis, fixed).

--- a/src/pearshed/_internal/http/request_parser.py
+++ b/src/pearshed/_internal/http/request_parser.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from pearshed._internal.http import messages
 from pearshed._internal.http.header_block import HeaderBlock
 from pearshed._internal.http.messages import HttpRequest, RequestProblem
 from pearshed._internal.http.segments import SEGMENT_BYTES, SegmentedBytes
@@ -47,6 +48,7 @@
         self._framing_restarted = False
         self._body_remaining = 0
         self._refused = False
+        self._resuming = False
         self._expects_continue = False
         self._stage = ParserStage.BETWEEN
         self._target = bytearray()
@@ -130,6 +132,8 @@
 
     def on_message_begin(self) -> None:
         """Start parsing a request."""
+        if self._resuming:
+            return
         self._reset_request()
         self._stage = ParserStage.HEAD
         self._framing_bytes = 0
@@ -137,6 +141,8 @@
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
+        if self._resuming:
+            return
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -147,7 +153,7 @@
     def on_headers_complete(self) -> None:
         """Validate the header."""
         self._restart_framing()
-        if self._refused:
+        if self._refused or self._resuming:
             return
         self._stage = ParserStage.BODY
         header_bytes = len(self._lines) + len(self._target)
@@ -178,9 +184,13 @@
     def on_message_complete(self) -> None:
         """Add the complete request."""
         self._restart_framing()
-        self._expects_continue = False
         if self._refused:
             return
+        if self._parser.should_upgrade() and self._announces_body():
+            # The parser takes the body for bytes of the other protocol.
+            self._resuming = True
+            return
+        self._expects_continue = False
         body = self._body
         request = HttpRequest(
             self._parser.get_method(),
@@ -198,8 +208,9 @@
         self._framing_restarted = False
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.refuse(400, "upgrades of the protocol are not supported")
+        except httptools.HttpParserUpgrade as offer:
+            self._go_on_after_offer(data[int(offer.args[0]) :])
+            return
         except httptools.HttpParserError as error:
             self.refuse(400, f"the request is malformed: {error}")
         if not self._framing_restarted:
@@ -210,6 +221,34 @@
             in_head = self._stage is ParserStage.HEAD
             self.refuse(431, _LARGE_HEADER if in_head else "the request's trailers are too large")
 
+    def _go_on_after_offer(self, data: memoryview) -> None:
+        """Parse what follows the head of a request that offers an upgrade, which is ignored.
+
+        The parser stops there, since another protocol would begin (RFC 9110, section 7.8).
+        """
+        head = self._head_without_offer() if self._resuming else b""
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(head)
+        self._resuming = False
+        if len(data) and not self._refused:
+            self._feed_slice(data)
+
+    def _announces_body(self) -> bool:
+        length = self._headers.first(b"content-length")
+        return bool(self._headers.all(b"transfer-encoding")) or (
+            length is not None and int(length) > 0
+        )
+
+    def _head_without_offer(self) -> bytes:
+        """Return a head by which another parser takes what follows for the request's body."""
+        options = messages.connection_options(self._headers)
+        start = self._parser.get_method() + b" / HTTP/" + self._parser.get_http_version().encode()
+        kept = [header for header in self._headers if header[0] not in (b"connection", b"upgrade")]
+        kept.extend(
+            (b"connection", option) for option in (b"close", b"keep-alive") if option in options
+        )
+        return messages.encode_head(start, kept)
+
     def _restart_framing(self) -> None:
         """Count the bytes anew that belong to a head, the extension of a chunk or trailers."""
         self._framing_bytes = 0
--- a/tests/unit/test_request_parser.py
+++ b/tests/unit/test_request_parser.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import hypothesis
+from hypothesis import strategies
 from parameterized import parameterized
 
 from pearshed._internal.http.messages import HttpRequest, RequestProblem
@@ -103,3 +105,104 @@
         problem = self.parser.take()
         self.assertEqual(RequestProblem(503, "no room", 2), problem)
         self.assertFalse(self.parser.has_parsed)
+
+
+OFFER = b"Connection: Upgrade\r\nUpgrade: %s\r\n"
+
+
+class OfferTest(unittest.TestCase):
+    """Guards against a second answer to a request that offers another protocol."""
+
+    @parameterized.expand(
+        [
+            (f"{name}_{kind}_{size}", offer, body, size)
+            for name, offer in [
+                ("h2c", b"h2c"),
+                ("websocket", b"websocket"),
+                ("several", b"h2c, TLS/1.0, a/b"),
+            ]
+            for kind, body in [
+                ("without_body", b"\r\n"),
+                ("length", b"Content-Length: 3\r\n\r\nabc"),
+                ("chunks", b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+            ]
+            for size in (1, 7, 10_000)
+        ]
+    )
+    def test_a_request_that_offers_an_upgrade_is_one_like_others(
+        self, _: str, offer: bytes, body: bytes, size: int
+    ) -> None:
+        content = (HEAD + OFFER % offer + body + SMALL) * 2
+        parsed = parse_all(content, [size] * (len(content) // size + 1))
+        self.assertEqual([b"POST", b"GET"] * 2, [method for _, method, _ in parsed])
+        self.assertEqual([b"abc" if b"abc" in body else b"", b""] * 2, [item[2] for item in parsed])
+
+    @parameterized.expand(
+        [
+            ("connect", b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+            ("two_hosts", HEAD + b"Host: b\r\n" + OFFER % b"h2c" + b"\r\n", 400),
+            ("large_head", HEAD + OFFER % b"h2c" + b"abcd:\r\n" * 4000 + b"\r\n", 431),
+        ]
+    )
+    def test_one_that_is_refused_is_answered_once(
+        self, _: str, content: bytes, status: int
+    ) -> None:
+        for sizes in ([len(content) + 100], [1] * (len(content) + 100)):
+            self.assertEqual([(status, b"", b"")], parse_all(content + SMALL, sizes))
+
+
+#: What clients may send one after the other; the last ones end what can be parsed.
+PIECES = [
+    SMALL,
+    HEAD + b"Content-Length: 3\r\n\r\nabc",
+    CHUNKED + b"3;a=b\r\nabc\r\n0\r\nT: r\r\n\r\n",
+    HEAD + OFFER % b"h2c" + b"\r\n",
+    HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\nok",
+    b"\r\n",
+    b"POST /a/ HTTP/1.1\r\n\r\n",
+    b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n",
+    b"PRI * HTTP/2.0\r\n\r\n",
+    b"\x16\x03\x01",
+    HEAD,
+]
+
+
+class AnySegmentsTest(unittest.TestCase):
+    """A connection gets at most one answer for each request, whatever is sent in any segments."""
+
+    @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.one_of(strategies.sampled_from(PIECES), strategies.binary(max_size=20)),
+            max_size=8,
+        ),
+        strategies.lists(strategies.integers(1, 60), max_size=60),
+    )
+    def test_answers_do_not_depend_on_segments(self, pieces: list[bytes], sizes: list[int]) -> None:
+        content = b"".join(pieces)
+        whole = parse_all(content, [len(content) + 1])
+        split = parse_all(content, sizes)
+        self.assertEqual(whole, split)
+        problems = [number for number, item in enumerate(split) if isinstance(item[0], int)]
+        # A refusal is the last answer, and begins with a request.
+        self.assertIn(problems, ([], [len(split) - 1]))
+        self.assertLessEqual(len(split), max(content.count(b"\n"), len(split[:1])))
+
+
+def parse_all(content: bytes, sizes: list[int]) -> list[tuple[int | None, bytes, bytes]]:
+    """Return the status of a refusal, or method and body, of each request in order."""
+    parser = RequestParser(lambda: LIMITS)
+    parsed: list[tuple[int | None, bytes, bytes]] = []
+    start = 0
+    for size in [*sizes, len(content)]:
+        segment = content[start : start + size]
+        start += size
+        while segment and not parser.refused:
+            segment = segment[parser.feed(segment, 1.0) :]
+            while parser.has_parsed:
+                taken = parser.take()
+                if isinstance(taken, RequestProblem):
+                    parsed.append((taken.status, b"", b""))
+                else:
+                    parsed.append((None, taken.method, bytes(taken.body)))
+    return parsed
