Take no entry for an engine's that lacks a field or has one of another type

An unsigned answer that isn't 2xx is no success of its endpoint.

Result: 56 rows of ForeignEntryFieldsTest, a row of ForeignEntryTest.

--- a/src/pearshed/_internal/gateway/attempt.py
+++ b/src/pearshed/_internal/gateway/attempt.py
@@ -244,7 +244,7 @@
                 return await self._relay_stream(connection, head)
         if self._writer.started:
             return await self._drop_response(connection, head)
-        return await self._relay_buffered(connection, head)
+        return await self._relay_buffered(connection, head, metadata.signed)
 
     async def _drop_response(
         self, connection: EndpointConnection, head: ResponseHead
@@ -256,7 +256,7 @@
         return Failed(f"the endpoint answered {head.status} to the rest of a stream")
 
     async def _relay_buffered(
-        self, connection: EndpointConnection, head: ResponseHead
+        self, connection: EndpointConnection, head: ResponseHead, signed: bool
     ) -> AttemptOutcome:
         body, end = await self._read_body(connection)
         if end.kind not in _POSSIBLY_COMPLETE:
@@ -270,7 +270,9 @@
         if head.status in _SERVER_ERRORS:
             self._endpoint.record_failure()
             return Failed(f"the endpoint answered {head.status}", head, body)
-        self._endpoint.record_success()
+        if signed:
+            # What another server at the address answers shows nothing of the endpoint.
+            self._endpoint.record_success()
         self._metrics.record_response_start(self._call)
         self._writer.relay_response(head, body)
         return Answered(head.status)
--- a/src/pearshed/_internal/platform/documents.py
+++ b/src/pearshed/_internal/platform/documents.py
@@ -215,8 +215,13 @@
 
 
 def _parse_endpoint(identity: str, raw: Mapping[str, Any]) -> EndpointEntry:
+    """Parse an entry; other writers' entries lack fields, or have some of another type.
+
+    :raises _FieldError: when it is no engine's.
+    """
     if not _is_header_value(identity):
         raise _FieldError(f"identity: {_not_a_header(identity)}")
+    _get_count(raw, "seq")
     address = parse_address(_get_text(raw, "address"))
     if not is_successful(address):
         raise _FieldError(f"address: {address.failure()}")
@@ -234,14 +239,18 @@
         slots=_get_count(raw, "slots"),
         state=state,
         warmup_remaining_s=_get_count(raw, "coldLeftMs") / MILLISECONDS_PER_SECOND,
-        started_at_ms=_get_count(raw, "born"),
-        software_version=_parse_version(raw.get("version")),
+        started_at_ms=_get_count(raw, "born", 0),
+        # Despite its name, the version of an engine's software, not that of its weights.
+        software_version=_get_version(raw),
     )
 
 
-def _parse_version(raw: Any) -> str:
-    """Return the version of an engine's software; despite its name, not that of its weights."""
-    return raw if isinstance(raw, str) else ""
+def _get_version(raw: Mapping[str, Any]) -> str:
+    """Return an entry's version, which may be empty."""
+    version = raw.get("version")
+    if not isinstance(version, str):
+        raise _FieldError(f"version: expected text, found {describe(version)}")
+    return version
 
 
 def _is_header_value(text: str) -> bool:
@@ -295,9 +304,9 @@
     return int(_get_number(raw, name, default))
 
 
-def _get_count(raw: Mapping[str, Any], name: str) -> int:
-    """Return a whole number of at least 0; 0 if the field is missing."""
-    value = _get_integer(raw, name, 0)
+def _get_count(raw: Mapping[str, Any], name: str, default: int | None = None) -> int:
+    """Return a whole number of at least 0."""
+    value = _get_integer(raw, name, default)
     if value < 0:
         raise _FieldError(f"{name}: {value} is negative")
     return value
--- a/tests/gateway/test_foreign_entries.py
+++ b/tests/gateway/test_foreign_entries.py
@@ -19,8 +19,10 @@
         "service": '"ledger"',
         "address": '"127.0.0.1:9"',
         "zone": '"olympia"',
+        "version": '"v1"',
         "state": '"ready"',
         "slots": "6",
+        "coldLeftMs": "0",
         "seq": "1",
         "born": "1700000000000",
     }
@@ -51,6 +53,10 @@
     ("no_bytes_that_can_be_read", b"\xff\xfe\x00"),
     ("nothing", b""),
     ("list", b"[]"),
+    (
+        "another_writers",
+        b'{"service":"ledger","address":"127.0.0.1:9","zone":"olympia","state":"ready"}',
+    ),
 ]
 
 
--- a/tests/gateway/test_platform_adapter.py
+++ b/tests/gateway/test_platform_adapter.py
@@ -27,8 +27,10 @@
     "service": "fleet",
     "address": "10.0.0.1:80",
     "zone": "olympia",
+    "version": "v1",
     "slots": 64,
     "state": "ready",
+    "coldLeftMs": 0,
     "seq": 3,
     "born": 17,
 }
@@ -158,6 +160,50 @@
         self.assertEqual(valid, is_successful(decoded))
 
 
+_FIELDS = ("service", "address", "zone", "version", "slots", "state", "coldLeftMs", "seq")
+_OTHER_TYPES: dict[str, list[Any]] = {
+    "text": [None, 7, 0.5, True, [], {}],
+    "number": [None, "7", True, [], {}, -1],
+}
+
+
+class ForeignEntryFieldsTest(unittest.TestCase):
+    """Guards against another writer's entry that is taken for an engine."""
+
+    @parameterized.expand([(field,) for field in _FIELDS])
+    def test_an_entry_without_a_field_is_no_engine(self, field: str) -> None:
+        entry = {name: value for name, value in ENTRY.items() if name != field}
+        decoded = decode_endpoint("i-1", json.dumps(entry).encode())
+        self.assertIn(field, decoded.failure())
+
+    @parameterized.expand(
+        [
+            (f"{field}_{number}", field, value)
+            for field in _FIELDS
+            for number, value in enumerate(
+                _OTHER_TYPES["text" if isinstance(ENTRY[field], str) else "number"]
+            )
+        ]
+    )
+    def test_an_entry_with_a_field_of_another_type_is_no_engine(
+        self, _: str, field: str, value: Any
+    ) -> None:
+        decoded = decode_endpoint("i-1", json.dumps({**ENTRY, field: value}).encode())
+        self.assertIn(field, decoded.failure())
+
+    @parameterized.expand(
+        [
+            ("no_start", {"born": None}),
+            ("no_version", {"version": ""}),
+            ("cold", {"coldLeftMs": 1500.5}),
+            ("more", {"stage": "hybrid", "models": []}),
+        ]
+    )
+    def test_entries_of_engines_are_decoded(self, _: str, change: dict[str, Any]) -> None:
+        entry = {name: value for name, value in {**ENTRY, **change}.items() if value is not None}
+        self.assertTrue(is_successful(decode_endpoint("i-1", json.dumps(entry).encode())))
+
+
 class HeadersTest(unittest.TestCase):
     codec = PlatformHeaders()
 
--- a/tests/gateway/test_store_cache.py
+++ b/tests/gateway/test_store_cache.py
@@ -27,7 +27,16 @@
 from tests.lib.gateway_platform import configuration
 from tests.lib.gateway_store import StoreStandIn
 
-ENTRY = {"service": "fleet", "address": "10.0.0.1:80", "zone": "olympia", "state": "ready"}
+ENTRY = {
+    "service": "fleet",
+    "address": "10.0.0.1:80",
+    "zone": "olympia",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "seq": 1,
+}
 
 
 class StoreCacheTest(unittest.IsolatedAsyncioTestCase):
