Reset a body until close whose end is dropped

Cause: an answer without length or chunks ends with its connection. Once its end was handed over, its connection was no longer reset; but what the caller hadn't taken may still be dropped, when it stalls or there is no room, and the answer would end as if it were whole.

Change: a connection that is aborted keeps its reset.

Result: a row of ConnectionRoomTest, which fails before ([True, False] where [True] is asked for).

--- a/src/pearshed/_internal/http/caller_connection.py
+++ b/src/pearshed/_internal/http/caller_connection.py
@@ -79,6 +79,7 @@
         self._reading_paused = False
         self._body_until_close = False
         self._closing = False
+        self._aborted = False
 
     @property
     def state(self) -> ConnectionState:
@@ -105,7 +106,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake the tasks that wait on the connection, and report the disconnect."""
-        if self._body_until_close and self._closing and exc is None:
+        if self._body_until_close and self._closing and not self._aborted and exc is None:
             self._set_reset_on_close(False)
         self._state = ConnectionState.CLOSED
         self._account.close(self)
@@ -271,6 +272,7 @@
 
     def abort(self) -> None:
         """End the connection at once, so that a truncated response can't look complete."""
+        self._aborted = True
         if self._outgoing is not None:
             self._outgoing.clear()
         if self._transport is not None:
--- a/tests/gateway/test_room.py
+++ b/tests/gateway/test_room.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from parameterized import parameterized
 
@@ -141,6 +142,29 @@
         connection.close_if_overdue(connection._progressed_at + 16)
         self.assertTrue(transport.closed)
 
+    @parameterized.expand([("taken", False, [True, False]), ("not_taken", True, [True])])
+    async def test_a_body_whose_end_is_dropped_does_not_end_as_if_it_were_whole(
+        self, _: str, aborted: bool, resets: list[bool]
+    ) -> None:
+        connection, transport = self.connect()
+        transport._extra = {"socket": mock.Mock()}  # type: ignore[attr-defined]
+        connection.data_received(SMALL)
+        await connection.next_request()
+        name = "pearshed._internal.http.caller_connection.set_reset_on_close"
+        with mock.patch(name) as set_reset:
+            connection.begin_body_until_close()
+            connection.pause_writing()
+            connection.write(b"the rest")
+            connection.close()
+            self.assertFalse(transport.closed)
+            if aborted:
+                connection.abort()
+            else:
+                connection.resume_writing()
+            connection.connection_lost(None)
+        self.assertEqual(resets, [call.args[1] for call in set_reset.call_args_list])
+        self.assertEqual(b"" if aborted else b"the rest", transport.written)
+
     async def test_a_connection_too_many_ends_the_one_without_progress(self) -> None:
         connections = [self.connect() for _ in range(3)]
         connections[0][0].data_received(HEAD)
