--- a/src/pearshed/_internal/http/request_parser.py
+++ b/src/pearshed/_internal/http/request_parser.py
@@ -250,7 +250,7 @@
         return messages.encode_head(start, kept)
 
     def _restart_framing(self) -> None:
-        """Count the bytes anew that belong to a head, the extension of a chunk or trailers."""
+        """Restart the count of bytes of a head, of a chunk's extension or of trailers."""
         self._framing_bytes = 0
         self._framing_restarted = True
 
--- a/tests/unit/test_resources.py
+++ b/tests/unit/test_resources.py
@@ -1,13 +1,22 @@
 """The account of what connections hold, and the limits that follow from the machine."""
 
+import asyncio
+import threading
 import unittest
 
 from parameterized import parameterized
 
 from pearshed._internal.decisions.ending_order import Holding, HoldingStage, Room
+from pearshed._internal.entry.caller_room import CallerRoom
 from pearshed._internal.resources.account import Holder, ResourceAccount
 from pearshed._internal.resources.limits import PAGE_CONNECTIONS, MachineLimits
+from pearshed._internal.resources.process_account import ProcessAccount
+from pearshed._internal.side.peer_server import PeerServer
+from pearshed._internal.telemetry.metrics import Sample
 from pearshed._internal.timers import clock
+from pearshed._internal.utils.addresses import Address
+from tests.lib.gateway_fixture import until
+from tests.lib.ports import free_port
 
 KIB = 1024
 MIB = 1024 * KIB
@@ -87,6 +96,66 @@
         self.assertTrue(self.account.has_room_for(self.open(HoldingStage.SERVING)))
 
 
+class CallerRoomTest(unittest.TestCase):
+    def test_threads_may_use_it_at_the_same_time(self) -> None:
+        account = ResourceAccount("callers", lambda: Room(100 * KIB, 1000))
+        room = CallerRoom(account, 1000)
+
+        def use() -> None:
+            for _ in range(200):
+                holder = FakeHolder(account, HoldingStage.RECEIVING)
+                room.open(holder)
+                holder.held_bytes = 4 * KIB
+                room.update(holder)
+                room.close(holder)
+
+        threads = [threading.Thread(target=use) for _ in range(8)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual((0, 0), (account.held_bytes, account.connections))
+
+    def test_connections_far_beyond_the_limit_are_dropped(self) -> None:
+        account = ResourceAccount("callers", lambda: Room(10**9, 10**9))
+        room = CallerRoom(account, 5)
+        opened = [room.open(FakeHolder(account, HoldingStage.IDLE)) for _ in range(200)]
+        self.assertEqual(account.connections, sum(opened))
+        self.assertLess(sum(opened), 100)
+
+
+class ProcessAccountTest(unittest.TestCase):
+    def test_each_kind_of_connections_has_its_room(self) -> None:
+        machine = MachineLimits(88 * MIB, 3075)
+        process = ProcessAccount(lambda: machine, serves_callers=True)
+        process.add("peers", lambda: machine.peers)
+        process.callers.open(FakeHolder(process.callers, HoldingStage.IDLE))
+        self.assertEqual((1, 0), (process.callers.connections, process.pages.connections))
+        self.assertEqual({"pages", "callers", "peers"}, set(process.dump()))
+        metrics = list(process.collect())
+        self.assertEqual(len(metrics), len({metric.name for metric in metrics}))
+        self.assertTrue(all(len(metric.samples) in (0, 3) for metric in metrics))
+
+
+class PeerServerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_connections_without_a_call_are_ended_when_there_are_too_many(self) -> None:
+        account = ResourceAccount("peers", lambda: Room(MIB, 3))
+        server = PeerServer([], account)
+        address = Address("127.0.0.1", free_port())
+        await server.listen(address, None)
+        self.addCleanup(server.close)
+        opened = [await asyncio.open_connection(address.host, address.port) for _ in range(8)]
+        await until(lambda: sum(sample.value for sample in _ended(account)) == 5)
+        self.assertEqual(3, account.connections)
+        for _, writer in opened:
+            writer.close()
+        await until(lambda: account.connections == 0)
+
+
+def _ended(account: ResourceAccount) -> tuple[Sample, ...]:
+    return next(metric.samples for metric in account.collect() if "ended" in metric.name)
+
+
 class MachineLimitsTest(unittest.TestCase):
     @parameterized.expand(
         [(88, 3075), (150, 4100), (300, 4100), (4000, 20_000), (16, 64), (88, 700)]
