--- a/tests/unit/test_request_parser.py
+++ b/tests/unit/test_request_parser.py
@@ -188,6 +188,17 @@
         self.assertIn(problems, ([], [len(split) - 1]))
         self.assertLessEqual(len(split), max(content.count(b"\n"), len(split[:1])))
 
+    @hypothesis.settings(max_examples=200, derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.lists(strategies.sampled_from(PIECES[:5]), max_size=8),
+        strategies.lists(strategies.integers(1, 60), max_size=60),
+    )
+    def test_each_sound_request_gets_one_answer(
+        self, pieces: list[bytes], sizes: list[int]
+    ) -> None:
+        parsed = parse_all(b"".join(pieces), sizes)
+        self.assertEqual([None] * len(pieces), [status for status, _, _ in parsed])
+
 
 def parse_all(content: bytes, sizes: list[int]) -> list[tuple[int | None, bytes, bytes]]:
     """Return the status of a refusal, or method and body, of each request in order."""
