Prove each part of the soak's check of crowds

The unbounded run breaks by memory and descriptors at once; a process that ends by itself, and each limit alone, had no proof. Four rows: one within the limits finds nothing, three find one violation.

--- a/tests/unit/test_soak_invariants.py
+++ b/tests/unit/test_soak_invariants.py
@@ -265,3 +265,23 @@
         history = make_valid_history()
         change(history)
         self.assertEqual([], find_violations(history))
+
+
+class ResourceInvariantTest(unittest.TestCase):
+    """Guards against a check of crowds that finds nothing."""
+
+    @parameterized.expand(
+        [
+            ("within", {"gateway-0": (87.0, 499)}, set(), 0),
+            ("memory", {"gateway-0": (88.0, 10)}, set(), 1),
+            ("descriptors", {"side-1": (30.0, 500)}, set(), 1),
+            ("own_end", {}, {"gateway-0: exit status 1"}, 1),
+        ]
+    )
+    def test_a_process_that_exceeds_its_machine_or_ends_is_named(
+        self, _: str, resources: dict[str, tuple[float, int]], ends: set[str], found: int
+    ) -> None:
+        history = History(resources=resources, own_ends=ends)
+        names = ("descriptors where", "ended by itself")
+        violations = [one for one in find_violations(history) if any(name in one for name in names)]
+        self.assertEqual(found, len(violations))
