--- a/review/lib_2/programs.py
+++ b/review/lib_2/programs.py
@@ -20,7 +20,7 @@
 
 
 def bounds(**changed: Any) -> dict[str, Any]:
-    """Return the bounds of the small deployment ``vestry-rota``."""
+    """Return the bounds of the small deployment ``kronwacht-ueberhang``."""
     return {
         "seedLagS": 3,
         "addrReuseS": 2,
@@ -37,10 +37,10 @@
         "revokeMs": 5000,
         "retryBudgetRatio": 0.2,
         "budgetWindowS": 10,
-        "budgetSlack": 58,
+        "budgetSlack": 54,
         "recoverS": 12,
         "passMs": 120,
-        "retryAfterS": 10,
+        "retryAfterS": 8.7,
         **changed,
     }
 
@@ -79,7 +79,7 @@
             "portRange": [ports[3], ports[3]],
             "seeds": [f"127.0.41.{other}:{ports[2]}" for other in range(1, count + 1)][:3],
             "bootstrap": True,
-            "limits": {"cpuShare": 0.817, "cores": 1, "memoryMb": 300, "maxFds": 1000},
+            "limits": {"cpuShare": 0.817, "cores": 1, "memoryMb": 150, "maxFds": 1000},
             "dataDir": None,
             "heartbeatMs": 1200,
             "bounds": bounds(),
