--- a/review/lib_2/deployment.py
+++ b/review/lib_2/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import time
 from collections import Counter
@@ -215,6 +216,10 @@
 
     async def run() -> int:
         deployment = Deployment(record, era)
+        # The processes that were started are ended also if the case itself is stopped.
+        this_task = asyncio.current_task()
+        assert this_task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this_task.cancel)
         try:
             async with asyncio.timeout(110.0):
                 return HELD if await play(deployment) else BROKEN
--- a/review/lib_2/store.py
+++ b/review/lib_2/store.py
@@ -27,7 +27,6 @@
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
-        self._waiting: dict[asyncio.StreamWriter, float] = {}
 
     @property
     def address(self) -> str:
@@ -39,12 +38,6 @@
         """The current revision."""
         return self._revision
 
-    @property
-    def oldest_watch_s(self) -> float:
-        """Time for which the oldest watch has waited, seconds; 0 without one."""
-        now = asyncio.get_running_loop().time()
-        return max((now - since for since in self._waiting.values()), default=0.0)
-
     async def open(self) -> None:
         """Begin to serve."""
         self._server = await asyncio.start_server(self._serve, self._host, self._port)
@@ -60,13 +53,6 @@
         for writer in tuple(self._writers):
             writer.close()
 
-    def cut_watches(self) -> int:
-        """Cut the watches that wait; return how many there were."""
-        waiting = tuple(self._waiting)
-        for writer in waiting:
-            writer.close()
-        return len(waiting)
-
     def put(self, key: str, value: Any) -> int:
         """Write an item; return its revision, which acknowledges it."""
         self._revision += 1
@@ -110,7 +96,7 @@
         self._writers.add(writer)
         try:
             while (request := await http1.read_request(reader)) is not None:
-                status, body = await self._answer(request, writer)
+                status, body = await self._answer(request)
                 headers = {"Content-Type": "application/json"}
                 if self._era is not None:
                     headers["Store-Era"] = str(self._era)
@@ -121,12 +107,9 @@
             pass
         finally:
             self._writers.discard(writer)
-            self._waiting.pop(writer, None)
             writer.close()
 
-    async def _answer(
-        self, request: http1.Message, writer: asyncio.StreamWriter
-    ) -> tuple[int, dict[str, Any]]:
+    async def _answer(self, request: http1.Message) -> tuple[int, dict[str, Any]]:
         parts = urllib.parse.urlsplit(request.target)
         query = dict(urllib.parse.parse_qsl(parts.query))
         if parts.path == "/v1/kv-key":
@@ -139,34 +122,28 @@
             items = [item for key, item in sorted(self._items.items()) if key.startswith(prefix)]
             return 200, {"items": items, "truncated": False, "storeRevision": self._revision}
         if parts.path == "/v1/kv-watch":
-            return await self._watch(query, writer)
+            return await self._watch(query)
         return 404, {}
 
-    async def _watch(
-        self, query: dict[str, str], writer: asyncio.StreamWriter
-    ) -> tuple[int, dict[str, Any]]:
+    async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         since = int(query["sinceRev"])
         if since > self._revision or since < self._oldest:
             return 410, {"storeRevision": self._revision}
         loop = asyncio.get_running_loop()
-        self._waiting[writer] = loop.time()
         until = loop.time() + int(query["waitMs"]) / 1000.0
         prefix = query.get("pathPrefix", "")
-        try:
-            while True:
-                changed = self._changed
-                events = [
-                    event
-                    for event in self._events
-                    if event["revision"] > since and event["key"].startswith(prefix)
-                ]
-                left_s = until - loop.time()
-                if events or left_s <= 0.0:
-                    return 200, {"events": events, "storeRevision": self._revision}
-                try:
-                    async with asyncio.timeout(left_s):
-                        await changed.wait()
-                except TimeoutError:
-                    pass
-        finally:
-            self._waiting.pop(writer, None)
+        while True:
+            changed = self._changed
+            events = [
+                event
+                for event in self._events
+                if event["revision"] > since and event["key"].startswith(prefix)
+            ]
+            left_s = until - loop.time()
+            if events or left_s <= 0.0:
+                return 200, {"events": events, "storeRevision": self._revision}
+            try:
+                async with asyncio.timeout(left_s):
+                    await changed.wait()
+            except TimeoutError:
+                pass
