review: a zone stays evacuated for good if its evacuation ends in a gap after a drill

Cause: a full read keeps each evacuation that it lacks if it was set at a revision up to copied_until, which stays for as long as the store's era does; so later reads keep it too, although it has ended.

Shown: review/8 evacuates a zone, has the store come back from a copy, and takes the zone back while watches are cut and the history is dropped.

--- a/review/lib_2/deployment.py
+++ b/review/lib_2/deployment.py
@@ -99,24 +99,27 @@
         self.attempts: list[clients.Attempt] = []
         self._tasks: set[asyncio.Task[Any]] = set()
 
-    def add_engines(self, service: str, count: int) -> list[Engine]:
+    def add_engines(self, service: str, count: int, zone: str = "graz-a") -> list[Engine]:
         """Add engines of a service; they serve once the deployment is open."""
         added = []
         for _ in range(count):
             number = len(self.engines) + 1
             host = f"127.0.41.{100 + number}"
-            added.append(Engine(f"i-{number:08x}", service, host, free_port(host)))
+            added.append(Engine(f"i-{number:08x}", service, host, free_port(host), zone))
             self.engines.append(added[-1])
         return added
 
-    async def open(self, gateways: int) -> None:
-        """Open the store, the engines and the gateways, and wait until these are ready."""
+    async def open(self, gateways: int, **settings: Any) -> None:
+        """Open the store, the engines and the gateways, and wait until these are ready.
+
+        :param settings: fields of the gateways' settings that differ from the usual ones.
+        """
         await self.store.open()
         for engine in self.engines:
             await engine.open()
         ports = [free_port() for _ in range(4)]
         for number in range(1, gateways + 1):
-            self.gateways.append(Gateway(number, self.store.address, ports, gateways))
+            self.gateways.append(Gateway(number, self.store.address, ports, gateways, **settings))
             self.gateways[-1].start()
         for gateway in self.gateways:
             await self.wait_ready(gateway, 20.0)
--- a/review/lib_2/engines.py
+++ b/review/lib_2/engines.py
@@ -30,13 +30,20 @@
     """
 
     def __init__(
-        self, identity: str, service: str, host: str, port: int, work_s: float = 0.09
+        self,
+        identity: str,
+        service: str,
+        host: str,
+        port: int,
+        zone: str = "graz-a",
+        work_s: float = 0.09,
     ) -> None:
         self.identity = identity
         self.service = service
         self.arrivals: list[Arrival] = []
         self._host = host
         self._port = port
+        self._zone = zone
         self._work_s = work_s
         self._slots = 6
         self._running = 0
@@ -51,7 +58,7 @@
         return {
             "service": self.service,
             "address": f"{self._host}:{self._port}",
-            "zone": "olympia",
+            "zone": self._zone,
             "version": "v1",
             "slots": self._slots,
             "state": state,
--- a/review/lib_2/programs.py
+++ b/review/lib_2/programs.py
@@ -68,9 +68,9 @@
             "machineClass": "edge",
             "serves": ["edge", "control"],
             "ip": self._host,
-            "zone": "olympia",
-            "region": "cascadia",
-            "zones": {"olympia": "cascadia"},
+            "zone": "graz-a",
+            "region": "ostalpen",
+            "zones": {"graz-a": "ostalpen", "graz-b": "ostalpen"},
             "listen": {
                 "front": f"{self._host}:{ports[0]}",
                 "ready": f"{self._host}:{ports[1]}",
--- a/review/lib_2/store.py
+++ b/review/lib_2/store.py
@@ -9,6 +9,9 @@
 
 from lib_2 import http1
 
+#: Interval at which a watch that hears nothing looks whether it may go on, seconds.
+_MUTED_CHECK_S = 0.01
+
 
 class Store:
     """Serves ``kv-key``, ``kv-range`` and ``kv-watch`` on a loopback address.
@@ -24,6 +27,7 @@
         self._items: dict[str, dict[str, Any]] = {}
         self._events: list[dict[str, Any]] = []
         self._oldest = self._revision
+        self._muted = False
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -76,6 +80,24 @@
         self._record({"key": key, "revision": self._revision, "deleted": True})
         return self._revision
 
+    def put_again(self, key: str) -> None:
+        """Write an item again as it is."""
+        self.put(key, json.loads(base64.b64decode(self._items[key]["value"])))
+
+    def mute_watches(self) -> None:
+        """Let watches hear nothing."""
+        self._muted = True
+
+    def cut_watches(self) -> None:
+        """End all connections, and with them the watches; further ones hear of changes again."""
+        self.end_connections()
+        self._muted = False
+
+    def drop_history(self) -> None:
+        """Forget the changes up to now; a watch from before gets 410."""
+        self._events.clear()
+        self._oldest = self._revision
+
     def copy(self) -> Any:
         """Return a copy of the present state, to come back from."""
         return self._revision, copy.deepcopy(self._items)
@@ -83,8 +105,7 @@
     def restore(self, saved: Any) -> None:
         """Come back from a copy: what was written since is lost, and the era rises by one."""
         self._revision, self._items = saved[0], copy.deepcopy(saved[1])
-        self._events.clear()
-        self._oldest = self._revision
+        self.drop_history()
         self._era = (self._era or 0) + 1
 
     def _record(self, event: dict[str, Any]) -> None:
@@ -133,6 +154,9 @@
         until = loop.time() + int(query["waitMs"]) / 1000.0
         prefix = query.get("pathPrefix", "")
         while True:
+            if self._muted:
+                await asyncio.sleep(_MUTED_CHECK_S)
+                continue
             changed = self._changed
             events = [
                 event
