Move the entries of endpoints out of the store's cache

Cause: the cache of the store holds the calls, the watches and what is believed of entries beyond the list; the next changes concern the last only. Change: EntryTable takes entries, their revisions, grace and departures; the decoder's interface stands beside the store's.

--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -51,8 +51,8 @@
 from pearshed._internal.gateway.request_router import RequestRouter
 from pearshed._internal.gateway.settings import GatewaySettings
 from pearshed._internal.gateway.side_exchange import REPORT_INTERVAL_S, SideExchange
-from pearshed._internal.gateway.store import Store
-from pearshed._internal.gateway.store_cache import DocumentDecoder, StoreCache
+from pearshed._internal.gateway.store import DocumentDecoder, Store
+from pearshed._internal.gateway.store_cache import StoreCache
 from pearshed._internal.gateway.stream_versions import StreamVersions
 from pearshed._internal.gateway.waiting.plain_waiting import (
     CHECK_INTERVAL_S as SLOT_CHECK_INTERVAL_S,
--- a/src/pearshed/_internal/gateway/store.py
+++ b/src/pearshed/_internal/gateway/store.py
@@ -6,6 +6,8 @@
 
 from returns.result import Result
 
+from pearshed._internal.models.routing import EndpointEntry, RoutingConfiguration
+
 
 @dataclass(frozen=True, slots=True)
 class StoreItem:
@@ -54,6 +56,18 @@
 StoreResult = Result[StoreResponse, StoreFailure]
 
 
+class DocumentDecoder(abc.ABC):
+    """Decodes the platform's documents."""
+
+    @abc.abstractmethod
+    def configuration(self, document: bytes) -> Result[RoutingConfiguration, str]:
+        """Decode a configuration."""
+
+    @abc.abstractmethod
+    def endpoint(self, identity: str, document: bytes) -> Result[EndpointEntry, str]:
+        """Decode an endpoint's entry."""
+
+
 class Store(abc.ABC):
     """Reads and watches the platform's store.
 
--- a/src/pearshed/_internal/gateway/store_cache.py
+++ b/src/pearshed/_internal/gateway/store_cache.py
@@ -1,8 +1,6 @@
 """Caches the state of the platform's store, with the time when the store confirmed it."""
 
-import abc
 import asyncio
-import hashlib
 import math
 import random
 from collections.abc import Awaitable, Callable, Iterable, Mapping
@@ -10,29 +8,24 @@
 
 from absl import logging
 from returns.pipeline import is_successful
-from returns.result import Result
 
-from pearshed._internal.gateway.availability.departures import Departures
+from pearshed._internal.gateway.availability.entry_table import EntryTable
 from pearshed._internal.gateway.availability.evacuations import (
     EvacuationTable,
     EvacuationUpdate,
     Source,
 )
 from pearshed._internal.gateway.store import (
+    DocumentDecoder,
     Store,
     StoreFailure,
     StoreItem,
     StoreResponse,
     StoreResult,
 )
-from pearshed._internal.models.routing import (
-    EndpointEntry,
-    EndpointState,
-    RoutingConfiguration,
-)
+from pearshed._internal.models.routing import EndpointEntry, RoutingConfiguration
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.backoff import Backoff
-from pearshed._internal.utils.foreign_values import shorten
 
 #: Wait of one watch, seconds. Each response confirms the configuration as of its request; when one
 #: is lost, there is still time to ask other gateways (``peer_sync``).
@@ -61,21 +54,6 @@
 MAX_PAGE_TRIES = 4
 #: No entry expires in a shorter outage: an entry lasts for three heartbeat intervals of over 1 s.
 EXPIRY_OUTAGE_S = 1.5
-#: Entries that expired in an outage are back within this time after it if their endpoint runs.
-EXPIRY_GRACE_S = 2.0
-_DIGEST_BYTES = 8
-
-
-class DocumentDecoder(abc.ABC):
-    """Decodes the platform's documents."""
-
-    @abc.abstractmethod
-    def configuration(self, document: bytes) -> Result[RoutingConfiguration, str]:
-        """Decode a configuration."""
-
-    @abc.abstractmethod
-    def endpoint(self, identity: str, document: bytes) -> Result[EndpointEntry, str]:
-        """Decode an endpoint's entry."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,17 +108,10 @@
         self._rng = rng
         self._configuration: RoutingConfiguration | None = None
         self._configuration_item: StoreItem | None = None
-        self._endpoints: dict[str, EndpointEntry] = {}
-        self._departures = Departures()
-        self._endpoint_items: dict[str, StoreItem] = {}
-        self._digest = ""
-        self._entry_revisions: dict[str, int] = {}
-        self._entries_received_at: dict[str, float] = {}
-        self._grace_deadlines: dict[str, float] = {}
+        self._entries = EntryTable(store, decoder)
         self._revision = 0
         self._confirmed_at = float("-inf")
         self._last_response_at = clock.now()
-        self._grace_until = float("-inf")
         self._connected = False
         self._has_peer_configuration = False
         self._has_peer_endpoints = False
@@ -151,7 +122,6 @@
         self._paused_transfer_began_at = 0.0
         self._configuration_callbacks: list[Callable[[RoutingConfiguration], None]] = []
         self._endpoint_callbacks: list[Callable[[Mapping[str, EndpointEntry]], None]] = []
-        self._entry_callbacks: list[Callable[[EndpointEntry], None]] = []
         self._gap_callbacks: list[Callable[[], None]] = []
         self._confirmed = asyncio.Event()
         self._confirmation_wanted_at = float("-inf")
@@ -171,7 +141,7 @@
     @property
     def endpoints(self) -> Mapping[str, EndpointEntry]:
         """Entries of endpoints by identity."""
-        return self._endpoints
+        return self._entries.entries
 
     @property
     def age_s(self) -> float:
@@ -216,19 +186,11 @@
     @property
     def endpoints_digest(self) -> str:
         """Digest of the endpoints' entries; equal in processes with the same entries."""
-        if not self._digest:
-            digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-            for identity, item in sorted(self._endpoint_items.items()):
-                digest.update(f"{identity} {item.revision}\n".encode())
-            self._digest = digest.hexdigest()
-        return self._digest
+        return self._entries.digest
 
     def received(self, identity: str) -> tuple[int, float]:
         """Return the revision of an entry, and the clock reading when it was first received."""
-        return (
-            self._entry_revisions.get(identity, 0),
-            self._entries_received_at.get(identity, clock.now()),
-        )
+        return self._entries.received(identity)
 
     def on_configuration(self, callback: Callable[[RoutingConfiguration], None]) -> None:
         """Call ``callback`` with each new configuration."""
@@ -243,7 +205,7 @@
 
         An entry that is gone by the end of the same response is in no call of ``on_endpoints``.
         """
-        self._entry_callbacks.append(callback)
+        self._entries.on_entry(callback)
 
     def on_gap(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` when entries may have come and gone without a call of ``on_entry``."""
@@ -309,13 +271,7 @@
 
     def drop_expired(self) -> None:
         """Drop entries that did not come back within the grace period."""
-        now = clock.now()
-        expired = [identity for identity, until in self._grace_deadlines.items() if until <= now]
-        for identity in expired:
-            del self._grace_deadlines[identity]
-            self._drop_endpoint(identity)
-            _log("endpoint.gone", identity=identity, cause="entry did not come back")
-        if expired:
+        if self._entries.drop_expired():
             self._notify_endpoints()
 
     @property
@@ -359,7 +315,7 @@
             configuration.version,
             self.age_s,
             self._configuration_item if configuration.version > version else None,
-            tuple(self._endpoint_items.values()) if with_endpoints and not same_endpoints else None,
+            self._entries.items if with_endpoints and not same_endpoints else None,
             self._evacuations.build_update(),
         )
 
@@ -489,7 +445,7 @@
             await asyncio.sleep(backoff.next_delay())
         items = tuple(item for page in pages for item in page.items)
         copied_until = pages[-1].copied_until
-        self._departures.copied_until = copied_until
+        self._entries.note_copy(copied_until)
         return StoreResponse(
             items, pages[0].revision, pages[0].requested_at, copied_until=copied_until
         )
@@ -518,7 +474,7 @@
                 self._record_transfer(response)
                 self._apply_configuration(item)
             elif self._store.endpoint_identity(item.key):
-                changed = self._apply_endpoint(item) or changed
+                changed = self._entries.apply(item) or changed
         if changed:
             self._notify_endpoints()
         self._revision = max(self._revision, response.revision)
@@ -558,7 +514,7 @@
             self._connected = True
             _log("store.connected", silent_s=round(now - self._last_response_at, 3))
             if now - self._last_response_at > EXPIRY_OUTAGE_S:
-                self._grace_until = now + EXPIRY_GRACE_S
+                self._entries.begin_grace()
         self._last_response_at = now
 
     def _record_failure(self, failure: StoreFailure) -> None:
@@ -599,84 +555,17 @@
         return round(self.age_s * clock.MILLISECONDS_PER_SECOND) if self.age_s < math.inf else None
 
     def _replace_endpoints(self, items: Iterable[StoreItem]) -> None:
-        listed = set()
-        for item in items:
-            identity = self._store.endpoint_identity(item.key)
-            if identity:
-                listed.add(identity)
-                self._apply_endpoint(item)
-        for identity in self._endpoints.keys() - listed:
-            self._drop_or_defer_endpoint(identity)
+        self._entries.replace(items)
         self._notify_gap()
         self._notify_endpoints()
 
-    def _apply_endpoint(self, item: StoreItem) -> bool:
-        identity = self._store.endpoint_identity(item.key)
-        if item.revision < self._entry_revisions.get(identity, 0):
-            return False
-        is_new = item.revision > self._entry_revisions.get(identity, 0)
-        if is_new:
-            self._entries_received_at[identity] = clock.now()
-        self._entry_revisions[identity] = item.revision
-        if item.value is None:
-            return self._drop_or_defer_endpoint(identity)
-        decoded = self._decoder.endpoint(identity, item.value)
-        if not is_successful(decoded):
-            if is_new:
-                # Read again, it would be logged again.
-                _log("endpoint.refused", identity=shorten(identity), reason=decoded.failure())
-            return self._drop_or_defer_endpoint(identity)
-        entry = decoded.unwrap()
-        current = self._endpoints.get(identity)
-        if entry.state is EndpointState.READY and self._departures.has_left(entry, item.revision):
-            _log("endpoint.copied", identity=identity, service=entry.service)
-            return self._drop_or_defer_endpoint(identity)
-        if entry.state is not EndpointState.READY:
-            self._departures.record(entry)
-        self._endpoints[identity] = entry
-        self._endpoint_items[identity] = item
-        for callback in self._entry_callbacks:
-            callback(entry)
-        self._digest = ""
-        self._grace_deadlines.pop(identity, None)
-        if current is None or current.state is not entry.state:
-            _log(
-                "endpoint.listed",
-                identity=identity,
-                service=entry.service,
-                address=str(entry.address),
-                state=entry.state.value,
-                software_version=entry.software_version,
-                revision=item.revision,
-            )
-        return current != entry
-
-    def _drop_or_defer_endpoint(self, identity: str) -> bool:
-        entry = self._endpoints.get(identity)
-        if entry is None or identity in self._grace_deadlines:
-            return False
-        if clock.now() < self._grace_until and entry.state is EndpointState.READY:
-            self._grace_deadlines[identity] = self._grace_until
-            _log("endpoint.lapsed", identity=identity, service=entry.service)
-            return False
-        self._drop_endpoint(identity)
-        _log("endpoint.gone", identity=identity, cause="entry removed")
-        return True
-
-    def _drop_endpoint(self, identity: str) -> None:
-        entry = self._endpoints.pop(identity, None)
-        if entry is not None:
-            self._departures.record(entry)
-        self._endpoint_items.pop(identity, None)
-        self._digest = ""
-
     def _notify_gap(self) -> None:
         for callback in self._gap_callbacks:
             callback()
 
     def _notify_endpoints(self) -> None:
         for callback in self._endpoint_callbacks:
-            callback(self._endpoints)
+            callback(self._entries.entries)
 
 
 def _log(event: str, **fields: object) -> None:
--- a/src/pearshed/_internal/platform/documents.py
+++ b/src/pearshed/_internal/platform/documents.py
@@ -9,7 +9,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from pearshed._internal.gateway.store_cache import DocumentDecoder
+from pearshed._internal.gateway.store import DocumentDecoder
 from pearshed._internal.models.routing import (
     DEFAULT_CALLER_LIMITS,
     CallerLimits,
--- a/tests/gateway/test_store_cache.py
+++ b/tests/gateway/test_store_cache.py
@@ -10,10 +10,10 @@
 from parameterized import parameterized
 from returns.result import Success
 
+from pearshed._internal.gateway.availability.entry_table import EXPIRY_GRACE_S
 from pearshed._internal.gateway.store import Store, StoreItem, StoreResponse, StoreResult
 from pearshed._internal.gateway.store_cache import (
     CONFIRMING_WAIT_S,
-    EXPIRY_GRACE_S,
     MIN_WATCH_WAIT_S,
     WATCH_WAIT_S,
     StoreCache,
@@ -113,7 +113,7 @@
         self.store.put("servers/i-1", ENTRY)
         self.store.put("servers/i-3", ENTRY)
         await until(lambda: "i-3" in self.identities())
-        self.assertFalse(self.store_cache._grace_deadlines)
+        self.assertFalse(self.store_cache._entries._grace_deadlines)
 
     async def test_an_entry_still_missing_after_the_grace_period_is_dropped(self) -> None:
         await self.start_outage(5.0)
@@ -121,7 +121,7 @@
         self.store.put("servers/i-2", ENTRY)
         self.store.refuse_with = 0
         await until(lambda: "i-2" in self.identities())
-        self.store_cache._grace_deadlines["i-1"] -= EXPIRY_GRACE_S
+        self.store_cache._entries._grace_deadlines["i-1"] -= EXPIRY_GRACE_S
         self.assertEqual({"i-2"}, self.identities())
 
     async def test_rejected_pages_are_requested_again(self) -> None:
