Take back that an engine has left as soon as it is known to be alive

Cause: each run whose entry was removed once was remembered as departed, and nothing took that back. Ruled out: the zone, the side and the health of the engines (they served until the drill, and a restart of the gateway ended it).

Change: a departure keeps the revision at which it became known. It ends with the first entry that was written later (in its era, after the copy, or with a count beyond all earlier writes), and at the latest when the store has listed the entry for longer than a lease: the store removes the entry of an engine that is gone after three heartbeats. Until then the entry is set aside, logged and shown in /dump (doubted_entries). decisions/restored_items decides, without clock or network.

Why it works: what is set aside is either expired by the store, which deletes it, or renewed by a living engine, which keeps it listed; both show within one lease and a margin.

The two rows of DeparturesTest that named revisions without eras name them with eras now, and check what takes a departure back.

--- /dev/null
+++ b/src/pearshed/_internal/decisions/restored_items.py
@@ -0,0 +1,65 @@
+"""Tells what was written to the store from what a copy of an earlier state brings back.
+
+Addresses a store that comes back from a copy some seconds old: it lists items that had ended, and
+lacks some that hold. Whoever wrote them writes again, or lets them expire. So each belief against
+the store's list ends with evidence of a later write, or once the writer has had the time for one.
+"""
+
+from dataclasses import dataclass
+
+from pearshed._internal.models.revisions import count_of, era_of
+
+#: Heartbeats that an endpoint misses until the store removes its entry.
+HEARTBEATS_OF_A_LEASE = 3
+#: Lease of an entry where the settings don't name the interval of heartbeats, seconds.
+DEFAULT_LEASE_S = 3.6
+#: Time beyond a lease within which the store removes an entry that has expired, seconds.
+EXPIRY_MARGIN_S = 1.0
+#: Time within which the operator deletes again what a copy brings back, seconds. Shorter than the
+#: bound for evacuations, since the operator may also have set it once more.
+DELETION_REPEATED_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class KnownEnd:
+    """End of an item, by its deletion or because a list lacked it.
+
+    :ivar revision: of the store, as of which the end was known.
+    :ivar highest_count: no earlier write of the item has a higher count, in any era.
+    """
+
+    revision: int
+    highest_count: int
+
+    @classmethod
+    def at(cls, revision: int, before: "KnownEnd | None" = None) -> "KnownEnd":
+        """Record an end at a revision.
+
+        :param before: an end of the same item that was known before.
+        """
+        if before is None:
+            return cls(revision, count_of(revision))
+        return cls(max(revision, before.revision), max(count_of(revision), before.highest_count))
+
+    def is_before(self, revision: int, copied_until: int) -> bool:
+        """Return whether an item of a revision was written after this end.
+
+        :param revision: of the item.
+        :param copied_until: revision up to which items may come from a copy; 0 if it isn't known.
+        """
+        if era_of(revision) <= era_of(self.revision):
+            return revision > self.revision
+        if era_of(copied_until) == era_of(revision) and revision > copied_until:
+            return True
+        # Counts go back with a copy, so only those beyond all earlier writes are conclusive.
+        return count_of(revision) > self.highest_count
+
+
+def is_lease_over(listed_since: float, confirmed_at: float, lease_s: float) -> bool:
+    """Return whether an entry has been listed for so long that its endpoint must be alive.
+
+    :param listed_since: clock reading when the entry was first listed in this era, seconds.
+    :param confirmed_at: clock reading as of which the store still listed it, seconds.
+    :param lease_s: silence of an endpoint after which the store removes its entry, seconds.
+    """
+    return confirmed_at - listed_since >= lease_s + EXPIRY_MARGIN_S
--- a/src/pearshed/_internal/gateway/availability/departures.py
+++ b/src/pearshed/_internal/gateway/availability/departures.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from pearshed._internal.decisions.restored_items import KnownEnd
 from pearshed._internal.models.routing import EndpointEntry, EndpointRun
 
 #: Runs that are remembered; the oldest are forgotten first.
@@ -17,20 +18,28 @@
 
     def __init__(self) -> None:
         self.copied_until = 0
-        self._runs: collections.OrderedDict[EndpointRun, None] = collections.OrderedDict()
+        self._runs: collections.OrderedDict[EndpointRun, KnownEnd] = collections.OrderedDict()
 
-    def record(self, entry: EndpointEntry) -> None:
-        """Record that an endpoint leaves, or has left."""
-        self._runs[entry.run] = None
+    def record(self, entry: EndpointEntry, revision: int) -> None:
+        """Record that an endpoint leaves, or has left.
+
+        :param revision: of the store, as of which that is known.
+        """
+        self._runs[entry.run] = KnownEnd.at(revision, self._runs.get(entry.run))
         self._runs.move_to_end(entry.run)
         if len(self._runs) > MAX_RUNS:
             self._runs.popitem(last=False)
 
+    def take_back(self, entry: EndpointEntry) -> bool:
+        """Forget that an endpoint has left; return whether that was known."""
+        return self._runs.pop(entry.run, None) is not None
+
     def has_left(self, entry: EndpointEntry, revision: int) -> bool:
-        """Return whether an entry is that of an endpoint that has left, as a copy lists it.
+        """Return whether an entry may be that of an endpoint that has left, as a copy lists it.
 
-        An entry that was written since the store came back is the endpoint's own word.
+        An entry that was written after the endpoint had left is the endpoint's own word.
 
         :param revision: of the entry.
         """
-        return revision <= self.copied_until and entry.run in self._runs
+        end = self._runs.get(entry.run)
+        return end is not None and not end.is_before(revision, self.copied_until)
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -117,7 +117,13 @@
         self._account = ProcessAccount(lambda: self._settings.machine, serves_callers=True)
         self._evacuation_settings = _evacuation_settings(settings)
         self._evacuations = EvacuationTable(lambda: self._evacuation_settings)
-        self._store_cache = StoreCache(store, decoder, self._rng, self._evacuations)
+        self._store_cache = StoreCache(
+            store,
+            decoder,
+            self._rng,
+            self._evacuations,
+            lambda: self._settings.entry_lease_s,
+        )
         self._directory = PeerDirectory(settings.control, settings.seeds, self._rng)
         self._peer_sync = PeerSync(self._store_cache, self._directory, self._rng)
         self._pauses = PauseTable()
--- a/src/pearshed/_internal/gateway/settings.py
+++ b/src/pearshed/_internal/gateway/settings.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from pearshed._internal.decisions.restored_items import DEFAULT_LEASE_S
 from pearshed._internal.resources.limits import MachineLimits
 from pearshed._internal.utils.addresses import Address
 
@@ -29,6 +30,7 @@
     :ivar regions: region of each data centre.
     :ivar cold_overshoot: a cold engine may get this many times what it takes in a second, and
         ``cold_slack`` requests more; ``None`` if cold engines are not limited.
+    :ivar entry_lease_s: silence of an endpoint after which the store removes its entry, seconds.
     :ivar machine: memory and descriptors of the process.
     """
 
@@ -50,4 +52,5 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     cold_overshoot: float | None = None
     cold_slack: float = 0.0
+    entry_lease_s: float = DEFAULT_LEASE_S
     machine: MachineLimits = field(default_factory=MachineLimits.of_machine)
--- a/src/pearshed/_internal/gateway/store_cache.py
+++ b/src/pearshed/_internal/gateway/store_cache.py
@@ -9,6 +9,7 @@
 from absl import logging
 from returns.pipeline import is_successful
 
+from pearshed._internal.decisions.restored_items import DEFAULT_LEASE_S
 from pearshed._internal.gateway.availability.entry_table import EntryTable
 from pearshed._internal.gateway.availability.evacuations import (
     EvacuationTable,
@@ -92,6 +93,8 @@
     So where it is slow, watches are shorter, and a confirmation follows each slow transfer.
 
     :param evacuations: gets the evacuations of data centres; ``None`` if they aren't used.
+    :param lease_s: returns the silence of an endpoint after which the store removes its entry,
+        seconds.
     """
 
     def __init__(
@@ -100,6 +103,7 @@
         decoder: DocumentDecoder,
         rng: random.Random,
         evacuations: EvacuationTable | None = None,
+        lease_s: Callable[[], float] = lambda: DEFAULT_LEASE_S,
     ) -> None:
         self._evacuations = evacuations if evacuations is not None else EvacuationTable()
         self._evacuations_read = False
@@ -108,7 +112,7 @@
         self._rng = rng
         self._configuration: RoutingConfiguration | None = None
         self._configuration_item: StoreItem | None = None
-        self._entries = EntryTable(store, decoder)
+        self._entries = EntryTable(store, decoder, lease_s)
         self._revision = 0
         self._confirmed_at = float("-inf")
         self._last_response_at = clock.now()
@@ -188,6 +192,11 @@
         """Digest of the endpoints' entries; equal in processes with the same entries."""
         return self._entries.digest
 
+    @property
+    def entries(self) -> EntryTable:
+        """The entries, and which of those that are listed aren't used."""
+        return self._entries
+
     def received(self, identity: str) -> tuple[int, float]:
         """Return the revision of an entry, and the clock reading when it was first received."""
         return self._entries.received(identity)
@@ -343,12 +352,13 @@
         if self._transfer_paused is not None and self._configuration.version > version:
             self._configuration_transfer_s = clock.now() - self._paused_transfer_began_at
         if update.endpoints is not None and update.revision >= self._revision:
-            self._replace_endpoints(update.endpoints)
+            self._replace_endpoints(update.endpoints, update.revision)
         self._notify_gap()
         self._revision = max(self._revision, update.revision)
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
         self._has_peer_configuration = True
         self._has_peer_endpoints = True
+        self._confirm_entries(confirmed_at)
         return True
 
     async def _wait_for_resumption(self, resumed: asyncio.Event) -> None:
@@ -373,7 +383,7 @@
         self._record_response()
         for item in configuration.items:
             self._apply_configuration(item)
-        self._replace_endpoints(entries.items)
+        self._replace_endpoints(entries.items, entries.revision)
         # Changes of evacuations after this revision come again; the table ignores repetitions.
         self._revision = min(configuration.revision, entries.revision)
         self._has_peer_configuration = False
@@ -392,7 +402,7 @@
         if failure is not None:
             return failure
         self._record_response()
-        self._replace_endpoints(entries.items)
+        self._replace_endpoints(entries.items, entries.revision)
         self._revision = min(self._revision, entries.revision)
         self._has_peer_endpoints = False
         self._last_watch_had_changes = False
@@ -507,6 +517,11 @@
             self._confirmed_at = max(self._confirmed_at, response.requested_at)
             self._confirmed.set()
             self._confirmed = asyncio.Event()
+        self._confirm_entries(response.requested_at)
+
+    def _confirm_entries(self, confirmed_at: float) -> None:
+        if self._entries.confirm(confirmed_at):
+            self._notify_endpoints()
 
     def _record_response(self) -> None:
         now = clock.now()
@@ -554,8 +569,8 @@
         """Return the age of the store's confirmation, milliseconds; ``None`` before the first."""
         return round(self.age_s * clock.MILLISECONDS_PER_SECOND) if self.age_s < math.inf else None
 
-    def _replace_endpoints(self, items: Iterable[StoreItem]) -> None:
-        self._entries.replace(items)
+    def _replace_endpoints(self, items: Iterable[StoreItem], revision: int) -> None:
+        self._entries.replace(items, revision)
         self._notify_gap()
         self._notify_endpoints()
 
--- a/src/pearshed/_internal/platform/settings_file.py
+++ b/src/pearshed/_internal/platform/settings_file.py
@@ -8,6 +8,7 @@
 import orjson
 from returns.pipeline import is_successful
 
+from pearshed._internal.decisions.restored_items import DEFAULT_LEASE_S, HEARTBEATS_OF_A_LEASE
 from pearshed._internal.engine_side.settings import EngineSideSettings
 from pearshed._internal.errors import FieldProblem, SettingsError
 from pearshed._internal.gateway.settings import GatewaySettings
@@ -119,9 +120,17 @@
         cold_overshoot=reader.optional_number("bounds", "coldOvershoot"),
         cold_slack=reader.optional_number("bounds", "coldSlack") or 0.0,
         machine=_read_machine(reader),
+        entry_lease_s=_read_entry_lease(reader),
     )
 
 
+def _read_entry_lease(reader: "_Reader") -> float:
+    heartbeat_ms = reader.raw.get("heartbeatMs")
+    if isinstance(heartbeat_ms, bool) or not isinstance(heartbeat_ms, int | float):
+        return DEFAULT_LEASE_S
+    return HEARTBEATS_OF_A_LEASE * heartbeat_ms / MILLISECONDS_PER_SECOND
+
+
 class _Reader:
     """Reads fields of the file and collects the problems found."""
 
--- a/src/pearshed/_internal/platform/store_client.py
+++ b/src/pearshed/_internal/platform/store_client.py
@@ -19,6 +19,7 @@
 )
 from pearshed._internal.http import messages
 from pearshed._internal.http.json_client import JsonClient
+from pearshed._internal.models.revisions import REVISIONS_PER_ERA, compose, count_of, era_of
 from pearshed._internal.platform import names
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
@@ -29,8 +30,6 @@
 _GONE = 410
 _OK = 200
 _NOT_FOUND = 404
-#: Revisions of one era of the store; what it gives out in a later era is higher.
-_REVISIONS_PER_ERA = 2**40
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +50,7 @@
 
     def revision(self, raw: int) -> int:
         """Return the revision that orders a raw one among those of all eras."""
-        return self.era * _REVISIONS_PER_ERA + raw
+        return compose(self.era, raw)
 
 
 class PlatformStore(Store):
@@ -119,7 +118,7 @@
 
     async def watch(self, after: int, wait_s: float) -> StoreResult:
         """Wait for changes after a revision, of any key."""
-        era, revision = divmod(after, _REVISIONS_PER_ERA)
+        era, revision = era_of(after), count_of(after)
         if era < (self._era or 0):
             return Failure(StoreFailure("the store has come back from a copy", history_lost=True))
         wait_ms = int(wait_s * clock.MILLISECONDS_PER_SECOND)
@@ -194,7 +193,7 @@
             # What the first response of an era covers may come from the copy.
             revision = raw.get("storeRevision")
             covered = revision if isinstance(revision, int) else 0
-            self._copied_until = era * _REVISIONS_PER_ERA + covered
+            self._copied_until = compose(era, covered)
             fields = {"era": era, "before": self._era, "revision": covered}
             logging.info("store.restored", extra={"fields": fields})
         self._era = era
@@ -205,7 +204,7 @@
     items: tuple[StoreItem | None, ...], reply: _Reply, next_page_key: str = ""
 ) -> StoreResult:
     revision = reply.raw.get("storeRevision")
-    if not isinstance(revision, int) or revision >= _REVISIONS_PER_ERA:
+    if not isinstance(revision, int) or revision >= REVISIONS_PER_ERA:
         return Failure(StoreFailure("the response has no store revision"))
     return Success(
         StoreResponse(
@@ -224,7 +223,7 @@
     if not isinstance(raw, dict):
         return None
     key, revision, value = raw.get("key"), raw.get("revision"), raw.get("value")
-    if not isinstance(key, str) or not isinstance(revision, int) or revision >= _REVISIONS_PER_ERA:
+    if not isinstance(key, str) or not isinstance(revision, int) or revision >= REVISIONS_PER_ERA:
         return None
     revision = reply.revision(revision)
     if raw.get("deleted") is True:
--- a/tests/gateway/test_restored_stores.py
+++ b/tests/gateway/test_restored_stores.py
@@ -4,6 +4,7 @@
 
 from parameterized import parameterized
 
+from pearshed._internal.decisions.restored_items import EXPIRY_MARGIN_S
 from pearshed._internal.gateway.process import GatewayProcess
 from tests.lib.gateway_fixture import GatewayTestCase, until
 from tests.lib.gateway_platform import API_KEY, configuration, respond_ok
@@ -103,6 +104,54 @@
         self.store.put(f"servers/{first.identity}", first.entry(seq=9))
         await until(lambda: self.has_endpoints("ledger", 2))
 
+    @parameterized.expand(
+        [
+            # name, whether the engine lapses before the copy is made, and joins after it
+            ("lapsed_and_back_before_the_copy", True, False),
+            ("joined_after_the_copy", False, True),
+        ]
+    )
+    async def test_a_running_engine_stays_in_use_over_further_drills(
+        self, _: str, lapses: bool, joins_late: bool
+    ) -> None:
+        # An engine that a gateway once missed was dropped for good by each later drill.
+        gateway = await self.start()
+        first = self.engines[0]
+        key = f"servers/{first.identity}"
+        if lapses or joins_late:
+            self.store.delete(key)
+            await until(lambda: self.has_endpoints("ledger", 1))
+        copy = self.store.copy()
+        self.store.put(key, first.entry())
+        await until(lambda: self.has_endpoints("ledger", 2))
+        for _drill in range(2):
+            self.store.restore(copy if joins_late else self.store.copy())
+            for engine in self.engines:
+                self.store.put(f"servers/{engine.identity}", engine.entry())
+            copy = self.store.copy()
+            await self.pass_a_restore()
+            self.assertTrue(self.has_endpoints("ledger", 2))
+        self.assertEqual([], gateway.pages.dump()["doubted_entries"])
+
+    async def test_an_engine_that_came_back_while_the_store_was_away_is_used_after_a_lease(
+        self,
+    ) -> None:
+        await self.start()
+        first = self.engines[0]
+        copy = self.store.copy()
+        self.store.delete(f"servers/{first.identity}")
+        await until(lambda: self.has_endpoints("ledger", 1))
+        self.store.refuse_with = 503
+        self.store.reset_connections()
+        await until(lambda: not self.gateway.store_cache.connected)
+        self.store.restore(copy)
+        self.store.put(f"servers/{first.identity}", first.entry())
+        self.store.refuse_with = 0
+        await until(lambda: bool(self.gateway.pages.dump()["doubted_entries"]))
+        self.assertTrue(self.has_endpoints("ledger", 1))
+        self.clock_offset += self.settings.entry_lease_s + EXPIRY_MARGIN_S
+        await until(lambda: self.has_endpoints("ledger", 2))
+
     async def test_an_evacuation_that_the_copy_lacks_stays_until_the_operator_ends_it(self) -> None:
         for _ in range(2):
             await self.add_engine("ledger", respond_ok)
--- a/tests/gateway/test_waits.py
+++ b/tests/gateway/test_waits.py
@@ -8,6 +8,7 @@
 
 from pearshed._internal.gateway.availability.departures import MAX_RUNS, Departures
 from pearshed._internal.gateway.availability.interruptible_waits import InterruptibleWaits
+from pearshed._internal.models.revisions import compose
 from tests.lib.routed_calls import entry
 
 
@@ -58,29 +59,34 @@
 
     @parameterized.expand(
         [
-            # end of the copy, revision of the entry, has left
-            ("never_restored", 0, 5, False),
-            ("in_the_copy", 10, 10, True),
-            ("written_since", 10, 11, False),
+            # end of the copy, revision of the entry, has left; it left at revision 4 of era 1
+            ("never_restored", 0, compose(1, 5), False),
+            ("in_the_copy", compose(2, 10), compose(2, 4), True),
+            ("written_since", compose(2, 10), compose(2, 11), False),
         ]
     )
     def test_has_left(self, _: str, copied_until: int, revision: int, expected: bool) -> None:
         departures = Departures()
         departures.copied_until = copied_until
-        departures.record(entry(1))
+        departures.record(entry(1), compose(1, 4))
         self.assertEqual(expected, departures.has_left(entry(1), revision))
         self.assertFalse(departures.has_left(entry(2), revision))
         restarted = dataclasses.replace(entry(1), started_at_ms=entry(1).started_at_ms + 1)
         self.assertFalse(departures.has_left(restarted, revision))
+        self.assertTrue(departures.take_back(entry(1)))
+        self.assertFalse(departures.has_left(entry(1), revision))
+        self.assertFalse(departures.take_back(entry(1)))
 
     def test_the_oldest_are_forgotten(self) -> None:
         departures = Departures()
-        departures.copied_until = 10
+        departures.copied_until = compose(2, 10)
         for number in range(MAX_RUNS + 1):
-            departures.record(dataclasses.replace(entry(1), identity=f"i-{number}"))
+            one = dataclasses.replace(entry(1), identity=f"i-{number}")
+            departures.record(one, compose(1, 4))
         first, last = (
             dataclasses.replace(entry(1), identity=f"i-{number}") for number in (0, MAX_RUNS)
         )
         self.assertEqual(
-            (False, True), (departures.has_left(first, 1), departures.has_left(last, 1))
+            (False, True),
+            tuple(departures.has_left(one, compose(2, 1)) for one in (first, last)),
         )
