Follow a restored store's evacuations once the operator has repeated them

Cause: a full read kept each evacuation that it lacked if it was set up to the revision where the copy ends, "its end comes as a change". That holds for one read; the revision stays for as long as the era, so each later read kept it too, and an end in a lost history never came. On the related path nothing was kept: an evacuation that had ended came back with the copy until the operator deleted it once more.

Change: the table itself compares eras. Logged as evacuation.doubted, listed in /dump.

Why it works: an evacuation that the new era has listed once is no longer known "from before", so the next list that lacks it ends it; and what the operator doesn't repeat within the time ends as the store says.

--- a/src/pearshed/_internal/decisions/restored_items.py
+++ b/src/pearshed/_internal/decisions/restored_items.py
@@ -62,4 +62,14 @@
     :param confirmed_at: clock reading as of which the store still listed it, seconds.
     :param lease_s: silence of an endpoint after which the store removes its entry, seconds.
     """
-    return confirmed_at - listed_since >= lease_s + EXPIRY_MARGIN_S
+    return is_hold_over(listed_since, confirmed_at, lease_s + EXPIRY_MARGIN_S)
+
+
+def is_hold_over(since: float, confirmed_at: float, hold_s: float) -> bool:
+    """Return whether the writer of an item has had the time to write it again.
+
+    :param since: clock reading when a restored store first contradicted what was known, seconds.
+    :param confirmed_at: clock reading as of which it still did, seconds.
+    :param hold_s: time that the writer has, seconds.
+    """
+    return confirmed_at - since >= hold_s
--- a/src/pearshed/_internal/gateway/availability/evacuations.py
+++ b/src/pearshed/_internal/gateway/availability/evacuations.py
@@ -10,7 +10,13 @@
 
 from absl import logging
 
+from pearshed._internal.decisions.restored_items import (
+    DELETION_REPEATED_S,
+    KnownEnd,
+    is_hold_over,
+)
 from pearshed._internal.gateway.availability.interruptible_waits import InterruptibleWaits
+from pearshed._internal.models.revisions import era_of
 from pearshed._internal.telemetry.metrics import Metric, Sample, counter
 from pearshed._internal.timers import clock
 
@@ -46,6 +52,22 @@
     source: Source
 
 
+@dataclass(frozen=True, slots=True)
+class DoubtedEvacuation:
+    """An evacuation of which a restored store says something else than was known before.
+
+    :ivar revision: of the store, as of which a list first did so.
+    :ivar set_at: revision at which the list says that it was set; ``None`` if it lacks it.
+    :ivar since: clock reading at that time, seconds.
+    :ivar source: whose list it was.
+    """
+
+    revision: int
+    set_at: int | None
+    since: float
+    source: Source
+
+
 @dataclass(frozen=True, slots=True)
 class EvacuationUpdate:
     """All evacuations, as one process sends them to another.
@@ -80,7 +102,10 @@
     """The evacuated data centres.
 
     Changes are merged by the store's revisions, whoever sends them: a stale read or a slower
-    gateway neither withdraws a later evacuation nor brings back one that was withdrawn.
+    gateway neither withdraws a later evacuation nor brings back one that was withdrawn. Nor does a
+    store that comes back from a copy, until the operator has had the time to repeat what it lacks:
+    an evacuation that the copy lacks stays for the bound, and one that had ended stays ended for
+    ``DELETION_REPEATED_S``.
 
     :param settings: returns the current settings.
     """
@@ -89,6 +114,9 @@
         self._settings = settings
         self._evacuations: dict[str, Evacuation] = {}
         self._revisions: dict[str, int] = {}
+        self._ends: dict[str, KnownEnd] = {}
+        self._doubted: dict[str, DoubtedEvacuation] = {}
+        self._copied_until = 0
         self._in_force: frozenset[str] = frozenset()
         self._unknown_logged: set[str] = set()
         self._revision = 0
@@ -135,11 +163,6 @@
             self._untrusted_since = clock.now()
         return False
 
-    @property
-    def revisions(self) -> Mapping[str, int]:
-        """Revision at which each evacuation that is known was set, by data centre."""
-        return {name: one.revision for name, one in self._evacuations.items()}
-
     def on_change(self, callback: Callable[[frozenset[str]], None]) -> None:
         """Call ``callback`` with the evacuated data centres after each change."""
         self._callbacks.append(callback)
@@ -152,25 +175,43 @@
         """Count a request that was withheld right before it would have been sent."""
         self._withheld += 1
 
+    def note_copy(self, copied_until: int) -> None:
+        """Record up to which revision evacuations may come from a copy of the store."""
+        self._copied_until = copied_until
+
     def apply(self, data_centre: str, revision: int, evacuated: bool, source: Source) -> None:
         """Apply one change, unless a later one of the data centre is known.
 
         :param revision: revision of the store at which it was made.
         """
+        if revision >= self._revisions.get(data_centre, 0):
+            self._doubted.pop(data_centre, None)
         if self._record(data_centre, revision, evacuated, source):
             self.refresh()
 
     def apply_all(self, revisions: Mapping[str, int], revision: int, source: Source) -> None:
         """Apply a list of all evacuations; those that it lacks have been withdrawn.
 
+        What a restored store says against the knowledge of an earlier era is doubted for a while.
+
         :param revisions: revision at which each was set, by data centre.
         :param revision: revision of the store that the list covers.
         """
         changed = False
         for data_centre, set_at in revisions.items():
+            if self._is_copied(data_centre, set_at):
+                self._doubt(data_centre, DoubtedEvacuation(revision, set_at, clock.now(), source))
+                continue
+            self._doubted.pop(data_centre, None)
             changed = self._record(data_centre, set_at, True, source) or changed
         for data_centre in self._evacuations.keys() - revisions.keys():
+            if era_of(self._revisions[data_centre]) < era_of(revision):
+                self._doubt(data_centre, DoubtedEvacuation(revision, None, clock.now(), source))
+                continue
             changed = self._record(data_centre, revision, False, source) or changed
+        for data_centre in self._doubted.keys() - self._evacuations.keys() - revisions.keys():
+            # A list has agreed that it ended.
+            del self._doubted[data_centre]
         if changed:
             self.refresh()
 
@@ -185,6 +226,7 @@
             return
         self._revision = revision
         self._confirmed_at = max(self._confirmed_at, requested_at)
+        self._end_doubts(requested_at)
         if self.trusted:
             self._untrusted_since = None
             self._confirmed.set()
@@ -282,6 +324,19 @@
             for evacuation in self.evacuations
         ]
 
+    def dump_doubted(self) -> list[Mapping[str, Any]]:
+        """Return where the store's list isn't followed yet, for the state dump."""
+        now = clock.now()
+        return [
+            {
+                "data_centre": data_centre,
+                "evacuated": data_centre in self._evacuations,
+                "listed": doubted.set_at is not None,
+                "since_s": round(now - doubted.since, 3),
+            }
+            for data_centre, doubted in sorted(self._doubted.items())
+        ]
+
     def collect(self) -> Iterable[Metric]:
         """Report the metrics."""
         if not self.followed:
@@ -312,12 +367,49 @@
             self._withheld,
         )
 
+    def _is_copied(self, data_centre: str, set_at: int) -> bool:
+        """Return whether a listed evacuation may be one that had ended before a copy was used."""
+        end = self._ends.get(data_centre)
+        return (
+            end is not None
+            and data_centre not in self._evacuations
+            and era_of(set_at) > era_of(end.revision)
+            and not end.is_before(set_at, self._copied_until)
+        )
+
+    def _doubt(self, data_centre: str, doubted: DoubtedEvacuation) -> None:
+        """Keep what is known of an evacuation, against a list of a restored store."""
+        before = self._doubted.get(data_centre)
+        if before is not None and era_of(before.revision) == era_of(doubted.revision):
+            self._doubted[data_centre] = dataclasses.replace(before, set_at=doubted.set_at)
+            return
+        self._doubted[data_centre] = doubted
+        evacuated = data_centre in self._evacuations
+        fields = {"data_centre": data_centre, "evacuated": evacuated}
+        _log("evacuation.doubted", revision=doubted.revision, source=doubted.source.value, **fields)
+
+    def _end_doubts(self, confirmed_at: float) -> None:
+        """Follow the store where the operator has had the time to repeat what a copy lacks."""
+        bound_s = self._settings().bound_s or 0.0
+        changed = False
+        for data_centre, doubted in tuple(self._doubted.items()):
+            hold_s = bound_s if doubted.set_at is None else DELETION_REPEATED_S
+            if not is_hold_over(doubted.since, confirmed_at, hold_s):
+                continue
+            del self._doubted[data_centre]
+            revision = doubted.revision if doubted.set_at is None else doubted.set_at
+            listed = doubted.set_at is not None
+            changed = self._record(data_centre, revision, listed, doubted.source) or changed
+        if changed:
+            self.refresh()
+
     def _record(self, data_centre: str, revision: int, evacuated: bool, source: Source) -> bool:
         if revision < self._revisions.get(data_centre, 0):
             return False
         self._revisions[data_centre] = revision
         current = self._evacuations.get(data_centre)
         if not evacuated:
+            self._ends[data_centre] = KnownEnd.at(revision, self._ends.get(data_centre))
             return self._evacuations.pop(data_centre, None) is not None
         if current is not None:
             # Set again while it was in force.
--- a/src/pearshed/_internal/gateway/operator_pages.py
+++ b/src/pearshed/_internal/gateway/operator_pages.py
@@ -101,6 +101,7 @@
             "store_revision": self._store_cache.revision,
             "known_from_peers": self._store_cache.has_peer_state,
             "evacuations": self._evacuations.dump(),
+            "doubted_evacuations": self._evacuations.dump_doubted(),
             "doubted_entries": self._store_cache.entries.dump(),
             "connections": len(self._connections),
             "gateways": self._exchange.gateway_count,
--- a/src/pearshed/_internal/gateway/store_cache.py
+++ b/src/pearshed/_internal/gateway/store_cache.py
@@ -419,10 +419,6 @@
             self._store.evacuated_data_centre(item.key): item.revision for item in read.items
         }
         revisions.pop("", None)
-        for data_centre, set_at in self._evacuations.revisions.items():
-            if set_at <= read.copied_until:
-                # A copy from which the store has come back may lack it; its end comes as a change.
-                revisions.setdefault(data_centre, set_at)
         self._evacuations.apply_all(revisions, read.revision, Source.STORE)
         self._evacuations.confirm(read.revision, read.requested_at)
         self._evacuations_read = True
@@ -456,6 +452,7 @@
         items = tuple(item for page in pages for item in page.items)
         copied_until = pages[-1].copied_until
         self._entries.note_copy(copied_until)
+        self._evacuations.note_copy(copied_until)
         return StoreResponse(
             items, pages[0].revision, pages[0].requested_at, copied_until=copied_until
         )
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -25,6 +25,7 @@
 from pearshed._internal.gateway.process import GatewayProcess
 from pearshed._internal.gateway.store_cache import StoreCache, StoreUpdate
 from pearshed._internal.http import endpoint_connection
+from pearshed._internal.models.revisions import compose
 from pearshed._internal.platform.documents import PlatformDocuments
 from pearshed._internal.platform.headers import PlatformHeaders
 from pearshed._internal.platform.store_client import PlatformStore
@@ -94,6 +95,108 @@
                 self.table.apply_all(change, revision, Source.PEER)
         self.assertEqual(in_force, self.table.in_force)
 
+    @parameterized.expand(
+        [
+            # steps: (era, count, set?) one by one; (era, count, {data centre: count}) at once, and
+            # confirmed; seconds that pass until the store confirms that nothing has changed.
+            ("copy_lacks_it", [(1, 5, True), (2, 4, {})], {"olympia"}),
+            ("copy_lacks_it_within_the_bound", [(1, 5, True), (2, 4, {}), 4.9], {"olympia"}),
+            ("copy_lacks_it_beyond_the_bound", [(1, 5, True), (2, 4, {}), 5.1], set()),
+            ("repeated_after_the_copy", [(1, 5, True), (2, 4, {}), (2, 6, True), 9.0], {"olympia"}),
+            (
+                "ended_in_a_gap_after_it_was_repeated",
+                [(1, 5, True), (2, 4, {}), (2, 6, True), (2, 9, {})],
+                set(),
+            ),
+            (
+                "ended_in_a_gap_after_it_was_read_again",
+                [(1, 5, True), (2, 7, {"olympia": 6}), (2, 9, {})],
+                set(),
+            ),
+            ("ended_after_the_copy", [(1, 5, True), (2, 4, {}), (2, 6, False)], set()),
+            (
+                "bound_counts_from_the_last_drill",
+                [(1, 5, True), (2, 4, {}), 4.0, (3, 4, {}), 4.0],
+                {"olympia"},
+            ),
+            (
+                "copy_has_one_that_ended",
+                [(1, 5, True), (1, 9, False), (2, 7, {"olympia": 5})],
+                set(),
+            ),
+            (
+                "copy_has_one_that_ended_and_the_end_is_repeated",
+                [(1, 5, True), (1, 9, False), (2, 7, {"olympia": 5}), (2, 8, False), 9.0],
+                set(),
+            ),
+            (
+                "copy_has_one_that_ended_and_a_gap_hides_that_the_end_is_repeated",
+                [(1, 5, True), (1, 9, False), (2, 7, {"olympia": 5}), (2, 8, {}), 9.0],
+                set(),
+            ),
+            (
+                "copy_has_one_whose_end_nobody_repeats",
+                [(1, 5, True), (1, 9, False), (2, 7, {"olympia": 5}), 2.1],
+                {"olympia"},
+            ),
+            (
+                "set_again_before_the_copy_is_read",
+                [(1, 5, True), (1, 9, False), (2, 12, {"olympia": 11})],
+                {"olympia"},
+            ),
+            (
+                "set_again_after_the_copy",
+                [(1, 5, True), (1, 9, False), (2, 7, {"olympia": 5}), (2, 8, True)],
+                {"olympia"},
+            ),
+        ]
+    )
+    def test_a_store_that_came_back_from_a_copy_is_followed_when_the_operator_has_repeated_it(
+        self, _: str, steps: list[Any], in_force: set[str]
+    ) -> None:
+        # An evacuation from before a drill once stayed for good if its end was missed.
+        for step in steps:
+            if isinstance(step, float):
+                self.clock.advance(step)
+            elif isinstance(step[2], bool):
+                era, count, evacuated = step
+                revision = compose(era, count)
+                self.table.apply("olympia", revision, evacuated, Source.STORE)
+            else:
+                era, count, listed = step
+                revision = compose(era, count)
+                if era > 1:
+                    self.table.note_copy(revision)
+                revisions = {name: compose(era, set_at) for name, set_at in listed.items()}
+                self.table.apply_all(revisions, revision, Source.STORE)
+            self.table.confirm(revision, self.clock.now)
+        self.assertEqual(in_force, self.table.in_force)
+
+    @parameterized.expand(
+        [
+            # name, what the other gateway lists, in force at once
+            ("lacks_one_that_was_known", {}, {"olympia"}),
+            ("lists_one_that_had_ended", {"olympia": 6, "tacoma": 3}, {"olympia"}),
+        ]
+    )
+    def test_another_gateway_that_read_the_copy_is_doubted_too(
+        self, _: str, listed: dict[str, int], in_force: set[str]
+    ) -> None:
+        self.table.apply("olympia", compose(1, 5), True, Source.STORE)
+        self.table.apply("tacoma", compose(1, 3), True, Source.STORE)
+        self.table.apply("tacoma", compose(1, 7), False, Source.STORE)
+        revisions = {name: compose(2, count) for name, count in listed.items()}
+        update = EvacuationUpdate(revisions, compose(2, 6), 0.1)
+        self.table.apply_update(update, self.clock.now)
+        self.assertEqual(in_force, self.table.in_force)
+        doubted = {row["data_centre"]: row for row in self.table.dump_doubted()}
+        self.assertEqual({"tacoma"} if listed else {"olympia"}, doubted.keys())
+        self.clock.advance(BOUND_S)
+        later = dataclasses.replace(update, revision=compose(2, 8))
+        self.table.apply_update(later, self.clock.now + 0.2)
+        self.assertEqual(set(listed), self.table.in_force)
+        self.assertEqual([], self.table.dump_doubted())
+
     def test_an_unknown_data_centre_is_logged_once(self) -> None:
         with self.assertLogs("absl", "INFO") as logs:
             for revision in (5, 7, 9):
--- a/tests/gateway/test_restored_stores.py
+++ b/tests/gateway/test_restored_stores.py
@@ -166,6 +166,38 @@
         self.store.delete("op/evacuate/olympia")
         await until(lambda: self.has_endpoints("ledger", 2))
 
+    async def test_an_evacuation_whose_end_is_missed_after_a_drill_ends(self) -> None:
+        # Each later full read once kept an evacuation that had been set before the drill.
+        for _ in range(2):
+            await self.add_engine("ledger", respond_ok)
+        await self.start_gateway(evacuation_bound_s=5.0)
+        self.store.put("op/evacuate/olympia", {})
+        await until(lambda: self.has_endpoints("ledger", 0))
+        self.store.restore(self.store.copy())
+        self.store.put("op/evacuate/olympia", {})
+        await self.pass_a_restore()
+        self.assertTrue(self.has_endpoints("ledger", 0))
+        self.store.delete("op/evacuate/olympia")
+        self.store.compact()
+        self.store.reset_connections()
+        await until(lambda: self.has_endpoints("ledger", 2))
+
+    async def test_an_evacuation_that_had_ended_is_not_back_because_a_copy_lists_it(self) -> None:
+        for _ in range(2):
+            await self.add_engine("ledger", respond_ok)
+        gateway = await self.start_gateway(evacuation_bound_s=5.0)
+        self.store.put("op/evacuate/olympia", {})
+        await until(lambda: self.has_endpoints("ledger", 0))
+        copy = self.store.copy()
+        self.store.delete("op/evacuate/olympia")
+        await until(lambda: self.has_endpoints("ledger", 2))
+        self.store.restore(copy)
+        await until(lambda: bool(gateway.pages.dump()["doubted_evacuations"]))
+        self.assertTrue(self.has_endpoints("ledger", 2))
+        self.store.delete("op/evacuate/olympia")
+        await until(lambda: not gateway.pages.dump()["doubted_evacuations"])
+        self.assertTrue(self.has_endpoints("ledger", 2))
+
     @parameterized.expand([("in_a_row", False), ("in_an_outage", True)])
     async def test_several_restores_are_followed(self, _: str, outage: bool) -> None:
         gateway = await self.start()
