End no doubt of a restored store by what another gateway uses

What callers would have seen: right after a drill beside cuts from the store, requests sent to an engine that had left, or an evacuation that outlasts the store's for good. Found by generated series of events at two caches.

Cause: the state of another gateway was taken as if the store's list were in it. But a gateway sends no entries if the digests are equal, omits what it doubts itself, and lists entries that the store has removed while they may come back. So a doubt could end without the store listing the entry, or vanish while the store listed an evacuation on.

Change: entries of another gateway leave doubts as they are; only responses of the store end them. Of evacuations, what is listed with a revision of an earlier era is the other gateway's own doubt and changes nothing here.

Result: test_another_gateway_with_the_same_doubt_does_not_end_it failed in both rows before and passes.

--- a/src/pearshed/_internal/gateway/availability/entry_table.py
+++ b/src/pearshed/_internal/gateway/availability/entry_table.py
@@ -112,20 +112,23 @@
         return bool(expired)
 
     def replace(self, items: Iterable[StoreItem], revision: int) -> None:
-        """Apply a list of all entries.
+        """Apply the store's list of all entries.
 
         :param revision: of the store, as of which the list is complete.
         """
-        listed = set()
-        for item in items:
-            identity = self._store.endpoint_identity(item.key)
-            if identity:
-                listed.add(identity)
-                self.apply(item)
+        listed = self._apply_list(items, revision)
         for identity in self._doubted.keys() - listed:
             del self._doubted[identity]
-        for identity in self._entries.keys() - listed:
-            self._drop_or_defer(identity, revision)
+
+    def merge(self, items: Iterable[StoreItem], revision: int) -> None:
+        """Apply the entries that another process uses; they end no doubt.
+
+        It lists none that it doubts itself, and some that the store has removed while they may come
+        back.
+
+        :param revision: of the store, as of which the list is complete.
+        """
+        self._apply_list(items, revision)
 
     def confirm(self, confirmed_at: float) -> bool:
         """Use the entries whose endpoints must be alive, since the store still lists them.
@@ -202,6 +205,18 @@
             )
         return current != entry
 
+    def _apply_list(self, items: Iterable[StoreItem], revision: int) -> set[str]:
+        """Apply a list; return the identities that it has."""
+        listed = set()
+        for item in items:
+            identity = self._store.endpoint_identity(item.key)
+            if identity:
+                listed.add(identity)
+                self.apply(item)
+        for identity in self._entries.keys() - listed:
+            self._drop_or_defer(identity, revision)
+        return listed
+
     def _doubt(self, entry: EndpointEntry, item: StoreItem, before: DoubtedEntry | None) -> None:
         """Set an entry aside until it is known whether its endpoint has left."""
         if before is not None and before.item.revision == item.revision:
--- a/src/pearshed/_internal/gateway/availability/evacuations.py
+++ b/src/pearshed/_internal/gateway/availability/evacuations.py
@@ -199,6 +199,10 @@
         """
         changed = False
         for data_centre, set_at in revisions.items():
+            doubted = self._doubted.get(data_centre)
+            if doubted is not None and era_of(set_at) < era_of(doubted.revision):
+                # Another gateway keeps it in doubt too.
+                continue
             if self._is_copied(data_centre, set_at):
                 self._doubt(data_centre, DoubtedEvacuation(revision, set_at, clock.now(), source))
                 continue
@@ -209,9 +213,10 @@
                 self._doubt(data_centre, DoubtedEvacuation(revision, None, clock.now(), source))
                 continue
             changed = self._record(data_centre, revision, False, source) or changed
-        for data_centre in self._doubted.keys() - self._evacuations.keys() - revisions.keys():
-            # A list has agreed that it ended.
-            del self._doubted[data_centre]
+        if source is Source.STORE:
+            # A list has agreed that these have ended; another gateway lists none that it doubts.
+            for data_centre in self._doubted.keys() - self._evacuations.keys() - revisions.keys():
+                del self._doubted[data_centre]
         if changed:
             self.refresh()
 
@@ -222,11 +227,15 @@
 
         :param requested_at: clock reading when the store was asked, seconds.
         """
+        self._confirm(revision, requested_at, self._doubted)
+
+    def _confirm(self, revision: int, requested_at: float, doubted: Iterable[str]) -> None:
+        """Record that changes are known, and end those of some doubts that are old enough."""
         if revision < self._revision:
             return
         self._revision = revision
         self._confirmed_at = max(self._confirmed_at, requested_at)
-        self._end_doubts(requested_at)
+        self._end_doubts(doubted, requested_at)
         if self.trusted:
             self._untrusted_since = None
             self._confirmed.set()
@@ -249,7 +258,13 @@
             return False
         confirmed_before = self._confirmed_at
         self.apply_all(update.revisions, update.revision, Source.PEER)
-        self.confirm(update.revision, requested_at - update.confirmed_ago_s)
+        # It lists no evacuation that it doubts itself, so one that is missing may still be set.
+        settled = [
+            data_centre
+            for data_centre, doubted in self._doubted.items()
+            if doubted.set_at is None or data_centre in update.revisions
+        ]
+        self._confirm(update.revision, requested_at - update.confirmed_ago_s, settled)
         return self._confirmed_at > confirmed_before
 
     def refresh(self) -> None:
@@ -388,11 +403,12 @@
         fields = {"data_centre": data_centre, "evacuated": evacuated}
         _log("evacuation.doubted", revision=doubted.revision, source=doubted.source.value, **fields)
 
-    def _end_doubts(self, confirmed_at: float) -> None:
+    def _end_doubts(self, data_centres: Iterable[str], confirmed_at: float) -> None:
         """Follow the store where the operator has had the time to repeat what a copy lacks."""
         bound_s = self._settings().bound_s or 0.0
         changed = False
-        for data_centre, doubted in tuple(self._doubted.items()):
+        for data_centre in tuple(data_centres):
+            doubted = self._doubted[data_centre]
             hold_s = bound_s if doubted.set_at is None else DELETION_REPEATED_S
             if not is_hold_over(doubted.since, confirmed_at, hold_s):
                 continue
--- a/src/pearshed/_internal/gateway/store_cache.py
+++ b/src/pearshed/_internal/gateway/store_cache.py
@@ -263,8 +263,6 @@
                 if self._last_watch_had_changes:
                     await asyncio.sleep(CHANGES_DELAY_S)
                 continue
-            if failure.history_lost:
-                self._revision = 0
             self._record_failure(failure)
             await asyncio.sleep(backoff.next_delay())
 
@@ -352,13 +350,13 @@
         if self._transfer_paused is not None and self._configuration.version > version:
             self._configuration_transfer_s = clock.now() - self._paused_transfer_began_at
         if update.endpoints is not None and update.revision >= self._revision:
-            self._replace_endpoints(update.endpoints, update.revision)
+            self._entries.merge(update.endpoints, update.revision)
+            self._notify_endpoints()
         self._notify_gap()
         self._revision = max(self._revision, update.revision)
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
         self._has_peer_configuration = True
         self._has_peer_endpoints = True
-        self._confirm_entries(confirmed_at)
         return True
 
     async def _wait_for_resumption(self, resumed: asyncio.Event) -> None:
@@ -514,10 +512,7 @@
             self._confirmed_at = max(self._confirmed_at, response.requested_at)
             self._confirmed.set()
             self._confirmed = asyncio.Event()
-        self._confirm_entries(response.requested_at)
-
-    def _confirm_entries(self, confirmed_at: float) -> None:
-        if self._entries.confirm(confirmed_at):
+        if self._entries.confirm(response.requested_at):
             self._notify_endpoints()
 
     def _record_response(self) -> None:
@@ -530,6 +525,8 @@
         self._last_response_at = now
 
     def _record_failure(self, failure: StoreFailure) -> None:
+        if failure.history_lost:
+            self._revision = 0
         if self._connected and not failure.history_lost:
             self._connected = False
             _log("store.lost", reason=failure.reason, revision=self._revision)
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -197,6 +197,30 @@
         self.assertEqual(set(listed), self.table.in_force)
         self.assertEqual([], self.table.dump_doubted())
 
+    @parameterized.expand(
+        [
+            # name, ends known in era 1, what this gateway reads in era 2, in force beyond the hold
+            ("kept", False, {}, set()),
+            ("ended", True, {"olympia": 5}, {"olympia"}),
+        ]
+    )
+    def test_another_gateway_with_the_same_doubt_does_not_end_it(
+        self, _: str, ended: bool, read: dict[str, int], in_force: set[str]
+    ) -> None:
+        # A doubt that both gateways had ended with neither of them following the store.
+        self.table.apply("olympia", compose(1, 5), True, Source.STORE)
+        if ended:
+            self.table.apply("olympia", compose(1, 7), False, Source.STORE)
+        revisions = {name: compose(2, count) for name, count in read.items()}
+        self.table.apply_all(revisions, compose(2, 6), Source.STORE)
+        listed = {} if ended else {"olympia": compose(1, 5)}
+        self.clock.advance(BOUND_S)
+        update = EvacuationUpdate(listed, compose(2, 6), 3.0)
+        self.table.apply_update(update, self.clock.now)
+        self.assertEqual(set() if ended else {"olympia"}, self.table.in_force)
+        self.table.confirm(compose(2, 6), self.clock.now)
+        self.assertEqual(in_force, self.table.in_force)
+
     def test_an_unknown_data_centre_is_logged_once(self) -> None:
         with self.assertLogs("absl", "INFO") as logs:
             for revision in (5, 7, 9):
