Keep the revision of what is known when the history is lost

What callers would have seen: after a drill, requests sent to an engine that had left.

Cause: a lost history set the cache's revision to 0 until all was read again. Meanwhile the gateway took older lists of other gateways, sent its own as of revision 0, and recorded departures as of revision 0, which any copy exceeds.

Change: that the history is lost is a state of its own, and the revision stays; a departure is recorded as of the entry's own revision at the least.

--- a/src/pearshed/_internal/gateway/availability/entry_table.py
+++ b/src/pearshed/_internal/gateway/availability/entry_table.py
@@ -246,7 +246,7 @@
     def _drop(self, identity: str, revision: int) -> None:
         entry = self._entries.pop(identity, None)
         if entry is not None:
-            self._departures.record(entry, revision)
+            self._departures.record(entry, max(revision, self._revisions.get(identity, 0)))
         self._items.pop(identity, None)
         self._digest = ""
 
--- a/src/pearshed/_internal/gateway/store_cache.py
+++ b/src/pearshed/_internal/gateway/store_cache.py
@@ -114,6 +114,7 @@
         self._configuration_item: StoreItem | None = None
         self._entries = EntryTable(store, decoder, lease_s)
         self._revision = 0
+        self._history_lost = False
         self._confirmed_at = float("-inf")
         self._last_response_at = clock.now()
         self._connected = False
@@ -267,7 +268,7 @@
             await asyncio.sleep(backoff.next_delay())
 
     async def _read_next(self) -> StoreFailure | None:
-        if not self._revision or self._configuration is None:
+        if not self._revision or self._history_lost or self._configuration is None:
             return await self._read_all()
         if self._has_peer_endpoints:
             return await self._read_endpoints_again()
@@ -382,6 +383,7 @@
         for item in configuration.items:
             self._apply_configuration(item)
         self._replace_endpoints(entries.items, entries.revision)
+        self._history_lost = False
         # Changes of evacuations after this revision come again; the table ignores repetitions.
         self._revision = min(configuration.revision, entries.revision)
         self._has_peer_configuration = False
@@ -525,8 +527,7 @@
         self._last_response_at = now
 
     def _record_failure(self, failure: StoreFailure) -> None:
-        if failure.history_lost:
-            self._revision = 0
+        self._history_lost = self._history_lost or failure.history_lost
         if self._connected and not failure.history_lost:
             self._connected = False
             _log("store.lost", reason=failure.reason, revision=self._revision)
