Conclude nothing from the counts of a restored store

What callers would have seen: requests sent to an engine that had left, after several drills within seconds.

Cause: an entry whose count went beyond the end of its endpoint's earlier entry was taken as written since. Counts go back with each drill, and a copy that is some seconds old may be of two eras before, whose counts went further.

Change: in a later era only what was written after this gateway's first response of the era counts as later; the rest is settled by the lease or by the hold. The record of an end is its revision alone, so the decision is one function.

--- a/src/pearshed/_internal/decisions/restored_items.py
+++ b/src/pearshed/_internal/decisions/restored_items.py
@@ -5,9 +5,7 @@
 the store's list ends with evidence of a later write, or once the writer has had the time for one.
 """
 
-from dataclasses import dataclass
-
-from pearshed._internal.models.revisions import count_of, era_of
+from pearshed._internal.models.revisions import era_of
 
 #: Heartbeats that an endpoint misses until the store removes its entry.
 HEARTBEATS_OF_A_LEASE = 3
@@ -20,39 +18,19 @@
 DELETION_REPEATED_S = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class KnownEnd:
-    """End of an item, by its deletion or because a list lacked it.
-
-    :ivar revision: of the store, as of which the end was known.
-    :ivar highest_count: no earlier write of the item has a higher count, in any era.
-    """
-
-    revision: int
-    highest_count: int
+def is_written_since(revision: int, ended_at: int, copied_until: int) -> bool:
+    """Return whether an item was surely written after its end was known.
 
-    @classmethod
-    def at(cls, revision: int, before: "KnownEnd | None" = None) -> "KnownEnd":
-        """Record an end at a revision.
+    Counts of a store that came back go back by seconds, which may be several eras. So of what its
+    first response covers, nothing is certain.
 
-        :param before: an end of the same item that was known before.
-        """
-        if before is None:
-            return cls(revision, count_of(revision))
-        return cls(max(revision, before.revision), max(count_of(revision), before.highest_count))
-
-    def is_before(self, revision: int, copied_until: int) -> bool:
-        """Return whether an item of a revision was written after this end.
-
-        :param revision: of the item.
-        :param copied_until: revision up to which items may come from a copy; 0 if it isn't known.
-        """
-        if era_of(revision) <= era_of(self.revision):
-            return revision > self.revision
-        if era_of(copied_until) == era_of(revision) and revision > copied_until:
-            return True
-        # Counts go back with a copy, so only those beyond all earlier writes are conclusive.
-        return count_of(revision) > self.highest_count
+    :param revision: of the item.
+    :param ended_at: revision of the store, as of which the item had ended.
+    :param copied_until: revision up to which items may come from a copy; 0 if it isn't known.
+    """
+    if era_of(revision) <= era_of(ended_at):
+        return revision > ended_at
+    return era_of(copied_until) == era_of(revision) and revision > copied_until
 
 
 def is_lease_over(listed_since: float, confirmed_at: float, lease_s: float) -> bool:
--- a/src/pearshed/_internal/gateway/availability/departures.py
+++ b/src/pearshed/_internal/gateway/availability/departures.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from pearshed._internal.decisions.restored_items import KnownEnd
+from pearshed._internal.decisions.restored_items import is_written_since
 from pearshed._internal.models.routing import EndpointEntry, EndpointRun
 
 #: Runs that are remembered; the oldest are forgotten first.
@@ -18,14 +18,14 @@
 
     def __init__(self) -> None:
         self.copied_until = 0
-        self._runs: collections.OrderedDict[EndpointRun, KnownEnd] = collections.OrderedDict()
+        self._runs: collections.OrderedDict[EndpointRun, int] = collections.OrderedDict()
 
     def record(self, entry: EndpointEntry, revision: int) -> None:
         """Record that an endpoint leaves, or has left.
 
         :param revision: of the store, as of which that is known.
         """
-        self._runs[entry.run] = KnownEnd.at(revision, self._runs.get(entry.run))
+        self._runs[entry.run] = max(revision, self._runs.get(entry.run, 0))
         self._runs.move_to_end(entry.run)
         if len(self._runs) > MAX_RUNS:
             self._runs.popitem(last=False)
@@ -41,5 +41,5 @@
 
         :param revision: of the entry.
         """
-        end = self._runs.get(entry.run)
-        return end is not None and not end.is_before(revision, self.copied_until)
+        left_at = self._runs.get(entry.run)
+        return left_at is not None and not is_written_since(revision, left_at, self.copied_until)
--- a/src/pearshed/_internal/gateway/availability/evacuations.py
+++ b/src/pearshed/_internal/gateway/availability/evacuations.py
@@ -12,8 +12,8 @@
 
 from pearshed._internal.decisions.restored_items import (
     DELETION_REPEATED_S,
-    KnownEnd,
     is_hold_over,
+    is_written_since,
 )
 from pearshed._internal.gateway.availability.interruptible_waits import InterruptibleWaits
 from pearshed._internal.models.revisions import era_of
@@ -114,7 +114,7 @@
         self._settings = settings
         self._evacuations: dict[str, Evacuation] = {}
         self._revisions: dict[str, int] = {}
-        self._ends: dict[str, KnownEnd] = {}
+        self._ends: dict[str, int] = {}
         self._doubted: dict[str, DoubtedEvacuation] = {}
         self._copied_until = 0
         self._in_force: frozenset[str] = frozenset()
@@ -384,12 +384,12 @@
 
     def _is_copied(self, data_centre: str, set_at: int) -> bool:
         """Return whether a listed evacuation may be one that had ended before a copy was used."""
-        end = self._ends.get(data_centre)
+        ended_at = self._ends.get(data_centre)
         return (
-            end is not None
+            ended_at is not None
             and data_centre not in self._evacuations
-            and era_of(set_at) > era_of(end.revision)
-            and not end.is_before(set_at, self._copied_until)
+            and era_of(set_at) > era_of(ended_at)
+            and not is_written_since(set_at, ended_at, self._copied_until)
         )
 
     def _doubt(self, data_centre: str, doubted: DoubtedEvacuation) -> None:
@@ -425,7 +425,7 @@
         self._revisions[data_centre] = revision
         current = self._evacuations.get(data_centre)
         if not evacuated:
-            self._ends[data_centre] = KnownEnd.at(revision, self._ends.get(data_centre))
+            self._ends[data_centre] = revision
             return self._evacuations.pop(data_centre, None) is not None
         if current is not None:
             # Set again while it was in force.
