Treat statuses outside of 100 to 599 as no answer

What callers got: an engine's 600 or 999 as their answer. An answer with status 000 and a length on a kept connection was taken as interim, so that the caller waited for its deadline and got 504. At a side, 102 and 103 were taken as the answer, and "0200", "+200" or "2_00" as 200.

Cause: all below 200 counted as interim and nothing bounded a status above; http.client takes only 100 as interim, accepts up to 999 and reads the digits with int(). RFC 9110, section 15: a status without a class is a server's error.

Change: models/statuses says which are defined. Gateway, JsonClient (store, other gateways, reports) and side treat others as malformed: 502, may have run. An entry fails the attempt if a side of an older build passes one on.

Two of the three rows of the dispatcher failed before, and all pass.

--- a/src/pearshed/_internal/entry/attempt.py
+++ b/src/pearshed/_internal/entry/attempt.py
@@ -6,6 +6,7 @@
 from typing import Generic, TypeVar
 
 from pearshed._internal.entry.response_sink import ResponseSink
+from pearshed._internal.models import statuses
 from pearshed._internal.models.outcomes import RelayedChunk, RelayedHead
 from pearshed._internal.models.requests import RoutedRequest
 from pearshed._internal.peers import frames
@@ -172,8 +173,10 @@
 
         A server error is buffered, since a retry at another endpoint may succeed.
         """
-        succeeded = self._head is not None and self._head.status < MIN_SERVER_ERROR_STATUS
-        return self.request.streaming and succeeded
+        head = self._head
+        if head is None or not statuses.is_final(head.status):
+            return False
+        return self.request.streaming and head.status < MIN_SERVER_ERROR_STATUS
 
     def _receive_delta(self, delta: pb.Delta) -> None:
         if delta.offset != self._offset:
--- a/src/pearshed/_internal/entry/dispatcher.py
+++ b/src/pearshed/_internal/entry/dispatcher.py
@@ -14,6 +14,7 @@
 from pearshed._internal.entry.placement import Candidates, PlacementPolicy
 from pearshed._internal.entry.response_sink import ResponseSink
 from pearshed._internal.entry.retry_budget import RetryBudget
+from pearshed._internal.models import statuses
 from pearshed._internal.models.outcomes import (
     Execution,
     FailureCode,
@@ -261,6 +262,15 @@
 
     def _handle_complete_response(self, attempt: SideAttempt, name: str) -> _FailedAttempt | None:
         """Relay a complete response, or fail the attempt on a server error, to try elsewhere."""
+        if attempt.head is not None and not statuses.is_final(attempt.head.status):
+            # From a side of an older build; others don't pass it on.
+            self._health.record_failure(name)
+            failure = RequestFailure(
+                FailureCode.ENDPOINT_FAILED,
+                f"the endpoint answered with status {attempt.head.status:03}",
+                Execution.MAY_HAVE_RUN,
+            )
+            return _FailedAttempt(failure, frozenset((name,)), retryable=True)
         if attempt.head is None or attempt.head.status < MIN_SERVER_ERROR_STATUS:
             self._health.record_success(name)
             attempt.flush_buffered()
--- a/src/pearshed/_internal/http/endpoint_connection.py
+++ b/src/pearshed/_internal/http/endpoint_connection.py
@@ -14,6 +14,7 @@
 from pearshed._internal.http.header_block import HeaderBlock
 from pearshed._internal.http.messages import BodyFraming, Headers, ResponseHead
 from pearshed._internal.http.outgoing import OutgoingContent
+from pearshed._internal.models import statuses
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
 
@@ -26,7 +27,6 @@
 #: Bytes that may arrive while a response makes no progress: without an end of its head or of a
 #: chunk's header, or in responses that match no request.
 MAX_UNDELIVERED_BYTES = 256 * 1024
-_FIRST_FINAL_STATUS = 200
 
 
 class EndKind(enum.Enum):
@@ -256,7 +256,11 @@
         self._in_head = False
         lines, self._lines = bytes(self._lines), bytearray()
         status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS or self._delivering:
+        if not statuses.is_valid(status):
+            self._not_reusable = True
+            self._push(ResponseEnd(EndKind.MALFORMED, f"an answer of status {status:03}"))
+            return
+        if statuses.is_interim(status) or self._delivering:
             return
         head = ResponseHead(status, self._reason_phrase, HeaderBlock(lines))
         if self._matches is None or not self._matches(head):
@@ -288,7 +292,7 @@
     def on_message_complete(self) -> None:
         """Queue the end of the response."""
         self._in_response = False
-        if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
+        if statuses.is_interim(self._parser.get_status_code()):
             return
         if self._delivering and not self._ended():
             self._push(ResponseEnd(EndKind.COMPLETE))
--- a/src/pearshed/_internal/utils/strict_http.py
+++ b/src/pearshed/_internal/utils/strict_http.py
@@ -1,29 +1,41 @@
 """urllib3 with responses that count only if their framing is complete.
 
 ``http.client`` takes the end of a connection inside the head of a response for the end of the head:
-a response that was cut there seems to have neither a length nor chunks, and an empty body.
+a response that was cut there seems to have neither a length nor chunks, and an empty body. It takes
+undefined statuses and interim responses but 100 for final ones, and reads lines of trailers and
+interim responses without a limit.
 """
 
 import http.client
 import io
+import re
 from typing import Any
 
 import urllib3
 from urllib3.connection import HTTPConnection, HTTPSConnection
 from urllib3.connectionpool import HTTPConnectionPool, HTTPSConnectionPool
 
+from pearshed._internal.models import statuses
+
+_SWITCHING_PROTOCOLS = 101
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: [^\r\n]*)?\r?\n")
+
 
 class _CompleteLineReader(io.BufferedReader):
-    """Reads lines of heads, chunk sizes and trailers, each of which must have its end."""
+    """Reads lines of heads, chunk sizes and trailers, each of which must have its end.
+
+    :ivar line: the last line.
+    """
 
     _has_begun = False
+    line = b""
 
     def readline(self, size: int | None = -1, /) -> bytes:
         """Read a line; return no bytes if the connection ends before the first.
 
         :raises http.client.IncompleteRead: when the connection ends inside a line or before one.
         """
-        line = super().readline(size)
+        self.line = line = super().readline(size)
         is_cut = not line.endswith(b"\n") and len(line) != size
         if is_cut and (line or self._has_begun):
             raise http.client.IncompleteRead(line)
@@ -32,11 +44,21 @@
 
 
 class StrictHTTPResponse(http.client.HTTPResponse):
-    """A response whose head, chunk sizes and trailers are complete."""
+    """A response whose head, chunk sizes and trailers are complete, with a defined status."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self.fp = _CompleteLineReader(self.fp.detach())
+        self._reader = self.fp = _CompleteLineReader(self.fp.detach())
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read a status line; ``begin`` reads on after an interim response.
+
+        :raises http.client.BadStatusLine: when the status isn't defined, or switches protocols.
+        """
+        version, status, reason = super()._read_status()  # type: ignore[misc]
+        if _STATUS_LINE.fullmatch(self._reader.line) is None or status == _SWITCHING_PROTOCOLS:
+            raise http.client.BadStatusLine(repr(self._reader.line))
+        return version, http.client.CONTINUE if statuses.is_interim(status) else status, reason
 
 
 class StrictHTTPConnection(HTTPConnection):
--- a/tests/lib/entry_fakes.py
+++ b/tests/lib/entry_fakes.py
@@ -86,6 +86,8 @@
             "grant": {"grant": pb.Grant()},
             "head": {"head": pb.Head(status=200)},
             "sick": {"head": pb.Head(status=503)},
+            "odd": {"head": pb.Head(status=600)},
+            "zero": {"head": pb.Head(status=0)},
             "pausing": {"head": pb.Head(status=503, headers=[_RETRY_AFTER])},
             "part": {"delta": pb.Delta(offset=0, content=b"answer")},
             "end": {"end": pb.End(**complete_end)},  # type: ignore[arg-type]
--- a/tests/unit/test_adapters.py
+++ b/tests/unit/test_adapters.py
@@ -14,7 +14,11 @@
 from pearshed._internal.configuration.http_source import HttpPlatform
 from pearshed._internal.models.outcomes import Execution
 from pearshed._internal.models.requests import ForwardedCall
-from pearshed._internal.side.endpoint_client import EndpointCall, EndpointClient, ResponseReceiver
+from pearshed._internal.side.endpoint_client import (
+    EndpointCall,
+    EndpointClient,
+    ResponseReceiver,
+)
 from pearshed._internal.utils.addresses import Address
 from pearshed._internal.utils.loop_queue import LoopQueue
 from pearshed._internal.utils.sockets import set_reset_on_close
@@ -190,6 +194,7 @@
         port: int,
         after_start: Callable[[EndpointCall], None] | None = None,
         head_timeout_s: float = 0.3,
+        content: bytes = _BODY,
     ) -> RecordingReceiver:
         received = RecordingReceiver()
 
@@ -198,7 +203,7 @@
             address = Address("127.0.0.1", port)
             client = EndpointClient(address, loop_queue, 5.0, _IDLE_TIMEOUT_S, 2)
             endpoint_call = client.start(
-                ForwardedCall("POST", "/x", (), _BODY), received, False, head_timeout_s
+                ForwardedCall("POST", "/x", (), content), received, False, head_timeout_s
             )
             if after_start is not None:
                 after_start(endpoint_call)
@@ -253,6 +258,26 @@
         actual = (received.execution, received.complete, received.content)
         self.assertEqual((execution, complete, content), actual)
 
+    @parameterized.expand(
+        [
+            (status.decode(), b"HTTP/1.1 %s Odd\r\nContent-Length: 4\r\n\r\nfour" % status)
+            for status in (b"000", b"099", b"101", b"600", b"999", b"0200", b"+200", b"2_00")
+        ]
+    )
+    def test_an_invalid_status_is_no_answer(self, _: str, script: bytes) -> None:
+        with scripted_server(script) as port:
+            received = self.call(port)
+        actual = (received.execution, received.complete, received.content)
+        self.assertEqual((Execution.MAY_HAVE_RUN, False, b""), actual)
+
+    @parameterized.expand([("100",), ("102",), ("103",)])
+    def test_an_interim_response_is_not_the_answer(self, status: str) -> None:
+        interim = f"HTTP/1.1 {status} Interim\r\nLink: </a>\r\n\r\n".encode()
+        with scripted_server(interim * 2 + _WHOLE) as port:
+            received = self.call(port)
+        actual = (received.execution, received.complete, received.content)
+        self.assertEqual((Execution.RAN, True, b"four"), actual)
+
     @parameterized.expand(
         [
             (f"{place}_{end}", script, end == "reset")
--- a/tests/unit/test_dispatch.py
+++ b/tests/unit/test_dispatch.py
@@ -157,6 +157,27 @@
                 None,
                 None,
             ),
+            (
+                "invalid_status_retried",
+                [{"reserve": "grant", "body": "odd part end"}, SUCCESS],
+                {},
+                None,
+                None,
+            ),
+            (
+                "status_zero_while_streaming",
+                [{"reserve": "grant", "body": "zero part end"}, SUCCESS],
+                {},
+                None,
+                None,
+            ),
+            (
+                "invalid_status_of_what_may_not_be_repeated",
+                [{"reserve": "grant", "body": "odd part end"}, SUCCESS],
+                {"class_name": "order"},
+                "endpoint_failed",
+                "may_have_run",
+            ),
             (
                 "lease_expired_at_the_only_endpoint",
                 [{"reserve": "grant", "body": "expired"}],
@@ -182,7 +203,8 @@
             self.assertEqual(RelayedEnd(), last)
             chunks = [event.content for event in events if isinstance(event, RelayedChunk)]
             self.assertEqual(b"answer", b"".join(chunks))
-            self.assertEqual(1, sum(isinstance(event, RelayedHead) for event in events))
+            heads = [event.status for event in events if isinstance(event, RelayedHead)]
+            self.assertEqual([200], heads)
         else:
             self.assertIsInstance(last, RequestFailure)
             assert isinstance(last, RequestFailure)
