Bound interim responses, trailers and chunk headers at a side

What callers would have got: a side's thread that reads interim responses or trailers without end never ends, so the place at the endpoint is lost to all callers.

Cause: http.client reads interim responses and urllib3 trailers until one ends them; no limit, no time beyond the wait for each read.

Change: the reader of lines ends the response after 256 KiB of lines without a byte of a body, as gateways do.

Result: the rows of interim responses and trailers of test_an_answer_without_end_is_cut_off ran until they were ended after 40 s before, and pass; the other rows (status line, header, headers, chunk size, chunks, until close) hold.

--- a/src/pearshed/_internal/utils/strict_http.py
+++ b/src/pearshed/_internal/utils/strict_http.py
@@ -18,6 +18,8 @@
 from pearshed._internal.models import statuses
 
 _SWITCHING_PROTOCOLS = 101
+#: Bytes of lines that may follow each other without a byte of a body.
+MAX_LINES_BYTES = 256 * 1024
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: [^\r\n]*)?\r?\n")
 
 
@@ -28,20 +30,37 @@
     """
 
     _has_begun = False
+    _lines_bytes = 0
     line = b""
 
     def readline(self, size: int | None = -1, /) -> bytes:
         """Read a line; return no bytes if the connection ends before the first.
 
         :raises http.client.IncompleteRead: when the connection ends inside a line or before one.
+        :raises http.client.LineTooLong: when lines have no end.
         """
+        if size is None or size < 0:
+            size = MAX_LINES_BYTES
         self.line = line = super().readline(size)
+        self._lines_bytes += len(line)
+        if self._lines_bytes > MAX_LINES_BYTES or len(line) >= MAX_LINES_BYTES:
+            raise http.client.LineTooLong("lines without a body")
         is_cut = not line.endswith(b"\n") and len(line) != size
         if is_cut and (line or self._has_begun):
             raise http.client.IncompleteRead(line)
         self._has_begun = True
         return line
 
+    def read(self, size: int | None = -1, /) -> bytes:
+        """Read a part of a body, after which lines may follow again."""
+        self._lines_bytes = 0
+        return super().read(size)
+
+    def read1(self, size: int = -1, /) -> bytes:
+        """Read what has arrived of a body."""
+        self._lines_bytes = 0
+        return super().read1(size)
+
 
 class StrictHTTPResponse(http.client.HTTPResponse):
     """A response whose head, chunk sizes and trailers are complete, with a defined status."""
--- a/tests/unit/test_adapters.py
+++ b/tests/unit/test_adapters.py
@@ -15,6 +15,7 @@
 from pearshed._internal.models.outcomes import Execution
 from pearshed._internal.models.requests import ForwardedCall
 from pearshed._internal.side.endpoint_client import (
+    MAX_RESPONSE_BYTES,
     EndpointCall,
     EndpointClient,
     ResponseReceiver,
@@ -31,7 +32,8 @@
 _KEEP_OPEN = b"..."
 _BODY = b"body"
 _IDLE_TIMEOUT_S = 0.3
-
+#: What both ends hold of what is sent beyond a limit.
+_KERNEL_BUFFERS_BYTES = 16 * 1024 * 1024
 
 _WHOLE = _HEAD + b"Content-Length: 4\r\n\r\nfour"
 #: Responses that end inside their head.
@@ -86,6 +88,34 @@
         yield int(listener.getsockname()[1])
 
 
+class EndlessAnswer:
+    """What an endless server could send before its connection was closed."""
+
+    bytes = 0
+    ended = False
+
+
+@contextlib.contextmanager
+def endless_server(start: bytes, more: bytes) -> Iterator[tuple[int, EndlessAnswer]]:
+    """Serve one connection: read a request, send the start and then more without end."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    sent = EndlessAnswer()
+
+    def serve() -> None:
+        connection, _ = listener.accept()
+        with contextlib.suppress(OSError), connection:
+            connection.recv(65536)
+            connection.sendall(start)
+            while True:
+                connection.sendall(more)
+                sent.bytes += len(more)
+        sent.ended = True
+
+    threading.Thread(target=serve, daemon=True).start()
+    with listener:
+        yield int(listener.getsockname()[1]), sent
+
+
 @contextlib.contextmanager
 def keep_alive_server(script: bytes) -> Iterator[int]:
     """Serve one connection: respond to each request with the script and the request's number."""
@@ -278,6 +308,27 @@
         actual = (received.execution, received.complete, received.content)
         self.assertEqual((Execution.RAN, True, b"four"), actual)
 
+    @parameterized.expand(
+        [
+            ("interim_responses", b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
+            ("status_line", b"HTTP/1.1 200 ", b"O" * 65536),
+            ("header_value", _HEAD + b"X-A: ", b"a" * 65536),
+            ("headers", _HEAD, b"X-A: b\r\n" * 8000),
+            ("chunk_size", _CHUNKED + b"5;x=", b"a" * 65536),
+            ("trailer", _CHUNKED + b"4\r\nfour\r\n0\r\nX-A: ", b"a" * 65536),
+            ("trailers", _CHUNKED + b"4\r\nfour\r\n0\r\n", b"X-A: b\r\n" * 8000),
+            ("chunks", _CHUNKED, b"10000\r\n" + b"x" * 65536 + b"\r\n"),
+            ("until_close", _HEAD + b"\r\n", b"x" * 65536),
+        ]
+    )
+    def test_an_answer_without_end_is_cut_off(self, _: str, start: bytes, more: bytes) -> None:
+        # Interim responses and trailers without end once kept a thread for good.
+        with endless_server(start, more) as (port, sent):
+            received = self.call(port, head_timeout_s=5.0)
+            self.assertFalse(received.complete)
+            wait_for(lambda: sent.ended, "the end of the answer")
+        self.assertLess(sent.bytes, MAX_RESPONSE_BYTES + _KERNEL_BUFFERS_BYTES)
+
     @parameterized.expand(
         [
             (f"{place}_{end}", script, end == "reset")
