Take no answer as whole that ends with its connection during the upload

What callers got, behind a side: a part of an answer without a length as the whole one, if the endpoint answered a long upload at once and reset the connection.

Cause: urllib3 goes on after an error of the write, to read an early answer. That error has been the connection's, so what is left of a reset reads as an orderly end.

Change: the side notes whether the whole request was written; an answer that ends with its connection before is not complete and may have run. A gateway does the same for what its transport hasn't taken.

--- a/src/pearshed/_internal/http/endpoint_connection.py
+++ b/src/pearshed/_internal/http/endpoint_connection.py
@@ -127,11 +127,13 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the response in progress; an error is never the end of its body."""
         self._closed = True
+        unsent = self._outgoing is not None and self._outgoing.blocked
         if self._outgoing is not None:
             self._outgoing.clear()
         if self._matches is None:
             return
-        if self._body_until_close and self._in_response and self._delivering and exc is None:
+        closed = exc is None and not unsent
+        if self._body_until_close and self._in_response and self._delivering and closed:
             self._push(ResponseEnd(EndKind.CLOSED))
         else:
             self._push(ResponseEnd(EndKind.TRUNCATED, f"connection lost: {exc or 'closed'}"))
--- a/src/pearshed/_internal/side/endpoint_client.py
+++ b/src/pearshed/_internal/side/endpoint_client.py
@@ -74,6 +74,8 @@
             self.reusable = False
             call.register_socket(self.sock, reused)
         super().request(*args, **kwargs)
+        if call is not None:
+            call.mark_sent()
 
 
 class _TrackedPool(HTTPConnectionPool):
@@ -90,6 +92,12 @@
         self._socket: socket.socket | None = None
         self._reuses_connection = False
         self._cancelled = False
+        self._sent = False
+
+    @property
+    def sent(self) -> bool:
+        """Whether the whole request was written; an answer may come before."""
+        return self._sent
 
     @property
     def reuses_connection(self) -> bool:
@@ -117,6 +125,10 @@
             self._socket = sock
             self._reuses_connection = reused
 
+    def mark_sent(self) -> None:
+        """Record that the whole request was written."""
+        self._sent = True
+
     def set_read_timeout(self, timeout_s: float) -> None:
         """Limit the time without data from now on."""
         if self._socket is not None:
@@ -248,6 +260,10 @@
                 response.close()
                 return _End(Execution.RAN, False, "the answer is too large")
             self._loop_queue.post(functools.partial(receiver.add, chunk))
+        if until_close and not endpoint_call.sent:
+            # urllib3 drops the error of the write, and what follows of a reset reads as an end.
+            response.close()
+            return _End(Execution.MAY_HAVE_RUN, False, "the answer ended during the request")
         if endpoint_call.cancelled:
             return _End(Execution.MAY_HAVE_RUN, False, "the call was cancelled")
         response.release_conn()
--- a/tests/gateway/test_statuses.py
+++ b/tests/gateway/test_statuses.py
@@ -3,19 +3,21 @@
 import asyncio
 import itertools
 import unittest
+from typing import Any
 
 from parameterized import parameterized
 from returns.pipeline import is_successful
 
 from pearshed._internal.http.json_client import JsonClient
 from pearshed._internal.utils.addresses import Address
-from tests.lib.gateway_caller import Caller
+from tests.lib.gateway_caller import Caller, CallerResponse
 from tests.lib.gateway_fixture import GatewayTestCase, until
 from tests.lib.gateway_platform import (
     SIGNATURE,
     EngineConnection,
     EngineRequest,
     configuration,
+    reset,
     route,
 )
 
@@ -88,3 +90,70 @@
         self.addCleanup(client.close)
         async with asyncio.timeout(20.0):
             self.assertFalse(is_successful(await client.call("/v1/report", {}, 60.0)))
+
+
+#: Begun answers, none of which is whole.
+_BEGUN = {
+    "without_a_length": b"\r\nfour",
+    "with_a_length": b"Content-Length: 400\r\n\r\nfour",
+    "in_chunks": b"Transfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n",
+}
+#: Larger than the buffers of both ends, so that the engine ends before the request is sent.
+_UPLOAD_BYTES = 24 * 1024 * 1024
+
+
+class EarlyAnswerTest(GatewayTestCase):
+    """Guards against parts of answers that are cut during an upload and passed on as whole."""
+
+    async def upload(self, path: str, begun: bytes, end: str) -> CallerResponse:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+            _, _, rest = head.partition("pearshed-request-id: ")
+            identifier = _HEADERS.format(rest.partition("\r\n")[0])
+            writer.write(b"HTTP/1.1 200 OK\r\n" + identifier.encode() + begun)
+            await writer.drain()
+            if end == "closed":
+                writer.write_eof()
+                await asyncio.sleep(0.05)
+            reset(writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
+        self.addCleanup(server.close)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        entry = {
+            "service": "ledger",
+            "address": address,
+            "zone": "olympia",
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seq": 1,
+        }
+        services: dict[str, Any] = configuration(2)
+        services["limits"] = {**services.get("limits", {}), "maxBodyBytes": 2 * _UPLOAD_BYTES}
+        self.store.put("op/config", services)
+        self.store.put("servers/i-early", entry)
+        await self.start_gateway()
+        await until(lambda: self.has_endpoints("ledger", 1))
+        caller = await Caller.connect(self.settings.callers)
+        self.addCleanup(caller.close)
+        caller.send(path, body=b"u" * _UPLOAD_BYTES, headers={"Pearshed-Deadline-Ms": "30000"})
+        response = await caller.read_response()
+        assert response is not None
+        return response
+
+    @parameterized.expand(
+        [
+            (f"{framing}_{kind}_{end}", begun, path, end)
+            for (framing, begun), (kind, path), end in itertools.product(
+                _BEGUN.items(), list(_PATHS.items())[:2], ("reset", "closed")
+            )
+        ]
+    )
+    async def test_an_answer_that_is_cut_during_the_upload_is_no_answer(
+        self, _: str, begun: bytes, path: str, end: str
+    ) -> None:
+        response = await self.upload(path, begun, end)
+        self.assertEqual(502, response.status)
+        self.assertNotIn(b"four", response.body)
--- a/tests/unit/test_adapters.py
+++ b/tests/unit/test_adapters.py
@@ -32,6 +32,8 @@
 _KEEP_OPEN = b"..."
 _BODY = b"body"
 _IDLE_TIMEOUT_S = 0.3
+#: Larger than the buffers of both ends.
+_UPLOAD_BYTES = 24 * 1024 * 1024
 #: What both ends hold of what is sent beyond a limit.
 _KERNEL_BUFFERS_BYTES = 16 * 1024 * 1024
 
@@ -116,6 +118,31 @@
         yield int(listener.getsockname()[1]), sent
 
 
+@contextlib.contextmanager
+def early_server(script: bytes, closes_first: bool) -> Iterator[int]:
+    """Serve one connection: answer before the request has arrived, and reset the connection.
+
+    :param closes_first: close the direction of the answer before.
+    """
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        with contextlib.suppress(OSError):
+            connection, _ = listener.accept()
+            connection.recv(1024)
+            connection.sendall(script)
+            if closes_first:
+                connection.shutdown(socket.SHUT_WR)
+            # What was sent arrives first.
+            threading.Event().wait(0.05)
+            set_reset_on_close(connection, True)
+            connection.close()
+
+    threading.Thread(target=serve, daemon=True).start()
+    with listener:
+        yield int(listener.getsockname()[1])
+
+
 @contextlib.contextmanager
 def keep_alive_server(script: bytes) -> Iterator[int]:
     """Serve one connection: respond to each request with the script and the request's number."""
@@ -329,6 +356,25 @@
             wait_for(lambda: sent.ended, "the end of the answer")
         self.assertLess(sent.bytes, MAX_RESPONSE_BYTES + _KERNEL_BUFFERS_BYTES)
 
+    @parameterized.expand(
+        [
+            (f"{framing}_{end}", head, end)
+            for framing, head in (
+                ("without_a_length", _HEAD + b"\r\nfour"),
+                ("with_a_length", _HEAD + b"Content-Length: 400\r\n\r\nfour"),
+                ("in_chunks", _CHUNKED + b"4\r\nfour\r\n"),
+            )
+            for end in ("reset", "closed")
+        ]
+    )
+    def test_an_answer_that_is_cut_during_an_upload_is_not_complete(
+        self, _: str, script: bytes, end: str
+    ) -> None:
+        # The error of the write hides that the connection was reset: what is left reads as an end.
+        with early_server(script, closes_first=end == "closed") as port:
+            received = self.call(port, head_timeout_s=5.0, content=b"u" * _UPLOAD_BYTES)
+        self.assertEqual((Execution.MAY_HAVE_RUN, False), (received.execution, received.complete))
+
     @parameterized.expand(
         [
             (f"{place}_{end}", script, end == "reset")
