--- a/tests/crowds/test_gateway_callers.py
+++ b/tests/crowds/test_gateway_callers.py
@@ -7,6 +7,7 @@
 from parameterized import parameterized
 
 from tests.lib.crowd_fixture import (
+    ENDLESS,
     FEW_FDS,
     MAX_BODY_BYTES,
     MAX_FDS,
@@ -40,6 +41,12 @@
     return start + b"Pearshed-Prefix-Hash: " + parts + b"\r\n\r\n"
 
 
+def _endless_crowd(path: str, reads: bool) -> Crowd:
+    """Requests whose answers have no end; callers read them, or not."""
+    start = head("Content-Length: 0", path=path) + b"\r\n"
+    return Crowd(f"{path}{'' if reads else '-not-read'}", 40, lambda: [start], reads=reads)
+
+
 #: Crowds whose clients send, or make the gateway hold, more than they seem to.
 CROWDS = [
     Crowd("trailers", 4, lambda: trailers(head(), TRAILER, 4 * MIB)),
@@ -58,6 +65,7 @@
     Crowd("requests_sent_ahead", 20, lambda: repeated(_SMALL_REQUEST, 4 * MIB), reads=False),
     Crowd("answers_not_read", 60, lambda: [head(path="large") + b"\r\n"], reads=False),
     Crowd("trailers_of_engines", 20, lambda: [head(path="trailers") + b"\r\n"]),
+    *(_endless_crowd(path, reads) for path in ENDLESS for reads in (True, False)),
 ]
 
 #: Crowds that send so little that only the number of their connections counts.
--- a/tests/lib/crowd_fixture.py
+++ b/tests/lib/crowd_fixture.py
@@ -1,6 +1,7 @@
 """Runs a gateway as a process of its own, with stand-ins in the test's process, for crowds."""
 
 import asyncio
+import contextlib
 import pathlib
 import tempfile
 import unittest
@@ -13,6 +14,7 @@
 from tests.lib.gateway_platform import (
     API_KEY,
     HOST,
+    SIGNATURE,
     EngineConnection,
     EngineRequest,
     EngineStandIn,
@@ -34,6 +36,22 @@
 
 #: Route whose requests the engine holds.
 HOLD = "hold"
+_SIGNED = f"Pearshed-Request-Id: 1\r\nPearshed-Response-Signature: {SIGNATURE}\r\n".encode()
+_OK = b"HTTP/1.1 200 OK\r\n" + _SIGNED
+_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n"
+_PIECE = b"x" * (16 * KIB)
+#: Answers without an end, by route: how they begin, and what follows again and again.
+ENDLESS = {
+    "endless-head": (_OK + b"X-A: ", _PIECE),
+    "endless-interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 500),
+    "endless-chunk-header": (_CHUNKED + b"\r\n5;x=", _PIECE),
+    "endless-chunks": (_CHUNKED + b"\r\n", b"4000\r\n%s\r\n" % _PIECE),
+    "endless-body": (_OK + b"\r\n", _PIECE),
+    "endless-event": (
+        _CHUNKED + b"Content-Type: text/event-stream\r\n\r\n",
+        b"4000\r\n%s\r\n" % _PIECE,
+    ),
+}
 
 
 def head(*lines: str, path: str = HOLD) -> bytes:
@@ -67,7 +85,7 @@
                 1,
                 routes=[
                     route(name, "idempotent", "ledger", timeoutMs=60_000)
-                    for name in ("lookup", HOLD, "large", "trailers")
+                    for name in ("lookup", HOLD, "large", "trailers", *ENDLESS)
                 ],
                 services=[
                     {
@@ -99,6 +117,13 @@
             for piece in repeated(b"a:b\r\n", MIB):
                 connection.send(piece)
                 await connection.drain()
+        elif (name := request.target.split("/")[1]) in ENDLESS:
+            connection.send(ENDLESS[name][0])
+            # The gateway's limits end it much earlier.
+            with contextlib.suppress(ConnectionError):
+                for piece in repeated(ENDLESS[name][1], 128 * MIB):
+                    connection.send(piece)
+                    await connection.drain()
         else:
             connection.send_response(request)
 
