Test a store and other gateways whose answers have no end

Cause: what calls to the store and to other gateways hold was bounded each, but never tried together in a process of the size of the users' machines.

--- a/tests/crowds/test_gateway_callers.py
+++ b/tests/crowds/test_gateway_callers.py
@@ -1,11 +1,13 @@
 """Crowds at the address of a gateway for callers; the gateway is a process of its own."""
 
 import asyncio
+import contextlib
 from collections.abc import Iterable
 from typing import Any
 
 from parameterized import parameterized
 
+from pearshed._internal.utils.addresses import Address
 from tests.lib.crowd_fixture import (
     ENDLESS,
     FEW_FDS,
@@ -28,6 +30,8 @@
     whole_head,
 )
 from tests.lib.gateway_caller import Caller
+from tests.lib.gateway_fixture import until
+from tests.lib.gateway_store import send_endless
 from tests.lib.platform_process import KIB, MIB
 
 _SMALL_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -107,6 +111,33 @@
     yield end
 
 
+class EndlessNewsTest(GatewayCrowdTestCase):
+    """Guards against answers of the store and of other gateways that have no end."""
+
+    async def test_memory_stays_below_that_of_the_machine(self) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                asked.append(writer)
+                await send_endless(writer, 512 * MIB)
+
+        asked: list[asyncio.StreamWriter] = []
+        peer = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(peer.close)
+        seed = Address("127.0.0.1", peer.sockets[0].getsockname()[1])
+        await self.start_gateway([seed], memoryMb=MEMORY_MB, maxFds=MAX_FDS)
+        calls = len(self.store.calls)
+        with self.gateway.sampled():
+            self.store.endless = 512 * MIB
+            self.store.reset_connections()
+            await until(lambda: len(asked) >= 3 and len(self.store.calls) >= calls + 4)
+            self.store.endless = 0
+            while await self.ordinary_status() != 200:
+                await asyncio.sleep(0.05)
+        self.assertTrue(self.gateway.alive, self.gateway.log_text[-2000:])
+        self.assertLess(self.gateway.resource_use().memory_mb, MEMORY_MB)
+
+
 class LegalRequestTest(GatewayCrowdTestCase):
     @parameterized.expand(
         [
--- a/tests/lib/crowd_fixture.py
+++ b/tests/lib/crowd_fixture.py
@@ -5,9 +5,10 @@
 import pathlib
 import tempfile
 import unittest
+from collections.abc import Sequence
 from typing import Any
 
-from pearshed._internal.utils.addresses import parse_address
+from pearshed._internal.utils.addresses import Address, parse_address
 from tests.lib.crowds import Crowd, CrowdRun, repeated
 from tests.lib.gateway_caller import Caller
 from tests.lib.gateway_fixture import until
@@ -127,9 +128,13 @@
         else:
             connection.send_response(request)
 
-    async def start_gateway(self, **limits: Any) -> None:
-        """Start the gateway and wait until it answers."""
-        document = gateway_document(self.store.address, limits=limits)
+    async def start_gateway(self, seeds: Sequence[Address] = (), **limits: Any) -> None:
+        """Start the gateway and wait until it answers.
+
+        :param seeds: addresses of other gateways.
+        """
+        seed_texts = [str(seed) for seed in seeds]
+        document = gateway_document(self.store.address, limits=limits, seeds=seed_texts)
         self.addresses = {
             name: parse_address(text).unwrap() for name, text in document["listen"].items()
         }
--- a/tests/lib/gateway_store.py
+++ b/tests/lib/gateway_store.py
@@ -12,6 +12,7 @@
 
 #: Interval between pieces of a rate-limited response, seconds.
 _PIECE_INTERVAL_S = 0.05
+_ENDLESS_CHUNK_BYTES = 64 * 1024
 
 
 @dataclass
@@ -34,6 +35,8 @@
 
     :ivar refuse_with: error status of every response; 0 to serve requests.
     :ivar refuse_every: n, if every n-th call gets a 429; 0 for none.
+    :ivar endless: bytes of each response, which are no JSON, until the connection is closed; 0 for
+        none.
     :ivar hang: requests get no response while it is set.
     :ivar bytes_per_s: rate at which responses are sent; 0 for no limit.
     :ivar stall_after_bytes: bytes of a response after which no more follow; 0 for all of them.
@@ -44,6 +47,7 @@
 
     refuse_with: int = 0
     refuse_every: int = 0
+    endless: int = 0
     hang: bool = False
     bytes_per_s: int = 0
     stall_after_bytes: int = 0
@@ -122,6 +126,9 @@
                 self.calls.append(target)
                 while self.hang:
                     await asyncio.sleep(0.01)
+                if self.endless:
+                    await send_endless(writer, self.endless)
+                    continue
                 status, document = await self._respond(target)
                 body = json.dumps(document).encode()
                 writer.write(
@@ -200,6 +207,14 @@
         return 200, {"events": events, "storeRevision": self._revision}
 
 
+async def send_endless(writer: asyncio.StreamWriter, size: int) -> None:
+    """Send a response in chunks that are no JSON, without its end."""
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for _ in range(size // _ENDLESS_CHUNK_BYTES):
+        writer.write(b"%x\r\n%s\r\n" % (_ENDLESS_CHUNK_BYTES, b"x" * _ENDLESS_CHUNK_BYTES))
+        await writer.drain()
+
+
 def _encode_item(key: str, item: _Item) -> dict[str, Any]:
     value = base64.b64encode(item.value).decode()
     return {"key": key, "value": value, "revision": item.revision, "created": 1, "lease": 0}
