Ask other gateways once after the start, before keys are accepted

Cause: the first read of the copy counted as all there is to know, and others were asked only if the store hadn't answered within 0.5 s.

Change: with its first configuration a gateway asks up to four others at once, whatever the age of its own state. An evacuation that another gateway keeps although the store lacks it ends at the bound here too. Endpoints that have left in the seconds that a copy lacks are still unknown to it until their entries expire.

The property checks that a gateway that asked knows no earlier configuration.

--- a/src/pearshed/_internal/gateway/availability/evacuations.py
+++ b/src/pearshed/_internal/gateway/availability/evacuations.py
@@ -198,6 +198,7 @@
         :param revision: revision of the store that the list covers.
         """
         changed = False
+        latest = max(revision, self._revision)
         for data_centre, set_at in revisions.items():
             doubted = self._doubted.get(data_centre)
             if doubted is not None and era_of(set_at) < era_of(doubted.revision):
@@ -208,6 +209,9 @@
                 continue
             self._doubted.pop(data_centre, None)
             changed = self._record(data_centre, set_at, True, source) or changed
+            if era_of(set_at) < era_of(latest) and data_centre in self._evacuations:
+                # Another gateway keeps it although the store lacks it, or has not read on yet.
+                self._doubt(data_centre, DoubtedEvacuation(latest, None, clock.now(), source))
         for data_centre in self._evacuations.keys() - revisions.keys():
             if era_of(self._revisions[data_centre]) < era_of(revision):
                 self._doubt(data_centre, DoubtedEvacuation(revision, None, clock.now(), source))
--- a/src/pearshed/_internal/gateway/peer_sync.py
+++ b/src/pearshed/_internal/gateway/peer_sync.py
@@ -2,7 +2,8 @@
 
 A gateway asks its peers only while it gets no responses from the store itself, or while it has been
 receiving one for some time: peers send a changed configuration compressed. So this is idle in
-normal operation. A response carries the age of the store's confirmation, counted from the request
+normal operation. It also asks some once, after it has started: the store may just have come back
+from a copy, and only who ran before knows what the copy lacks. A response carries the age of the store's confirmation, counted from the request
 that the store answered. The age only grows in transit, so gateways can't renew among themselves
 what the store has not confirmed.
 """
@@ -10,6 +11,7 @@
 import asyncio
 import collections
 import enum
+import math
 import random
 import urllib.parse
 from collections.abc import Iterable, Mapping
@@ -54,6 +56,8 @@
 PEERS_PER_TRANSFER = 6
 #: Peers start to respond within milliseconds; one that is partitioned doesn't respond.
 RESPONSE_TIMEOUT_S = 0.3
+#: Peers asked at the start, all at once.
+PEERS_AT_START = 4
 #: The same while this gateway's link may still carry a part of the store's response.
 BUSY_LINK_TIMEOUT_S = 1.0
 _OK = 200
@@ -82,6 +86,7 @@
         self._started_at = clock.now()
         self._next_round_at = float("-inf")
         self._version_without_copy: int | None = None
+        self._asked_at_start = False
         self._round_task: asyncio.Task[None] | None = None
         self._outcomes: collections.Counter[Outcome] = collections.Counter()
         self._compressed: StoreItem | None = None
@@ -91,9 +96,19 @@
         """Number of requests sent to peers."""
         return self._outcomes.total()
 
+    @property
+    def asked_at_start(self) -> bool:
+        """Whether peers were asked for what they know beyond the store's first response."""
+        return self._asked_at_start
+
     def start_if_stale(self) -> None:
         """Start a round of requests if the state is stale and no round is running."""
         now = clock.now()
+        if not self._asked_at_start and self._store_cache.configuration is not None:
+            if self._round_task is None:
+                self._round_task = asyncio.get_running_loop().create_task(self._ask_at_start())
+                self._round_task.add_done_callback(self._on_round_end)
+            return
         if self._round_task is not None or now < self._next_round_at or not self._is_stale(now):
             return
         self._round_task = asyncio.get_running_loop().create_task(self._run_round())
@@ -158,6 +173,29 @@
         if not task.cancelled() and task.exception() is not None:
             logging.error("a round of requests to peers failed", exc_info=task.exception())
 
+    async def _ask_at_start(self) -> None:
+        """Request the state of some gateways, whether or not the store has confirmed it later."""
+        peers = self._directory.sample(PEERS_AT_START)
+        try:
+            answers = await asyncio.gather(*(self._request_any_state(peer) for peer in peers))
+        finally:
+            self._asked_at_start = True
+        answered = 0
+        for received in answers:
+            if isinstance(received, Outcome):
+                self._outcomes[received] += 1
+                answered += received is Outcome.NOTHING_NEWER
+            else:
+                answered += 1
+                self._apply(received)
+        fields = {"peers": len(peers), "answered": answered, "version": self._store_cache.version}
+        logging.info("peers.asked_at_start", extra={"fields": fields})
+
+    async def _request_any_state(self, peer: Address) -> "_News | Outcome":
+        store_cache = self._store_cache
+        digest = store_cache.endpoints_digest
+        return await self._send(peer, SyncRequest(store_cache.version, digest, math.inf))
+
     async def _run_round(self) -> None:
         if self._wants_copy():
             await self._request_copy()
@@ -209,7 +247,10 @@
             store_cache.staleness_s,
             only_newer_version=only_newer_version,
         )
-        timeout_s = BUSY_LINK_TIMEOUT_S if only_newer_version else RESPONSE_TIMEOUT_S
+        return await self._send(peer, request)
+
+    async def _send(self, peer: Address, request: SyncRequest) -> "_News | Outcome":
+        timeout_s = BUSY_LINK_TIMEOUT_S if request.only_newer_version else RESPONSE_TIMEOUT_S
         client = JsonClient(peer, timeout_s)
         requested_at = clock.now()
         try:
--- a/src/pearshed/_internal/gateway/process.py
+++ b/src/pearshed/_internal/gateway/process.py
@@ -565,6 +565,8 @@
     def _keys_trusted(self) -> bool:
         if not self._settings.keys_fail_closed:
             return True
+        if self._settings.control.port and not self._peer_sync.asked_at_start:
+            return False
         return are_keys_trusted(
             self._settings.revocation_s, self._store_cache.age_s, self._key_confirmation.age_s
         )
--- a/tests/gateway/test_restored_stores.py
+++ b/tests/gateway/test_restored_stores.py
@@ -1,12 +1,14 @@
 """A store that comes back from a copy some seconds old: its revisions go back."""
 
 import functools
+from typing import Any
 
 from parameterized import parameterized
 
 from pearshed._internal.decisions.restored_items import EXPIRY_MARGIN_S
 from pearshed._internal.gateway.process import GatewayProcess
-from tests.lib.gateway_fixture import GatewayTestCase, until
+from pearshed._internal.utils.addresses import Address
+from tests.lib.gateway_fixture import GatewayTestCase, free_address, gateway_settings, until
 from tests.lib.gateway_platform import API_KEY, configuration, respond_ok
 
 _OTHER_KEY = "another-key"
@@ -232,3 +234,48 @@
         self.store.restore(self.store.copy())
         await self.start()
         self.assertEqual(200, await self.status("/lookup/a"))
+
+
+class StartInDrillTest(GatewayTestCase):
+    """Guards against what a copy lacks being unknown to a gateway that starts meanwhile."""
+
+    async def start_second(self, seed: Address, **overrides: Any) -> None:
+        """Start another gateway after a restore, which `gateway` and `settings` then stand for."""
+        other = gateway_settings(self.store.address, seeds=(seed,), **overrides)
+        self.settings = other
+        self.gateway, _ = self.run_gateway(lambda: other)
+        await until(lambda: not self.gateway.not_ready_reasons())
+
+    async def test_a_key_that_another_gateway_knows_as_revoked_is_refused(self) -> None:
+        await self.add_engine("ledger", respond_ok)
+        first = await self.start_gateway()
+        copy = self.store.copy()
+        tenants = [{"name": "guild", "apiKeys": [_OTHER_KEY], "priority": 1}]
+        self.store.put("op/config", configuration(2, tenants=tenants))
+        await until(lambda: first.store_cache.version == 2)
+        self.store.restore(copy)
+        await self.start_second(self.settings.control)
+        self.assertEqual(2, self.gateway.store_cache.version)
+        authorization = {"Authorization": f"Token {API_KEY}"}
+        self.assertEqual(401, await self.status("/lookup/a", headers=authorization))
+
+    async def test_an_evacuation_that_another_gateway_knows_is_in_force_until_the_bound(
+        self,
+    ) -> None:
+        await self.add_engine("ledger", respond_ok)
+        first = await self.start_gateway(evacuation_bound_s=5.0)
+        copy = self.store.copy()
+        self.store.put("op/evacuate/olympia", {})
+        await until(lambda: first.pages.dump()["evacuations"] != [])
+        self.store.restore(copy)
+        await self.start_second(self.settings.control, evacuation_bound_s=5.0)
+        self.assertTrue(self.has_endpoints("ledger", 0))
+        self.clock_offset += 5.0
+        await until(lambda: self.has_endpoints("ledger", 1))
+        await until(lambda: first.pages.dump()["evacuations"] == [])
+
+    async def test_a_gateway_whose_others_do_not_answer_opens(self) -> None:
+        await self.add_engine("ledger", respond_ok)
+        await self.start_second(free_address())
+        await until(lambda: self.has_endpoints("ledger", 1))
+        self.assertEqual(200, await self.status("/lookup/a"))
--- a/tests/lib/store_series.py
+++ b/tests/lib/store_series.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import json
+import math
 import random
 import unittest
 import urllib.parse
@@ -139,6 +140,7 @@
     evacuations: EvacuationTable
     away_until: float = 0.0
     frozen_until: float = 0.0
+    asked_at_start: bool = False
     once_used: set[str] = field(default_factory=set)
     known_left: set[str] = field(default_factory=set)
     once_evacuated: set[str] = field(default_factory=set)
@@ -399,19 +401,25 @@
             failure = await cache._read_next()
             if failure is not None:
                 cache._record_failure(failure)
-        if cache.staleness_s > STALE_S:
-            self._ask_another(gateway)
-
-    def _ask_another(self, gateway: ModelledGateway) -> None:
+        if not gateway.asked_at_start and cache.configuration is not None:
+            gateway.asked_at_start = True
+            self._ask_another(gateway, math.inf)
+        elif cache.staleness_s > STALE_S:
+            self._ask_another(gateway, cache.staleness_s)
+
+    def _ask_another(self, gateway: ModelledGateway, age_s: float) -> None:
+        """Ask the other gateways for what is newer than of an age, seconds."""
         now = clock.now()
         cache = gateway.cache
         for other in self._gateways:
             if other is gateway or now < other.frozen_until:
                 continue
             update = other.cache.build_update(cache.version, cache.endpoints_digest)
-            if update is not None and update.is_newer_than(cache.version, cache.staleness_s):
+            if update is not None and update.is_newer_than(cache.version, age_s):
                 received = decode_update(json.loads(encode_update(update))).unwrap()
                 cache.apply_update(received, now)
+            if cache.version < other.cache.version:
+                self._report("a gateway that asked knows an earlier configuration")
 
     def _check(self, gateway: ModelledGateway) -> None:
         """Check that nothing is back that this gateway knows to have ended."""
