--- a/src/pearshed/_internal/gateway/peer_sync.py
+++ b/src/pearshed/_internal/gateway/peer_sync.py
@@ -3,9 +3,11 @@
 A gateway asks its peers only while it gets no responses from the store itself, or while it has been
 receiving one for some time: peers send a changed configuration compressed. So this is idle in
 normal operation. It also asks some once, after it has started: the store may just have come back
-from a copy, and only who ran before knows what the copy lacks. A response carries the age of the store's confirmation, counted from the request
-that the store answered. The age only grows in transit, so gateways can't renew among themselves
-what the store has not confirmed.
+from a copy, and only who ran before knows what the copy lacks.
+
+A response carries the age of the store's confirmation, counted from the request that the store
+answered. The age only grows in transit, so gateways can't renew among themselves what the store has
+not confirmed.
 """
 
 import asyncio
