Make room for connections once for one event, some at a time

Cause: ending a connection charges its refusal, which found the room still exceeded and chose again inside the first choice, until the connection that had just come was ended too. And connections were ended one for one, so each further one read and sorted all holdings.

Change: while room is being made, growth starts no further choice. A choice beyond the number of connections frees a sixteenth of it, as for bytes. A refused connection goes on counting until it has gone, and is the first to be closed for good.

Result: test_one_connection_beyond_a_full_room_is_one_choice failed before (2 endings asked for 1 at the most) and the property over series of opens, growths and closes (1 choice asked for, 2 seen); both pass. The holdings read for a connection beyond the room stay below 64 at 1,000 and at 8,000 open ones.

--- a/src/pearshed/_internal/decisions/ending_order.py
+++ b/src/pearshed/_internal/decisions/ending_order.py
@@ -100,6 +100,9 @@
                 held -= holding.freed_bytes
     closed = sum(holding.stage is not HoldingStage.AHEAD for holding in ended.values())
     excess = len(holdings) - closed - room.connections
+    if excess > 0:
+        # One that is refused counts until it has gone, as the first to be closed for good.
+        excess += int(room.connections * _FREED_SHARE)
     for index, holding in enumerate(ordered):
         if excess <= 0:
             break
--- a/src/pearshed/_internal/resources/account.py
+++ b/src/pearshed/_internal/resources/account.py
@@ -50,6 +50,7 @@
         self._ended: Counter[str] = Counter()
         self._unlogged: Counter[str] = Counter()
         self._logged_at = float("-inf")
+        self._making_room = False
 
     @property
     def held_bytes(self) -> int:
@@ -141,8 +142,13 @@
 
     def _make_room_after_growth(self, grown: Holder) -> None:
         self._most_held_bytes = max(self._most_held_bytes, self._held_bytes)
-        if self._exceeds_room(self._held[grown]):
-            self._make_room()
+        # A refusal is held too, so each connection that is ended grows first.
+        if not self._making_room and self._exceeds_room(self._held[grown]):
+            self._making_room = True
+            try:
+                self._make_room()
+            finally:
+                self._making_room = False
 
     def _exceeds_room(self, grown_bytes: int) -> bool:
         """Return whether connections are to be ended.
--- a/tests/unit/test_resources.py
+++ b/tests/unit/test_resources.py
@@ -3,10 +3,19 @@
 import asyncio
 import threading
 import unittest
+from collections.abc import Sequence
+from unittest import mock
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from parameterized import parameterized
 
-from pearshed._internal.decisions.ending_order import Holding, HoldingStage, Room
+from pearshed._internal.decisions.ending_order import (
+    Holding,
+    HoldingStage,
+    Room,
+    choose_ended,
+)
 from pearshed._internal.entry.caller_room import CallerRoom
 from pearshed._internal.resources.account import Holder, ResourceAccount
 from pearshed._internal.resources.limits import PAGE_CONNECTIONS, MachineLimits
@@ -20,6 +29,7 @@
 
 KIB = 1024
 MIB = 1024 * KIB
+_CHOOSE = "pearshed._internal.resources.account.choose_ended"
 
 
 class FakeHolder(Holder):
@@ -96,6 +106,111 @@
         self.assertTrue(self.account.has_room_for(self.open(HoldingStage.SERVING)))
 
 
+class RefusedHolder(FakeHolder):
+    """Holds its refusal when it is ended, and is closed when it is ended once more."""
+
+    def end_for_lack_of_room(self) -> None:
+        self.ended += 1
+        if self._stage is HoldingStage.REFUSED:
+            self._account.close(self)
+            return
+        self._stage = HoldingStage.REFUSED
+        self.grow(self.held_bytes + KIB)
+
+
+class FullRoomTest(unittest.TestCase):
+    """Guards against endings that start further ones, inside the first, until none is left."""
+
+    def fill(self, count: int, room: Room) -> tuple[ResourceAccount, list[RefusedHolder]]:
+        account = ResourceAccount("callers", lambda: room)
+        holders = []
+        for _ in range(count):
+            holders.append(RefusedHolder(account, HoldingStage.RECEIVING))
+            account.open(holders[-1])
+        return account, holders
+
+    def test_one_connection_beyond_a_full_room_is_one_choice(self) -> None:
+        account, holders = self.fill(50, Room(MIB, 50))
+        with mock.patch(_CHOOSE, wraps=choose_ended) as choose:
+            new = RefusedHolder(account, HoldingStage.RECEIVING)
+            account.open(new)
+        self.assertEqual(1, choose.call_count)
+        self.assertEqual(0, new.ended)
+        self.assertLessEqual(sum(holder.ended for holder in holders), 1 + 50 // 16)
+
+    def test_growth_beyond_a_full_room_is_one_choice(self) -> None:
+        account, holders = self.fill(50, Room(100 * KIB, 50))
+        for holder in holders[:25]:
+            holder.held_bytes = 4 * KIB
+        with mock.patch(_CHOOSE, wraps=choose_ended) as choose:
+            for holder in holders[:25]:
+                account.update(holder)
+            self.assertEqual(0, choose.call_count)
+            holders[25].grow(KIB)
+        self.assertEqual(1, choose.call_count)
+
+    @parameterized.expand([(1000,), (8000,)])
+    def test_a_connection_beyond_the_room_costs_the_same_however_many_are_open(
+        self, count: int
+    ) -> None:
+        account, _ = self.fill(count, Room(10**9, count))
+        read = 0
+
+        def choose(holdings: Sequence[Holding[Holder]], room: Room, now: float) -> list[Holder]:
+            nonlocal read
+            read += len(holdings)
+            return choose_ended(holdings, room, now)
+
+        with mock.patch(_CHOOSE, choose):
+            for _ in range(count):
+                account.open(RefusedHolder(account, HoldingStage.RECEIVING))
+        # Each choice frees a sixteenth; one refuses, and the next one closes.
+        self.assertLess(read / count, 2 * 2 * 16)
+        self.assertLessEqual(account.connections, count + 2)
+
+    @settings(derandomize=True, database=None, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(("open", "serve", "grow", "close")),
+                st.integers(0, 30),
+                st.integers(0, 40 * KIB),
+            ),
+            max_size=80,
+        )
+    )
+    def test_any_series_leaves_the_sums_right_and_serves_on(
+        self, events: list[tuple[str, int, int]]
+    ) -> None:
+        account = ResourceAccount("callers", lambda: Room(100 * KIB, 8))
+        holders: list[RefusedHolder] = []
+        depth = 0
+
+        def choose(holdings: Sequence[Holding[Holder]], room: Room, now: float) -> list[Holder]:
+            nonlocal depth
+            depth += 1
+            return choose_ended(holdings, room, now)
+
+        with mock.patch(_CHOOSE, choose):
+            for kind, number, size in events:
+                depth = 0
+                if kind in ("open", "serve") or not holders:
+                    stage = HoldingStage.SERVING if kind == "serve" else HoldingStage.RECEIVING
+                    holders.append(RefusedHolder(account, stage))
+                    account.open(holders[-1])
+                elif kind == "grow":
+                    holders[number % len(holders)].grow(size)
+                else:
+                    account.close(holders.pop(number % len(holders)))
+                self.assertLessEqual(depth, 1)
+                held = account._held
+                self.assertEqual(sum(held.values()), account.held_bytes)
+                sizes = {one: one.held_bytes for one in holders if one in held}
+                self.assertEqual(sizes, held)
+                served = [one for one in holders if one._stage is HoldingStage.SERVING]
+                self.assertEqual(0, sum(one.ended for one in served))
+
+
 class CallerRoomTest(unittest.TestCase):
     def test_threads_may_use_it_at_the_same_time(self) -> None:
         account = ResourceAccount("callers", lambda: Room(100 * KIB, 1000))
