--- a/tests/crowds/test_gateway_callers.py
+++ b/tests/crowds/test_gateway_callers.py
@@ -19,7 +19,7 @@
     GatewayCrowdTestCase,
     head,
 )
-from tests.lib.crowds import Crowd, repeated
+from tests.lib.crowds import Crowd, CrowdRun, repeated
 from tests.lib.crowds_of_requests import (
     SHORTEST_LINE,
     TRAILER,
@@ -102,6 +102,29 @@
         self.assertLess(use.memory_mb, MEMORY_MB)
 
 
+class LastingCrowdTest(GatewayCrowdTestCase):
+    """Guards against a gateway that is busy with ending connections instead of serving."""
+
+    @parameterized.expand([(88, 3075), (150, 4100), (552, 8192)])
+    async def test_more_half_heads_than_there_is_room_for(
+        self, memory_mb: int, descriptors: int
+    ) -> None:
+        await self.start_gateway(memoryMb=memory_mb, maxFds=descriptors)
+        run = CrowdRun(Crowd("half_heads", 4300, lambda: [head()[:60]]), self.addresses["front"])
+        self.addCleanup(run.stop)
+        with self.gateway.sampled():
+            await run.start()
+            tries = 1
+            while await self.ordinary_status() != 200:
+                tries += 1
+                self.assertLess(tries, 10)
+        use = self.gateway.resource_use()
+        self.assertTrue(self.gateway.alive, self.gateway.log_text[-2000:])
+        self.assertNotIn("Exception in", self.gateway.log_text)
+        self.assertLess(use.memory_mb, memory_mb)
+        self.assertLess(use.descriptors, descriptors - RESERVED_FDS)
+
+
 def _lookup(*lines: str) -> bytes:
     return head(*lines, path="lookup")
 
--- a/tests/lib/crowd_fixture.py
+++ b/tests/lib/crowd_fixture.py
@@ -168,4 +168,5 @@
             self.assertTrue(self.gateway.alive, self.gateway.log_text[-2000:])
             status = await self.ordinary_status()
         self.assertTrue(self.gateway.alive, self.gateway.log_text[-2000:])
+        self.assertNotIn("Exception in", self.gateway.log_text)
         self.assertEqual(200, status, self.gateway.log_text[-4000:])
