Soak: record a pause only where it is asked for, and start a process once

Cause: an engine that turns all requests away and is to ask for a pause was recorded as asking, though its 503 bears no Retry-After, so the check of pauses failed for a pause that no gateway could know. And a process whose start overlaps with another fault could be started twice, the second one being left running. Change: what is recorded is what is sent; starting and killing a process wait for each other.

--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -113,6 +113,7 @@
     stopping_since: float | None = None
     fault_until: float = field(default=float("-inf"))
     process_fault_until: float = field(default=float("-inf"))
+    _changing: asyncio.Lock = field(default_factory=asyncio.Lock, repr=False)
 
     @property
     def running(self) -> bool:
@@ -120,7 +121,12 @@
         return self.process is not None and self.process.returncode is None
 
     async def start(self) -> None:
-        """Start the process."""
+        """Start the process unless it runs; faults may overlap, and starting takes a while."""
+        async with self._changing:
+            if not self.running:
+                await self._start()
+
+    async def _start(self) -> None:
         self.start_count += 1
         self.stopping_since = None
         with self.log.open("ab") as log:
@@ -148,11 +154,12 @@
 
     async def kill(self) -> None:
         """Kill the process and wait for its exit."""
-        if self.process is not None and self.running:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-        if self.process is not None:
-            await self.process.wait()
+        async with self._changing:
+            if self.process is not None and self.running:
+                self.process.send_signal(signal.SIGCONT)
+                self.process.kill()
+            if self.process is not None:
+                await self.process.wait()
 
 
 class Testbed:
@@ -426,7 +433,8 @@
             connection.send_response(request, 421, b"", {"Pearshed-Response-Signature": ""})
             return
         request_id = request.request_id
-        pause_s = self.pauses.get(engine, 0.0)
+        # Who turns all away says neither that it is busy nor for how long.
+        pause_s = 0.0 if engine in self.refusing else self.pauses.get(engine, 0.0)
         arrived_at = time.monotonic()
         arrival = Arrival(request_id, engine.identity, arrived_at, pause_s, engine.service)
         self.history.arrivals.append(arrival)
