Build entries of engines in one place of the tests

Cause: the same entry stood in five files. Result: tests of the store cache, entries, statuses and series pass.

--- a/tests/gateway/test_entry_table.py
+++ b/tests/gateway/test_entry_table.py
@@ -16,20 +16,11 @@
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
 from tests.lib.fakes import FakeClock
+from tests.lib.gateway_platform import entry_document
 
 _LEASE_S = 3.6
 _LEASE_IS_OVER_S = _LEASE_S + EXPIRY_MARGIN_S + 0.1
-_ENTRY = {
-    "service": "fleet",
-    "address": "10.0.0.1:80",
-    "zone": "olympia",
-    "version": "v1",
-    "slots": 6,
-    "state": "ready",
-    "coldLeftMs": 0,
-    "seq": 1,
-    "born": 1_700_000_000_000,
-}
+_ENTRY = entry_document("fleet", "10.0.0.1:80", born=1_700_000_000_000)
 
 
 def _item(era: int, count: int, **fields: Any) -> StoreItem:
--- a/tests/gateway/test_statuses.py
+++ b/tests/gateway/test_statuses.py
@@ -17,6 +17,7 @@
     EngineConnection,
     EngineRequest,
     configuration,
+    entry_document,
     reset,
     route,
 )
@@ -120,20 +121,10 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
         self.addCleanup(server.close)
         address = "{}:{}".format(*server.sockets[0].getsockname())
-        entry = {
-            "service": "ledger",
-            "address": address,
-            "zone": "olympia",
-            "version": "v1",
-            "slots": 6,
-            "state": "ready",
-            "coldLeftMs": 0,
-            "seq": 1,
-        }
         services: dict[str, Any] = configuration(2)
         services["limits"] = {**services.get("limits", {}), "maxBodyBytes": 2 * _UPLOAD_BYTES}
         self.store.put("op/config", services)
-        self.store.put("servers/i-early", entry)
+        self.store.put("servers/i-early", entry_document("ledger", address))
         await self.start_gateway()
         await until(lambda: self.has_endpoints("ledger", 1))
         caller = await Caller.connect(self.settings.callers)
--- a/tests/gateway/test_store_cache.py
+++ b/tests/gateway/test_store_cache.py
@@ -24,19 +24,10 @@
 from pearshed._internal.timers import clock
 from tests.lib.fakes import FakeClock
 from tests.lib.gateway_fixture import until
-from tests.lib.gateway_platform import configuration
+from tests.lib.gateway_platform import configuration, entry_document
 from tests.lib.gateway_store import StoreStandIn
 
-ENTRY = {
-    "service": "fleet",
-    "address": "10.0.0.1:80",
-    "zone": "olympia",
-    "version": "v1",
-    "slots": 6,
-    "state": "ready",
-    "coldLeftMs": 0,
-    "seq": 1,
-}
+ENTRY = entry_document("fleet", "10.0.0.1:80")
 
 
 class StoreCacheTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/lib/gateway_platform.py
+++ b/tests/lib/gateway_platform.py
@@ -83,6 +83,21 @@
         return self.headers.get("pearshed-request-id", "")
 
 
+def entry_document(service: str, address: str, **fields: Any) -> dict[str, Any]:
+    """Create an engine's entry in the store."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "olympia",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "seq": 1,
+        **fields,
+    }
+
+
 class EngineConnection:
     """An engine's end of a connection; scripts may send malformed responses on it."""
 
@@ -254,18 +269,8 @@
 
     def entry(self, **overrides: Any) -> dict[str, Any]:
         """Create the entry that the engine publishes in the store."""
-        return {
-            "service": self.service,
-            "address": str(self.address),
-            "zone": "olympia",
-            "version": "v1",
-            "slots": 6,
-            "state": "ready",
-            "coldLeftMs": 0,
-            "seq": 1,
-            "born": self.started_at_ms,
-            **overrides,
-        }
+        document = entry_document(self.service, str(self.address), born=self.started_at_ms)
+        return {**document, **overrides}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
--- a/tests/lib/store_series.py
+++ b/tests/lib/store_series.py
@@ -30,7 +30,7 @@
 from pearshed._internal.timers import clock
 from pearshed._internal.utils.addresses import Address
 from tests.lib.fakes import FakeClock
-from tests.lib.gateway_platform import configuration
+from tests.lib.gateway_platform import configuration, entry_document
 from tests.lib.gateway_store import StoreCopy, StoreStandIn
 
 SERVICES = 6
@@ -88,17 +88,13 @@
 
     def entry(self) -> dict[str, Any]:
         """Return its entry in the store."""
-        return {
-            "service": f"service-{self.service}",
-            "address": f"10.0.0.{self.number}:80",
-            "zone": self.zone,
-            "version": "v1",
-            "slots": 6,
-            "state": "draining" if self.drains else "ready",
-            "coldLeftMs": 0,
-            "seq": 1,
-            "born": 1_700_000_000_000 + self.number,
-        }
+        return entry_document(
+            f"service-{self.service}",
+            f"10.0.0.{self.number}:80",
+            zone=self.zone,
+            state="draining" if self.drains else "ready",
+            born=1_700_000_000_000 + self.number,
+        )
 
 
 class DirectClient:
