Compare an evacuation with the era of what is known of it

What callers would have seen: right after a drill, requests sent to a zone that is evacuated, once the bound had passed.

Cause: an evacuation that another gateway listed with a revision of an earlier era was taken as kept against the store, also where this gateway had read it in the store of the new era; the doubt then ended it. Found by reading the change.

Change: what counts is the era of the revision that is known here.

Result: test_a_gateway_that_has_not_read_on_ends_no_evacuation_that_the_store_has failed before and passes; 57 tests of evacuations, series and starts pass.

--- a/src/pearshed/_internal/gateway/availability/evacuations.py
+++ b/src/pearshed/_internal/gateway/availability/evacuations.py
@@ -209,7 +209,8 @@
                 continue
             self._doubted.pop(data_centre, None)
             changed = self._record(data_centre, set_at, True, source) or changed
-            if era_of(set_at) < era_of(latest) and data_centre in self._evacuations:
+            known = self._evacuations.get(data_centre)
+            if known is not None and era_of(known.revision) < era_of(latest):
                 # Another gateway keeps it although the store lacks it, or has not read on yet.
                 self._doubt(data_centre, DoubtedEvacuation(latest, None, clock.now(), source))
         for data_centre in self._evacuations.keys() - revisions.keys():
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -221,6 +221,17 @@
         self.table.confirm(compose(2, 6), self.clock.now)
         self.assertEqual(in_force, self.table.in_force)
 
+    def test_a_gateway_that_has_not_read_on_ends_no_evacuation_that_the_store_has(self) -> None:
+        # What it lists is of the era before, so it seemed to be kept against the store.
+        self.table.apply_all({"olympia": compose(2, 4)}, compose(2, 6), Source.STORE)
+        self.table.confirm(compose(2, 6), self.clock.now)
+        late = EvacuationUpdate({"olympia": compose(1, 4)}, compose(1, 9), 0.1)
+        self.table.apply_update(late, self.clock.now)
+        self.assertEqual([], self.table.dump_doubted())
+        self.clock.advance(BOUND_S)
+        self.table.confirm(compose(2, 7), self.clock.now)
+        self.assertEqual({"olympia"}, self.table.in_force)
+
     def test_an_unknown_data_centre_is_logged_once(self) -> None:
         with self.assertLogs("absl", "INFO") as logs:
             for revision in (5, 7, 9):
