--- a/review/lib_3/store.py
+++ b/review/lib_3/store.py
@@ -110,9 +110,13 @@
 
 
 class SilencingProxy:
-    """Forwards connections; those that are open can be silenced for good, new ones work."""
+    """Forwards connections; those that are open can be silenced for good, new ones work.
+
+    :ivar requested_at: clock reading at which something was last sent to the target.
+    """
 
     def __init__(self, target: tuple[str, int]) -> None:
+        self.requested_at = float("-inf")
         self._target = target
         self._forwarders: set[asyncio.Task[None]] = set()
         self._kept: list[asyncio.StreamWriter] = []
@@ -134,16 +138,18 @@
         # Kept, so that a silenced connection is neither closed nor reset.
         self._kept += [writer, other_writer]
         for source, sink in ((reader, other_writer), (other_reader, writer)):
-            task = asyncio.get_running_loop().create_task(_forward(source, sink))
+            task = asyncio.get_running_loop().create_task(self._forward(source, sink))
             self._forwarders.add(task)
             task.add_done_callback(self._forwarders.discard)
 
-
-async def _forward(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    try:
-        while content := await reader.read(65536):
-            writer.write(content)
-            await writer.drain()
-    except ConnectionError:
-        pass
-    writer.close()
+    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        peer = writer.get_extra_info("peername")
+        try:
+            while content := await reader.read(65536):
+                if peer == tuple(self._target):
+                    self.requested_at = time.monotonic()
+                writer.write(content)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        writer.close()
