--- a/review/lib_3/gateways.py
+++ b/review/lib_3/gateways.py
@@ -92,7 +92,7 @@
         self._hosts = [f"127.0.40.{number + 1}" for number in range(count)]
         ports = [free_port(self._hosts[0]) for _ in range(4)]
         self._front, self._ready, self._control, self._peers = ports
-        self._processes: list[asyncio.subprocess.Process] = []
+        self._processes: dict[int, asyncio.subprocess.Process] = {}
 
     @property
     def fronts(self) -> list[tuple[str, int]]:
@@ -101,36 +101,42 @@
 
     async def start(self) -> None:
         """Start all gateways, and wait until they are ready."""
-        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
-        command = deploy["roles"]["gateway"]["run"].split()
-        for number, host in enumerate(self._hosts):
-            path = self._directory / f"edge-{number}.json"
-            path.write_text(json.dumps(self._settings(number, host)))
-            with (self._directory / f"edge-{number}.log").open("ab") as log:
-                self._processes.append(
-                    await asyncio.create_subprocess_exec(
-                        *command,
-                        cwd=ROOT,
-                        stdout=log,
-                        stderr=log,
-                        env={
-                            "PATH": os.environ["PATH"],
-                            "HOME": os.environ.get("HOME", "/"),
-                            "PYTHONPATH": str(ROOT / "target/deps"),
-                            "PEARSHED_CONFIG": str(path),
-                        },
-                    )
-                )
+        for number in range(len(self._hosts)):
+            await self.start_one(number)
         async with asyncio.timeout(20):
             while not all([await self._is_ready(host) for host in self._hosts]):
                 await asyncio.sleep(0.1)
 
+    async def start_one(self, number: int) -> None:
+        """Start one gateway with the command of the deploy file."""
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        path = self._directory / f"edge-{number}.json"
+        path.write_text(json.dumps(self._settings(number, self._hosts[number])))
+        with (self._directory / f"edge-{number}.log").open("ab") as log:
+            self._processes[number] = await asyncio.create_subprocess_exec(
+                *deploy["roles"]["gateway"]["run"].split(),
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+                env={
+                    "PATH": os.environ["PATH"],
+                    "HOME": os.environ.get("HOME", "/"),
+                    "PYTHONPATH": str(ROOT / "target/deps"),
+                    "PEARSHED_CONFIG": str(path),
+                },
+            )
+
+    async def kill_one(self, number: int) -> None:
+        """End one gateway by SIGKILL, if it runs, and wait until it has ended."""
+        process = self._processes[number]
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
     async def kill(self) -> None:
         """End the processes that run, and wait until they have ended."""
-        for process in self._processes:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
+        for number in self._processes:
+            await self.kill_one(number)
 
     async def _is_ready(self, host: str) -> bool:
         try:
--- a/review/lib_3/store.py
+++ b/review/lib_3/store.py
@@ -4,14 +4,27 @@
 import base64
 import json
 import time
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 
+@dataclass(frozen=True)
+class Copy:
+    """What the store held at a moment."""
+
+    items: dict[str, tuple[bytes, int, int]]
+    revision: int
+
+
 class Store:
     """Items with revisions and a change history, as PROTOCOL.md describes them."""
 
     def __init__(self) -> None:
+        self._era = 1
+        self._away = False
+        self._known_since = 0
+        self._writers: set[asyncio.StreamWriter] = set()
         self._items: dict[str, tuple[bytes, int, int]] = {}
         self._history: list[tuple[int, str, bytes | None, int]] = []
         self._revision = 1
@@ -37,6 +50,25 @@
         del self._items[key]
         return self._record(key, None, 0)
 
+    def copy(self) -> Copy:
+        """Copy what the store holds now."""
+        return Copy(dict(self._items), self._revision)
+
+    def go_away(self) -> None:
+        """Reset all connections, and those that are opened from now on."""
+        self._away = True
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def come_back(self, copy: Copy) -> float:
+        """Come back from a copy, as in a drill (letter 4); return when."""
+        self._items, self._revision = dict(copy.items), copy.revision
+        self._history.clear()
+        self._known_since = copy.revision
+        self._era += 1
+        self._away = False
+        return time.monotonic()
+
     def _record(self, key: str, value: bytes | None, created: int) -> float:
         self._history.append((self._revision, key, value, created))
         self._changed.set()
@@ -44,6 +76,10 @@
         return time.monotonic()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._away:
+            writer.transport.abort()
+            return
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -51,12 +87,14 @@
                 body = json.dumps(document).encode()
                 writer.write(
                     b"HTTP/1.1 %d Status\r\nContent-Type: application/json\r\n"
-                    b"Content-Length: %d\r\n\r\n" % (status, len(body)) + body
+                    b"Store-Era: %d\r\nContent-Length: %d\r\n\r\n" % (status, self._era, len(body))
+                    + body
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _respond(self, target: str) -> tuple[int, dict[str, Any]]:
@@ -75,6 +113,8 @@
                 "storeRevision": self._revision,
             }
         if parts.path == "/v1/kv-watch":
+            if not self._known_since <= int(query["sinceRev"]) <= self._revision:
+                return 410, {}
             return 200, await self._watch(query)
         return 404, {}
 
