--- a/review/lib_3/store.py
+++ b/review/lib_3/store.py
@@ -137,7 +137,7 @@
                 return {"events": events, "storeRevision": self._revision}
             try:
                 await asyncio.wait_for(changed.wait(), left_s)
-            except asyncio.TimeoutError:
+            except TimeoutError:
                 pass
 
     def _encode(self, key: str) -> dict[str, Any]:
